--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,414 @@
+//! The words the decision module speaks: what a gateway is told at its start ([`Settings`]), what
+//! happens to it ([`Event`], [`Outcome`]) and what it asks for ([`Action`]). No decision is taken here.
+//!
+//! Times are microseconds of one clock that only advances; it begins at an arbitrary value.
+
+/// A time or a span in microseconds.
+pub type Micros = u64;
+/// A client try; never used twice.
+pub type RequestId = u32;
+/// A machine that serves requests. The same at every gateway, and kept over restarts of its process.
+pub type BackendId = u32;
+/// An account whose use is held to its plan's quota.
+pub type CustomerId = u64;
+
+/// What a gateway knows from its start on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// Number of gateways that share the work.
+    pub gateways: u16,
+    /// This gateway's number among them, from 0.
+    pub index: u16,
+    /// The zone this gateway stands in.
+    pub zone: u16,
+    /// Shortest time between two batches of events.
+    pub tick: Micros,
+    pub classes: Vec<Class>,
+    pub plans: Vec<Plan>,
+    /// The shared counter service, where there is one.
+    pub counter: Option<Counter>,
+    /// Period of the usage meter; 0: there is none.
+    pub meter_period: Micros,
+    /// Most units that one request can count.
+    pub largest_request: f64,
+    /// A request's units are a guess; the true ones come with its first good answer.
+    pub settled_later: bool,
+    pub limits: Limits,
+    pub safety: Safety,
+    /// Load figures that backends report, in the order of [`Report`]'s values.
+    pub report_fields: Vec<ReportField>,
+    pub report_via: ReportVia,
+    pub discovery: Discovery,
+    pub weights: Weights,
+    /// What a second attempt in another zone, a message, a probe or wasted work costs.
+    pub prices: Prices,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Time within which an answer earns its full worth.
+    pub aim: Micros,
+    /// The aim grows by this multiple of the request's own work.
+    pub aim_stretch: f64,
+    /// Longest time a client waits, over all its tries.
+    pub deadline: Micros,
+    pub effect: Effect,
+    /// Which backends drop repeats of a keyed request.
+    pub group: Group,
+    /// For how long they do.
+    pub repeat_window: Micros,
+    /// Part of the worth that an answer after the aim still earns.
+    pub late_value: f64,
+    pub value: f64,
+    pub streamed: bool,
+}
+
+/// What happens when a request runs twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// No harm.
+    Safe,
+    /// No harm inside the group that drops repeats, while it remembers.
+    Keyed,
+    /// Harm.
+    Unsafe,
+}
+
+/// The backends that know of each other's keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Quota of each customer of one plan, over all gateways together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Units a second; 0: no such quota.
+    pub rate: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// Attempts out at once; 0: no such quota.
+    pub open_cap: f64,
+    pub worth: f64,
+    /// Part of its worth that a request beyond the quota earns.
+    pub beyond_worth: f64,
+    /// Part of its worth that sending it on costs.
+    pub beyond_cost: f64,
+    /// Hard ceiling in units a second; 0: none.
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+    pub ceiling_slack: f64,
+}
+
+/// The shared counter service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Counter {
+    /// A call without an answer by then ends as [`Outcome::Timeout`].
+    pub timeout: Micros,
+    /// Price of one call a request.
+    pub fee: f64,
+}
+
+/// What the deployment allows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Limits {
+    pub attempts: u32,
+    pub second_copies: bool,
+    pub cancelling: bool,
+    pub probing: bool,
+    pub peer_messages: bool,
+    /// Messages a second that a gateway takes in.
+    pub peer_intake: f64,
+    /// Clients are told when to come again.
+    pub retry_hints: bool,
+    pub longest_retry_hint: Micros,
+    pub clients_mark_repeats: bool,
+    pub open_requests: u32,
+    pub connect_timeout: Micros,
+    pub idle_close: Micros,
+    pub streams_per_connection: u32,
+    pub cpu_per_second: Micros,
+    pub cpu_per_request: f64,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Safety {
+    /// A final answer may come this much after the client's deadline.
+    pub answer_slack: Micros,
+    /// Word of a drain is heeded within this time.
+    pub drain_grace: Micros,
+    /// A fresh backend can do this part of its work or more.
+    pub cold_share: f64,
+    /// It is warm after this time.
+    pub cold_time: Micros,
+    /// It falls over when sent this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_time: Micros,
+    /// Without a subscription, a gateway that has not asked for this long counts as told.
+    pub ask_within: Micros,
+}
+
+/// Points taken off the result.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Prices {
+    pub cross_zone: f64,
+    pub waste: f64,
+    pub probe: f64,
+    pub peer: f64,
+    pub late_fail: f64,
+    pub connection: f64,
+    pub handshake: f64,
+    pub discovery: f64,
+}
+
+/// One figure of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    /// Requests in hand.
+    Outstanding,
+    /// Requests waiting.
+    Backlog,
+    Utilization,
+    RecentMillis,
+    Throughput,
+    ErrorsPerSecond,
+    /// A figure this version does not know.
+    Other,
+}
+
+/// How load reports come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReportVia {
+    /// With answers and probe results.
+    Answers,
+    /// With probe results only.
+    Probes,
+    #[default]
+    Never,
+}
+
+/// How word of the backends comes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Discovery {
+    #[default]
+    Push,
+    /// Only after [`Action::Watch`] or [`Action::FetchList`].
+    Ask,
+}
+
+/// What [`BackendEntry::share`] means.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Weights {
+    #[default]
+    Silent,
+    Nominal,
+    Rough,
+    Live,
+}
+
+/// Values of a load report, ordered as [`Settings::report_fields`]; empty: none came.
+pub type Report = Vec<f64>;
+
+/// One backend in a list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BackendEntry {
+    pub id: BackendId,
+    pub zone: u16,
+    pub kind: u8,
+    pub cell: u16,
+    pub condition: Condition,
+    pub share: f64,
+    /// Time of its latest start; 0: long past.
+    pub born: Micros,
+}
+
+/// What the list says of a backend.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Condition {
+    #[default]
+    Gone,
+    Ready,
+    Draining,
+}
+
+/// What a list of backends is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed entries only.
+    Delta,
+    Full,
+    /// The full list as this gateway last held it before a restart.
+    Cached,
+    /// A call failed or a subscription broke; the list held stays.
+    Failed,
+}
+
+/// A client's try, as it arrives.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    pub id: RequestId,
+    pub class: u16,
+    pub plan: u16,
+    pub customer: CustomerId,
+    /// Units it draws from the quota.
+    pub units: f64,
+    /// Number of gateways the customer's requests come through ...
+    pub spread: f64,
+    /// ... and the first of them.
+    pub first_gateway: f64,
+    /// Time until the client gives this try up.
+    pub budget: Micros,
+    pub repeat: bool,
+    pub write: bool,
+}
+
+/// How an attempt, a probe or a counter call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    /// Answered with an error; may have run.
+    Error,
+    /// Turned away unseen; did not run.
+    Full,
+    /// No answer in time; may have run, may still run.
+    Timeout,
+    /// No connection; did not run.
+    ConnectFailed,
+    /// The connection broke; may have run.
+    Reset,
+    /// Withdrawn; may have run.
+    Cancelled,
+    /// Not sent at all.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What happens to a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Backends {
+        kind: ListKind,
+        version: u64,
+        entries: Vec<BackendEntry>,
+    },
+    Request(Request),
+    Timer {
+        token: u64,
+    },
+    /// The client left; the request is closed.
+    Abandoned {
+        request: RequestId,
+    },
+    AttemptEnded(AttemptEnd),
+    /// A streamed answer has begun; the attempt is the client's from here on.
+    AnswerBegun {
+        request: RequestId,
+        attempt: u8,
+        backend: BackendId,
+        waited: Micros,
+    },
+    Counted {
+        count: u64,
+        outcome: Outcome,
+        total: f64,
+        waited: Micros,
+    },
+    Probed {
+        backend: BackendId,
+        outcome: Outcome,
+        waited: Micros,
+        report: Report,
+    },
+    PeerMessage {
+        from: u32,
+        data: Vec<u8>,
+    },
+}
+
+/// The one result of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptEnd {
+    pub request: RequestId,
+    pub attempt: u8,
+    pub backend: BackendId,
+    pub outcome: Outcome,
+    /// Time since it was sent.
+    pub waited: Micros,
+    /// The request is closed, by this outcome or earlier.
+    pub closed: bool,
+    /// True units, where they are settled later; else 0.
+    pub settled_units: f64,
+    /// 1 + the customer's metered use in percent of its quota; 0: none.
+    pub usage: u16,
+    pub report: Report,
+}
+
+/// What a gateway asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an attempt; it is given up at `expires` (0: when the client gives up).
+    Send {
+        request: RequestId,
+        backend: BackendId,
+        expires: Micros,
+    },
+    /// Final answer: not served, and trying again is harmless.
+    Refuse {
+        request: RequestId,
+        retry_after: Micros,
+    },
+    /// Final answer: failed, nothing promised.
+    Fail {
+        request: RequestId,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        request: RequestId,
+        attempt: u8,
+    },
+    Probe {
+        backend: BackendId,
+    },
+    /// Close the idle connections to a backend.
+    CloseIdle {
+        backend: BackendId,
+    },
+    /// Send at most 256 bytes to one gateway, or to all others.
+    Tell {
+        to: Option<u16>,
+        data: Vec<u8>,
+    },
+    /// Add to a named count and learn its total; a new name lives for `life`.
+    Count {
+        count: u64,
+        amount: f64,
+        life: Micros,
+    },
+    Timer {
+        at: Micros,
+        token: u64,
+    },
+    /// Subscribe to changes of the list of backends, or end that.
+    Watch {
+        on: bool,
+    },
+    FetchList,
+    Log {
+        text: String,
+    },
+    /// The decisions themselves have failed.
+    Broken {
+        text: String,
+    },
+}
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,418 @@
+//! The decision module on its own: one small test for each thing that once went wrong or must not.
+
+mod common;
+
+use common::*;
+use nettlehub::interface::*;
+use nettlehub::Gateway;
+use std::collections::BTreeMap;
+
+fn counts(actions: &[Action]) -> Vec<(u64, f64)> {
+    let calls = actions.iter().filter_map(|action| match action {
+        Action::Count { count, amount, .. } => Some((*count, *amount)),
+        _ => None,
+    });
+    calls.collect()
+}
+
+fn sent(actions: &[Action]) -> Vec<BackendId> {
+    let sends = actions.iter().filter_map(|action| match action {
+        Action::Send { backend, .. } => Some(*backend),
+        _ => None,
+    });
+    sends.collect()
+}
+
+fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Refuse { .. }))
+}
+
+/// A counter service that answers every call at once.
+#[derive(Default)]
+struct Figures(BTreeMap<u64, f64>);
+
+impl Figures {
+    fn answer(&mut self, gateway: &mut Gateway, now: Micros, actions: &[Action]) -> Vec<Action> {
+        let mut all = actions.to_vec();
+        let mut calls = counts(actions);
+        while let Some((count, amount)) = calls.pop() {
+            let total = self.0.entry(count).or_default();
+            *total += amount;
+            let answer = Event::Counted { count, outcome: Outcome::Ok, total: *total, waited: 4_000 };
+            let further = step(gateway, now, answer);
+            calls.extend(counts(&further));
+            all.extend(further);
+        }
+        all
+    }
+
+    /// Plays one request and its good answer; tells whether it was sent on.
+    fn play(&mut self, gateway: &mut Gateway, now: Micros, request: Request) -> bool {
+        let id = request.id;
+        let actions = step(gateway, now, Event::Request(request));
+        let actions = self.answer(gateway, now, &actions);
+        let to = sent(&actions);
+        if let Some(backend) = to.first() {
+            step(gateway, now, ended(id, 0, *backend, Outcome::Ok));
+        }
+        !to.is_empty()
+    }
+}
+
+#[test]
+fn every_request_asks_the_counter_and_the_last_window_is_read_once_where_it_matters() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let told = |count, total| Event::Counted { count, outcome: Outcome::Ok, total, waited: 4_000 };
+    let actions = step(&mut gateway, START, Event::Request(request(1, 9)));
+    let [(this, 1.0)] = counts(&actions)[..] else { panic!("one call of one unit") };
+    let actions = step(&mut gateway, START, told(this, 1.0));
+    assert!(sent(&actions).is_empty(), "a full last window would not leave room for it");
+    let [(last, 0.0)] = counts(&actions)[..] else { panic!("a call that only reads") };
+    assert_ne!(this, last, "two windows, two names");
+    assert_eq!(sent(&step(&mut gateway, START, told(last, 0.0))).len(), 1);
+    let again = step(&mut gateway, START, Event::Request(request(2, 9)));
+    assert_eq!(counts(&again), [(this, 1.0)]);
+    assert!(counts(&step(&mut gateway, START, told(this, 2.0))).is_empty(), "it is not read twice");
+    // Late in a window, even a full last one leaves room: no need to read it.
+    let late = START + 3 * SECOND;
+    let actions = step(&mut gateway, late, Event::Request(request(3, 8)));
+    let actions = step(&mut gateway, late, told(counts(&actions)[0].0, 1.0));
+    assert_eq!((sent(&actions).len(), counts(&actions).len()), (1, 0));
+}
+
+#[test]
+fn a_burst_passes_and_what_goes_past_it_is_refused_at_once_and_given_back() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let mut figures = Figures::default();
+    let let_in = (0..20).filter(|id| figures.play(&mut gateway, START, request(*id, 9))).count();
+    assert_eq!(let_in, 10);
+    assert_eq!(figures.0.values().sum::<f64>(), 10.0, "refused units are not in the counts");
+}
+
+#[test]
+fn units_seen_to_come_early_in_a_window_wear_off() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let mut figures = Figures::default();
+    let mut at = |now, ids: std::ops::Range<u32>| {
+        ids.filter(|id| figures.play(&mut gateway, now, request(*id, 9))).count()
+    };
+    assert_eq!(at(START, 0..20), 10);
+    // One second later, five units of rate 5 have been refilled, though the window has not closed.
+    assert_eq!(at(START + SECOND, 20..40), 5);
+}
+
+#[test]
+fn the_previous_window_weighs_in_at_a_gateway_that_did_not_watch_it() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let told = |count, total| Event::Counted { count, outcome: Outcome::Ok, total, waited: 4_000 };
+    let this = counts(&step(&mut gateway, START, Event::Request(request(1, 9))))[0].0;
+    let last = counts(&step(&mut gateway, START, told(this, 1.0)))[0].0;
+    let actions = step(&mut gateway, START, told(last, 25.0));
+    assert!(refused(&actions), "use of the last window stands in full as the next begins");
+}
+
+#[test]
+fn a_silent_counter_holds_no_request_past_its_budget() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let hasty = Request { budget: 20_000, ..request(1, 9) };
+    let actions = step(&mut gateway, START, Event::Request(hasty));
+    let due = actions.iter().find_map(|action| match action {
+        Action::Timer { at, token } => Some((*at, *token)),
+        _ => None,
+    });
+    let (at, token) = due.expect("a timer is set");
+    assert!(at < START + 20_000, "the wait for the counter ends with the request's budget");
+    let actions = step(&mut gateway, at, Event::Timer { token });
+    assert_eq!(sent(&actions).len() + usize::from(refused(&actions)), 1);
+}
+
+#[test]
+fn requests_stop_waiting_for_an_unwell_counter_and_are_still_limited() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    for id in 0..3 {
+        for (count, _) in counts(&step(&mut gateway, START, Event::Request(request(id, u64::from(id))))) {
+            let late = Event::Counted { count, outcome: Outcome::Timeout, total: 0.0, waited: 50_000 };
+            step(&mut gateway, START, late);
+        }
+    }
+    let now = START + TICK;
+    let at_once =
+        (10..40).filter(|id| !sent(&step(&mut gateway, now, Event::Request(request(*id, 77)))).is_empty());
+    let let_in = at_once.count();
+    assert!((1..=10).contains(&let_in), "{let_in} of 30 let in by one of two gateways on a burst of 10");
+}
+
+#[test]
+fn a_call_turned_away_after_its_request_was_sent_does_not_send_it_again() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let told = |count, outcome| Event::Counted { count, outcome, total: 1.0, waited: 4_000 };
+    let this = counts(&step(&mut gateway, START, Event::Request(request(1, 9))))[0].0;
+    let last = counts(&step(&mut gateway, START, told(this, Outcome::Ok)))[0].0;
+    let first = step(&mut gateway, START, told(last, Outcome::Full));
+    assert_eq!(sent(&first).len(), 1, "the read was turned away: decided from what is known");
+    let later = START + SECOND;
+    let again = counts(&step(&mut gateway, later, Event::Request(request(2, 9))))[0].0;
+    assert_eq!(sent(&step(&mut gateway, later, told(again, Outcome::Full))).len(), 1);
+    assert!(sent(&step(&mut gateway, later, told(again, Outcome::Full))).is_empty());
+}
+
+/// Settings and a request of a customer that comes through thirty of a hundred gateways.
+fn many() -> (Settings, impl Fn(RequestId, CustomerId) -> Request) {
+    let mut settings = Settings { gateways: 100, index: 3, ..settings() };
+    settings.limits.peer_messages = true;
+    (settings, |id, customer| Request { spread: 30.0, ..request(id, customer) })
+}
+
+#[test]
+fn a_crowded_counter_gets_few_calls_that_stand_for_the_rest() {
+    // Guards against calls from each of many gateways drowning a counter that cannot take them.
+    let (settings, request) = many();
+    let mut gateway = gateway(settings, &[1, 2]);
+    for id in 0..6 {
+        let (count, _) = counts(&step(&mut gateway, START, Event::Request(request(id, u64::from(id)))))[0];
+        let full = Event::Counted { count, outcome: Outcome::Full, total: 0.0, waited: 4_000 };
+        step(&mut gateway, START, full);
+    }
+    let mut asks = Vec::new();
+    for id in 10..110 {
+        let now = START + u64::from(id) * 100_000;
+        let actions = step(&mut gateway, now, Event::Request(request(id, 77)));
+        for (count, amount) in counts(&actions) {
+            asks.push(amount);
+            step(
+                &mut gateway,
+                now,
+                Event::Counted { count, outcome: Outcome::Ok, total: 1.0, waited: 40_000 },
+            );
+        }
+    }
+    assert!((5..60).contains(&asks.len()), "{} calls of a hundred requests", asks.len());
+    assert!(asks.iter().any(|amount| *amount > 1.5), "{asks:?}");
+}
+
+#[test]
+fn alone_a_gateway_of_many_sends_about_its_part_of_the_quota() {
+    // One unit of thirty times as much would stand for more than a burst: refusing all alone is no way out,
+    // nor is letting in all.
+    let (settings, request) = many();
+    let mut gateway = gateway(settings, &[1, 2]);
+    let mut let_in = 0;
+    for id in 0..400 {
+        let now = START + u64::from(id) * 100_000;
+        let actions = step(&mut gateway, now, Event::Request(request(id, 77)));
+        for (count, _) in counts(&actions) {
+            let late = Event::Counted { count, outcome: Outcome::Timeout, total: 0.0, waited: 50_000 };
+            let_in += sent(&step(&mut gateway, now, late)).len();
+        }
+        let_in += sent(&actions).len();
+    }
+    // Forty seconds of a thirtieth of five units a second are less than seven.
+    assert!((4..=15).contains(&let_in), "{let_in} let in");
+}
+
+#[test]
+fn peers_hear_of_a_customer_past_its_quota_and_heed_it() {
+    let (settings, request) = many();
+    let mut gateway = gateway(settings, &[1, 2]);
+    let told = |data: Vec<u8>| Event::PeerMessage { from: 4, data };
+    step(&mut gateway, START, Event::Request(request(1, 77)));
+    let word: Vec<u8> = 77u64.to_le_bytes().into_iter().chain([1]).collect();
+    (0..4).for_each(|_| drop(step(&mut gateway, START, told(word.clone()))));
+    // Malformed words and those about strangers change nothing.
+    for data in [vec![], vec![1], vec![0; 8], vec![9; 9], vec![255; 256], word[..8].to_vec()] {
+        assert!(step(&mut gateway, START, told(data)).is_empty());
+    }
+    let mut fate = |id, customer| {
+        let actions = step(&mut gateway, START + TICK, Event::Request(request(id, customer)));
+        let (count, _) = counts(&actions)[0];
+        let late = Event::Counted { count, outcome: Outcome::Full, total: 0.0, waited: 50_000 };
+        refused(&step(&mut gateway, START + TICK, late))
+    };
+    assert!(fate(2, 77), "without a total, a customer known past its quota is refused");
+    assert!(!fate(3, 78), "and another is not");
+}
+
+#[test]
+fn what_is_out_shrinks_while_nothing_comes_back_in_time_but_not_to_nothing() {
+    // Many gateways that each expect the best drown a fleet; a fleet that fails one kind is not drowned.
+    let mut gateway = gateway(Settings { gateways: 8, ..settings() }, &(1..=40).collect::<Vec<_>>());
+    let (mut out, mut most) = (Vec::new(), [0; 40]);
+    let note = |out: &mut Vec<_>, now: Micros, actions: Vec<Action>| {
+        out.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Send { request, backend, .. } => Some((now, request, backend)),
+            _ => None,
+        }));
+    };
+    for id in 0..4_000u32 {
+        let now = START + u64::from(id) * 10_000;
+        let free = Request { plan: 2, class: 2, ..request(id, 9) };
+        let actions = step(&mut gateway, now, Event::Request(free));
+        note(&mut out, now, actions);
+        while out.first().is_some_and(|(sent, ..)| sent + 500_000 < now) {
+            let (_, id, to) = out.remove(0);
+            let Event::AttemptEnded(end) = ended(id, 0, to, Outcome::Timeout) else { unreachable!() };
+            let end = Event::AttemptEnded(AttemptEnd { waited: 500_000, ..end });
+            let actions = step(&mut gateway, now, end);
+            note(&mut out, now, actions);
+        }
+        most[id as usize / 100] = out.len().max(most[id as usize / 100]);
+    }
+    assert!(most[39] * 2 <= most[0] + 1 && most[39] >= 5, "{most:?}");
+}
+
+#[test]
+fn a_counter_that_lost_its_numbers_gets_the_own_part_back() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let mut figures = Figures::default();
+    (0..8).for_each(|id| assert!(figures.play(&mut gateway, START, request(id, 9))));
+    figures.0.clear();
+    for id in 20..30 {
+        figures.play(&mut gateway, START + TICK, request(id, 9));
+    }
+    let total = figures.0.values().copied().fold(0.0, f64::max);
+    assert!(total >= 8.0, "{total} units on the counter after eight were let in before the loss");
+}
+
+#[test]
+fn under_a_ceiling_a_fresh_gateway_sends_nothing_unconfirmed() {
+    let mut settings = settings();
+    settings.counter = None;
+    let mut gateway = gateway(settings, &[1, 2]);
+    let limited = |id| Event::Request(Request { plan: 1, ..request(id, 9) });
+    assert!(refused(&step(&mut gateway, START, limited(1))), "the store opens empty");
+    let actions = step(&mut gateway, START + SECOND, limited(2));
+    assert_eq!(sent(&actions).len(), 1, "and fills with what lies between quota and ceiling");
+}
+
+#[test]
+fn a_draining_backend_gets_nothing_new() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let entries = vec![entry(1, Condition::Draining, 0)];
+    step(&mut gateway, START, Event::Backends { kind: ListKind::Delta, version: 2, entries });
+    for id in 0..6 {
+        let free = Request { plan: 2, ..request(id, 9) };
+        assert!(!sent(&step(&mut gateway, START, Event::Request(free))).contains(&1));
+    }
+}
+
+#[test]
+fn sends_take_turns_among_equal_backends() {
+    let mut gateway = gateway(settings(), &[1, 2, 3, 4]);
+    let mut seen: BTreeMap<BackendId, u32> = BTreeMap::new();
+    for id in 0..400 {
+        let now = START + u64::from(id) * 10_000;
+        let to = sent(&step(&mut gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) })));
+        *seen.entry(to[0]).or_default() += 1;
+        step(&mut gateway, now, ended(id, 0, to[0], Outcome::Ok));
+    }
+    assert!(seen.values().all(|count| (80..=120).contains(count)), "{seen:?}");
+}
+
+#[test]
+fn a_backend_that_fails_fast_is_left_alone_but_for_trials() {
+    let mut gateway = gateway(settings(), &[1, 2, 3, 4]);
+    let mut to_failing = 0;
+    for id in 0..400 {
+        let now = START + u64::from(id) * 10_000;
+        let to = sent(&step(&mut gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) })));
+        to_failing += u32::from(to[0] == 1);
+        let outcome = if to[0] == 1 { Outcome::Error } else { Outcome::Ok };
+        let again = sent(&step(&mut gateway, now, ended(id, 0, to[0], outcome)));
+        for backend in again {
+            assert_ne!(backend, 1, "a second attempt goes elsewhere");
+            step(&mut gateway, now, ended(id, 1, backend, Outcome::Ok));
+        }
+    }
+    assert!(to_failing < 40, "{to_failing} of 400");
+}
+
+#[test]
+fn a_cold_backend_gets_less_than_its_turn() {
+    let mut gateway = gateway(settings(), &[1, 2, 3, 4]);
+    let mut cold = 0;
+    for id in 0..600 {
+        let now = START + u64::from(id) * 10_000;
+        if id == 400 {
+            let entries = vec![entry(1, Condition::Ready, now)];
+            step(&mut gateway, now, Event::Backends { kind: ListKind::Delta, version: 2, entries });
+        }
+        let to = sent(&step(&mut gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) })));
+        cold += u32::from(id >= 400 && to[0] == 1);
+        step(&mut gateway, now, ended(id, 0, to[0], Outcome::Ok));
+    }
+    assert!((1..=20).contains(&cold), "{cold} of 200 where a full turn is 50");
+}
+
+#[test]
+fn slow_answers_shrink_what_is_out() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let out = |gateway: &mut Gateway, ids: std::ops::Range<u32>, now| -> Vec<(RequestId, BackendId)> {
+        let mut send = |id| sent(&step(gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) })));
+        ids.map(|id| (id, send(id))).filter_map(|(id, to)| to.first().map(|to| (id, *to))).collect()
+    };
+    let first = out(&mut gateway, 0..100, START);
+    for (id, backend) in &first {
+        let late = AttemptEnd { waited: 490_000, ..end_of(*id, *backend) };
+        step(&mut gateway, START + u64::from(*id) * 100_000, Event::AttemptEnded(late));
+    }
+    let second = out(&mut gateway, 1000..1100, START + 60 * SECOND);
+    assert!(!second.is_empty() && second.len() < first.len(), "{} then {}", first.len(), second.len());
+}
+
+fn end_of(request: RequestId, backend: BackendId) -> AttemptEnd {
+    match ended(request, 0, backend, Outcome::Ok) {
+        Event::AttemptEnded(end) => end,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn no_backend_at_all_still_ends_every_request() {
+    let mut gateway = gateway(settings(), &[]);
+    let actions = step(&mut gateway, START, Event::Request(Request { plan: 2, ..request(1, 9) }));
+    assert!(actions.iter().any(|action| matches!(action, Action::Timer { .. })));
+    assert!(refused(&step(&mut gateway, START + SECOND, Event::Timer { token: 0 })));
+}
+
+#[test]
+fn what_is_over_is_ignored() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let strange = [
+        Event::Timer { token: 99 },
+        Event::Abandoned { request: 5 },
+        ended(5, 0, 1, Outcome::Timeout),
+        Event::Counted { count: 5, outcome: Outcome::Ok, total: 1.0, waited: 1 },
+        Event::AnswerBegun { request: 5, attempt: 0, backend: 1, waited: 1 },
+        Event::PeerMessage { from: 1, data: vec![1, 2, 3] },
+        Event::Probed { backend: 8, outcome: Outcome::Ok, waited: 1, report: Vec::new() },
+    ];
+    for event in strange {
+        assert_eq!(step(&mut gateway, START, event), []);
+    }
+    let unknown = Request { class: 40, ..request(1, 9) };
+    assert_eq!(step(&mut gateway, START, Event::Request(unknown)), [Action::Fail { request: 1 }]);
+}
+
+#[test]
+fn many_gateways_told_of_a_start_at_once_do_not_all_begin_at_once() {
+    // Three hundred gateways, each sending five requests a second to ten backends, the tenth just started:
+    // its usual share is 150 a second, and at a fifth of its capacity it may get no more than three times 30.
+    let mut first_second = 0;
+    for seed in 0..300 {
+        let mut gateway = Gateway::new(Settings { gateways: 300, ..settings() }, seed);
+        let ids: Vec<BackendId> = (1..=9).collect();
+        step(&mut gateway, START, list(&ids));
+        for id in 0..75 {
+            let now = START + u64::from(id) * SECOND / 5;
+            if id == 50 {
+                let entries = vec![entry(10, Condition::Ready, now)];
+                step(&mut gateway, now, Event::Backends { kind: ListKind::Delta, version: 2, entries });
+            }
+            let actions = step(&mut gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) }));
+            let to = sent(&actions);
+            first_second += usize::from((50..55).contains(&id) && to.contains(&10));
+            to.iter().for_each(|to| drop(step(&mut gateway, now, ended(id, 0, *to, Outcome::Ok))));
+        }
+    }
+    assert!((5..=60).contains(&first_second), "{first_second} attempts in the first second");
+}
