--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 
 pub mod interface;
 pub mod logic;
+pub mod net;
 pub mod wire;
 
 pub use logic::Gateway;
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,480 @@
+//! The one owner of the decision module: hands it events in order and carries out what it asks for.
+
+use super::backend::{self, Backend, Budget, Ended};
+use super::config::{Config, Names};
+use super::counter::Counter;
+use super::discovery::{Phase, Target, TargetList};
+use super::peers::Peers;
+use super::{Answer, ClientRequest, Clock, Forward, Message, Messages};
+use crate::interface::*;
+use crate::Gateway;
+use bytes::Bytes;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep_until, Instant};
+
+/// Messages taken up in one go.
+const BATCH: usize = 256;
+/// Before a request's deadline: by then the driver answers if the module has not.
+const LAST_CALL: Micros = 2_000;
+/// How often idle connections are looked through.
+const SWEEP: Micros = 1_000_000;
+/// Part of the settings' idle time after which a connection is not used again.
+const IDLE_PART: u64 = 3;
+
+pub struct Driver {
+    clock: Clock,
+    gateway: Gateway,
+    names: Names,
+    limits: Limits,
+    report_fields: Rc<[ReportField]>,
+    counter_timeout: Micros,
+    messages: Messages,
+    counter: Option<Counter>,
+    peers: Option<Peers>,
+    ready: Rc<Cell<bool>>,
+    requests: HashMap<RequestId, Open>,
+    calls: HashMap<u64, (u64, Micros)>,
+    next_call: u64,
+    ids: HashMap<String, BackendId>,
+    backends: Vec<Rc<Backend>>,
+    budget: Rc<Budget>,
+    timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
+    timers_set: u64,
+    /// Events that carrying out an action has brought up, in their order.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+/// A request taken and not yet answered.
+struct Open {
+    reply: oneshot::Sender<Answer>,
+    forward: Rc<Forward>,
+    deadline: Micros,
+    attempts: u8,
+    may_have_run: bool,
+    out: Option<Out>,
+}
+
+/// The attempt that is out for it.
+struct Out {
+    attempt: u8,
+    backend: BackendId,
+    at: Micros,
+    /// Whether a byte of the request may have gone out.
+    sent: Rc<Cell<bool>>,
+    task: AbortHandle,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(u64),
+    Connect(RequestId, u8),
+    Expire(RequestId, u8),
+    Deadline(RequestId),
+    Call(u64),
+    Sweep,
+}
+
+impl Driver {
+    pub fn new(
+        config: &Config,
+        clock: Clock,
+        messages: Messages,
+        counter: Option<Counter>,
+        peers: Option<Peers>,
+        ready: Rc<Cell<bool>>,
+    ) -> Driver {
+        let settings = config.settings.clone();
+        let mut driver = Driver {
+            clock,
+            names: config.names.clone(),
+            limits: settings.limits.clone(),
+            report_fields: settings.report_fields.clone().into(),
+            counter_timeout: settings.counter.map_or(0, |counter| counter.timeout),
+            gateway: Gateway::new(settings, config.seed),
+            messages,
+            counter,
+            peers,
+            ready,
+            requests: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 1,
+            ids: HashMap::new(),
+            backends: Vec::new(),
+            budget: Rc::new(Budget { open: Cell::new(0), most: config.sockets * 3 / 8 }),
+            timers: BinaryHeap::new(),
+            timers_set: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        };
+        let known = config.known.clone().unwrap_or_default();
+        driver.targets(TargetList { cached: true, complete: true, ..known });
+        driver.settle();
+        driver.set(clock.now() + SWEEP, Timer::Sweep);
+        driver
+    }
+
+    pub async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut batch = Vec::with_capacity(BATCH);
+        let mut wake = Box::pin(sleep_until(Instant::now()));
+        let mut set_for = 0;
+        loop {
+            let next = self.timers.peek().map_or(Micros::MAX, |Reverse((at, ..))| *at);
+            if next != set_for && next != Micros::MAX {
+                wake.as_mut().reset(self.clock.instant(next).into());
+                set_for = next;
+            }
+            tokio::select! {
+                biased;
+                taken = inbox.recv_many(&mut batch, BATCH) => if taken == 0 { return },
+                () = wake.as_mut() => set_for = 0,
+            }
+            for message in batch.drain(..) {
+                self.take(message);
+                self.settle();
+            }
+            let now = self.clock.now();
+            // Timers that these events set wait for the next round.
+            let due = self.timers_set;
+            while let Some(Reverse((_, _, timer))) =
+                self.timers.peek().copied().filter(|Reverse((at, number, _))| *at <= now && *number <= due)
+            {
+                self.timers.pop();
+                self.fire(timer);
+                self.settle();
+            }
+        }
+    }
+
+    fn set(&mut self, at: Micros, timer: Timer) {
+        self.timers_set += 1;
+        self.timers.push(Reverse((at, self.timers_set, timer)));
+    }
+
+    /// Hands the module what has come up, until nothing more does.
+    fn settle(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.handle(self.clock.now(), event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Request(request) => self.request(request),
+            Message::Abandoned(request) => {
+                if let Some(open) = self.requests.remove(&request) {
+                    self.events.push_back(Event::Abandoned { request });
+                    self.withdraw(request, open.out);
+                }
+            }
+            Message::AttemptEnded { request, attempt, outcome, report, body } => {
+                self.attempt_ended(request, attempt, outcome, report, body);
+            }
+            Message::Counted { call, outcome, total } => self.counted(call, outcome, total),
+            Message::Targets(list) => self.targets(list),
+            Message::Peer { from, data } => self.events.push_back(Event::PeerMessage { from, data }),
+        }
+    }
+
+    fn fire(&mut self, timer: Timer) {
+        match timer {
+            Timer::Module(token) => self.events.push_back(Event::Timer { token }),
+            Timer::Connect(request, attempt) => {
+                let connecting = |out: &Out| out.attempt == attempt && !out.sent.get();
+                if self.requests.get(&request).and_then(|open| open.out.as_ref()).is_some_and(connecting) {
+                    self.give_up(request);
+                }
+            }
+            Timer::Expire(request, attempt) => {
+                let out = self.requests.get(&request).and_then(|open| open.out.as_ref());
+                if out.is_some_and(|out| out.attempt == attempt) {
+                    self.give_up(request);
+                }
+            }
+            Timer::Deadline(request) => self.last_call(request),
+            Timer::Call(call) => {
+                let outcome = self.counter.as_ref().map_or(Outcome::Timeout, |counter| counter.overdue(call));
+                self.counted(call, outcome, 0.0);
+            }
+            Timer::Sweep => {
+                let now = self.clock.now();
+                let idle = self.limits.idle_close / IDLE_PART;
+                self.backends.iter().for_each(|backend| backend.close_older(now.saturating_sub(idle)));
+                self.set(now + SWEEP, Timer::Sweep);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, backend, expires } => self.send(request, backend, expires),
+            Action::Refuse { request, retry_after } => self.finish(request, Answer::Refused { retry_after }),
+            Action::Fail { request } => self.finish(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let open = self.requests.get_mut(&request);
+                let out = open.and_then(|open| open.out.take_if(|out| out.attempt == attempt));
+                if let Some(out) = out {
+                    let outcome = self.withdrawn(&out, Outcome::Cancelled);
+                    self.ended(request, &out, outcome, false, Report::new());
+                }
+            }
+            Action::CloseIdle { backend } => {
+                if let Some(backend) = self.backends.get(backend as usize) {
+                    backend.close_idle();
+                }
+            }
+            Action::Tell { to, data } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &data);
+                }
+            }
+            Action::Count { count, amount, life } => self.count(count, amount, life),
+            Action::Timer { at, token } => self.set(at, Timer::Module(token)),
+            Action::Log { text } => eprintln!("module: {text}"),
+            Action::Broken { text } => eprintln!("module: broken: {text}"),
+            // The watch on discovery never stops, and asks for the whole list after each break by itself.
+            Action::Watch { .. } | Action::FetchList => {}
+            Action::Probe { backend } => eprintln!("module: asks to probe {backend}, which is not built"),
+        }
+    }
+
+    // ---- Requests ----
+
+    fn request(&mut self, request: ClientRequest) {
+        let now = self.clock.now();
+        let deadline = request.arrived + request.budget;
+        let open = Open {
+            reply: request.reply,
+            forward: request.forward,
+            deadline,
+            attempts: 0,
+            may_have_run: false,
+            out: None,
+        };
+        self.requests.insert(request.id, open);
+        self.set(deadline.saturating_sub(LAST_CALL), Timer::Deadline(request.id));
+        let write = self.requests[&request.id].forward.method != hyper::Method::GET;
+        self.events.push_back(Event::Request(Request {
+            id: request.id,
+            class: request.class,
+            plan: request.plan,
+            customer: request.customer,
+            units: request.units,
+            spread: request.spread,
+            first_gateway: request.first,
+            budget: deadline.saturating_sub(now),
+            repeat: request.repeat,
+            write,
+        }));
+    }
+
+    /// Gives the one final answer; whatever is still out for the request is withdrawn.
+    fn finish(&mut self, request: RequestId, answer: Answer) {
+        let Some(open) = self.requests.remove(&request) else { return };
+        let _ = open.reply.send(answer);
+        self.withdraw(request, open.out);
+    }
+
+    fn withdraw(&mut self, request: RequestId, out: Option<Out>) {
+        if let Some(out) = out {
+            let outcome = self.withdrawn(&out, Outcome::Cancelled);
+            self.ended(request, &out, outcome, true, Report::new());
+        }
+    }
+
+    /// The module has not spoken in time: a defect, but the client still gets its answer.
+    fn last_call(&mut self, request: RequestId) {
+        let Some(open) = self.requests.get(&request) else { return };
+        let ran = open.may_have_run || open.out.as_ref().is_some_and(|out| out.sent.get());
+        eprintln!("defect: request {request} was not decided by its deadline (attempts {})", open.attempts);
+        self.events.push_back(Event::Abandoned { request });
+        self.finish(request, if ran { Answer::Failed } else { Answer::Refused { retry_after: 0 } });
+    }
+
+    // ---- Attempts ----
+
+    fn send(&mut self, request: RequestId, to: BackendId, expires: Micros) {
+        let now = self.clock.now();
+        let Some(open) = self.requests.get_mut(&request) else {
+            return eprintln!("defect: an attempt for request {request}, which is over");
+        };
+        let attempt = open.attempts;
+        open.attempts = attempt.saturating_add(1);
+        let expires = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
+        let backend = self.backends.get(to as usize).cloned();
+        let allowed = u32::from(attempt) < self.limits.attempts && open.out.is_none() && expires > now;
+        let end = |outcome| {
+            Event::AttemptEnded(AttemptEnd {
+                request,
+                attempt,
+                backend: to,
+                outcome,
+                waited: 0,
+                closed: false,
+                settled_units: 0.0,
+                usage: 0,
+                report: Report::new(),
+            })
+        };
+        let Some(backend) = backend.filter(|_| allowed) else {
+            return self.events.push_back(end(Outcome::Moot));
+        };
+        if !backend.accepting.get() {
+            return self.events.push_back(end(Outcome::ConnectFailed));
+        }
+        let (sent, messages, clock) = (Rc::new(Cell::new(false)), self.messages.clone(), self.clock);
+        let work = backend::attempt(
+            backend,
+            open.forward.clone(),
+            expires - now,
+            sent.clone(),
+            self.report_fields.clone(),
+            move || clock.now(),
+        );
+        let task = tokio::task::spawn_local(async move {
+            let Ended { outcome, report, body } = work.await;
+            let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body });
+        });
+        open.out = Some(Out { attempt, backend: to, at: now, sent, task: task.abort_handle() });
+        self.set(expires, Timer::Expire(request, attempt));
+        self.set(now + self.limits.connect_timeout, Timer::Connect(request, attempt));
+    }
+
+    fn attempt_ended(
+        &mut self,
+        request: RequestId,
+        attempt: u8,
+        outcome: Outcome,
+        report: Report,
+        body: Bytes,
+    ) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(out) = open.out.take_if(|out| out.attempt == attempt) else { return };
+        open.may_have_run |= !outcome.never_ran();
+        let served = outcome == Outcome::Ok;
+        if served {
+            self.finish(request, Answer::Served(body));
+        }
+        self.ended(request, &out, outcome, served, report);
+    }
+
+    /// Stops waiting for the attempt that is out: its time is up.
+    fn give_up(&mut self, request: RequestId) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(out) = open.out.take() else { return };
+        let outcome = self.withdrawn(&out, Outcome::Timeout);
+        if let Some(open) = self.requests.get_mut(&request) {
+            open.may_have_run |= !outcome.never_ran();
+        }
+        self.ended(request, &out, outcome, false, Report::new());
+    }
+
+    /// Closes an attempt's connection. One that is still without a connection has never run.
+    fn withdrawn(&self, out: &Out, outcome: Outcome) -> Outcome {
+        out.task.abort();
+        if out.sent.get() {
+            outcome
+        } else {
+            Outcome::ConnectFailed
+        }
+    }
+
+    fn ended(&mut self, request: RequestId, out: &Out, outcome: Outcome, closed: bool, report: Report) {
+        self.events.push_back(Event::AttemptEnded(AttemptEnd {
+            request,
+            attempt: out.attempt,
+            backend: out.backend,
+            outcome,
+            waited: self.clock.now().saturating_sub(out.at),
+            closed,
+            settled_units: 0.0,
+            usage: 0,
+            report,
+        }));
+    }
+
+    // ---- Counter ----
+
+    fn count(&mut self, count: u64, amount: f64, life: Micros) {
+        let (call, now) = (self.next_call, self.clock.now());
+        self.next_call += 1;
+        let made = self.counter.as_ref().is_some_and(|counter| counter.call(call, now, count, amount, life));
+        if made {
+            self.calls.insert(call, (count, now));
+            self.set(now + self.counter_timeout, Timer::Call(call));
+        } else {
+            self.events.push_back(Event::Counted {
+                count,
+                outcome: Outcome::ConnectFailed,
+                total: 0.0,
+                waited: 0,
+            });
+        }
+    }
+
+    fn counted(&mut self, call: u64, outcome: Outcome, total: f64) {
+        // A late answer to a call that was given up already says nothing more.
+        let Some((count, at)) = self.calls.remove(&call) else { return };
+        let waited = self.clock.now().saturating_sub(at);
+        self.events.push_back(Event::Counted { count, outcome, total, waited });
+    }
+
+    // ---- Discovery ----
+
+    fn targets(&mut self, list: TargetList) {
+        if list.complete {
+            self.backends.iter().for_each(|backend| backend.accepting.set(false));
+        }
+        let entries: Vec<_> = list.members.iter().map(|target| self.target(target)).collect();
+        for backend in self.backends.iter().filter(|backend| !backend.accepting.get()) {
+            backend.close_idle();
+        }
+        self.ready.set(self.ready.get() || !self.backends.is_empty());
+        let kind = match (list.cached, list.complete) {
+            (true, _) => ListKind::Cached,
+            (false, true) => ListKind::Full,
+            (false, false) => ListKind::Delta,
+        };
+        self.events.push_back(Event::Backends { kind, version: list.revision, entries });
+    }
+
+    fn target(&mut self, target: &Target) -> BackendEntry {
+        let id = match self.ids.get(&target.id) {
+            Some(id) => *id,
+            None => {
+                let id = self.backends.len() as BackendId;
+                self.ids.insert(target.id.clone(), id);
+                self.backends.push(Rc::new(Backend::new(target.host_port, self.budget.clone())));
+                id
+            }
+        };
+        let backend = &self.backends[id as usize];
+        if backend.address.replace(target.host_port) != target.host_port {
+            backend.close_idle();
+        }
+        backend.accepting.set(target.phase == Phase::InService);
+        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        BackendEntry {
+            id,
+            zone: place(&self.names.zones, &target.locality).map_or(u16::MAX, |zone| zone as u16),
+            kind: place(&self.names.kinds, &target.flavor).map_or(u8::MAX, |kind| kind as u8),
+            cell: target.cell,
+            condition: match target.phase {
+                Phase::InService => Condition::Ready,
+                Phase::Terminating => Condition::Draining,
+                Phase::Terminated => Condition::Gone,
+            },
+            share: target.size,
+            // Unix time, as is the driver's clock; 0, for long ago, stays 0.
+            born: target.up_since_ms.saturating_mul(1000),
+        }
+    }
+}
