Drive the real program over loopback sockets: fakes and 17 tests

Each test holds one promise: answers unchanged, window names shared by ingresses started apart, no second copy of an unsafe request that may have run, a retry after a proven decline, a drain, a move, a silent watch, a silent, busy or broken counter, malformed requests, the limit on sockets, SIGTERM, a bad configuration.

--- /dev/null
+++ b/tests/ingress.rs
@@ -0,0 +1,355 @@
+//! The real program on loopback sockets, with fakes for all that stands round it.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use fakes::*;
+use serde_json::json;
+use std::collections::HashSet;
+use std::net::Shutdown;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+const DECLINED: &str = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+
+fn one_backend(backend: &Backend) -> (Counter, Discovery, Ingress) {
+    let (counter, discovery) =
+        (Counter::start(), Discovery::start(vec![member("s-1", backend.address, "in_service")]));
+    let ingress = Ingress::start(&counter, &discovery);
+    (counter, discovery, ingress)
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
+    let body: Vec<u8> = (0..60_000u32).map(|i| (i % 251) as u8).collect();
+    let reply = ok(&body);
+    let backend = Backend::start(move |_| reply.clone());
+    let (counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    let request = booking("{\"room\":4}");
+    let answer = client.call(&request);
+    assert_eq!((answer.status(), answer.body), (200, body));
+    let seen = backend.requests();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].first, "POST /booking-post/x?room=4%201&q=a HTTP/1.1");
+    assert_eq!(seen[0].body, b"{\"room\":4}");
+    assert!(request.contains(&format!("Req-Id: {}\r\n", seen[0].headers["req-id"])));
+    let left: u64 = seen[0].headers["req-deadline"].strip_suffix('u').unwrap().parse().unwrap();
+    assert!(left > 0 && left < 1_000_000, "{left}");
+    let amounts: Vec<_> = counter.calls.lock().unwrap().iter().map(|(_, amount)| *amount).collect();
+    assert_eq!(amounts, [2.0]);
+    // The connections on both sides carry the next request.
+    assert_eq!(client.call(read_request()).status(), 200);
+    assert_eq!((backend.seen(), backend.connections()), (2, 1));
+}
+
+#[test]
+fn ingresses_started_apart_give_a_window_the_same_name() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (counter, discovery) =
+        (Counter::start(), Discovery::start(vec![member("s-1", backend.address, "in_service")]));
+    let first = Ingress::start(&counter, &discovery);
+    // The origin of a private clock would differ by at least this much.
+    std::thread::sleep(Duration::from_millis(50));
+    let second =
+        Ingress::start_with(&counter, &discovery, |config| config["settings"]["self-index"] = json!(1));
+    // A window's end may fall between two requests, but hardly twice in a row.
+    let alike = (0..3).any(|_| {
+        counter.calls.lock().unwrap().clear();
+        assert_eq!(first.client().call(read_request()).status(), 200);
+        assert_eq!(second.client().call(read_request()).status(), 200);
+        counter.names().into_iter().collect::<HashSet<_>>().len() == 1
+    });
+    assert!(alike, "{:?}", counter.names());
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    let cut = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf";
+    let endless = "HTTP/1.1 200 OK\r\n\r\nwho knows whether this is all";
+    let large = format!("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n{}", "x".repeat(65537));
+    let error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+    let plain_503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    for bytes in ["", cut, endless, &large, error, plain_503, "junk\r\n\r\n"] {
+        let reply = Reply::Close(bytes.as_bytes().to_vec());
+        let backend = Backend::start(move |_| reply.clone());
+        let (_counter, _discovery, ingress) = one_backend(&backend);
+        let answer = ingress.client().call(booking("x"));
+        assert!(![200, 429, 503].contains(&answer.status()), "{} after {bytes:.60}", answer.status());
+        assert_eq!(backend.seen(), 1, "after {bytes:.60}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_was_turned_away_is_sent_again() {
+    let mut turned_away = 0;
+    let backend = Backend::start(move |_| {
+        turned_away += 1;
+        if turned_away == 1 {
+            raw(DECLINED)
+        } else {
+            ok(b"done")
+        }
+    });
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let answer = ingress.client().call(booking("x"));
+    assert_eq!((answer.status(), backend.seen()), (200, 2));
+}
+
+#[test]
+fn a_connection_that_the_backend_closed_while_idle_loses_no_request() {
+    let mut first = true;
+    let backend = Backend::start(move |_| {
+        let close = std::mem::take(&mut first);
+        match ok(b"x") {
+            Reply::Raw(bytes) if close => Reply::Close(bytes),
+            reply => reply,
+        }
+    });
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    assert_eq!(client.call(booking("x")).status(), 200);
+    until("the first connection has ended", || backend.ended() == 1);
+    assert_eq!(client.call(booking("x")).status(), 200);
+    assert_eq!((backend.seen(), backend.connections()), (2, 2));
+}
+
+#[test]
+fn a_silent_backend_costs_one_attempt_that_is_closed_before_the_deadline() {
+    let backend = Backend::start(|_| Reply::Hold);
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let start = Instant::now();
+    let answer = ingress.client().call(booking("x"));
+    assert!(start.elapsed() < Duration::from_millis(1000), "{:?}", start.elapsed());
+    assert!(![200, 429, 503].contains(&answer.status()), "{}", answer.status());
+    until("the attempt's connection is closed", || backend.ended() == 1);
+    assert_eq!(backend.seen(), 1);
+}
+
+#[test]
+fn a_client_that_goes_away_takes_its_attempt_along() {
+    let backend = Backend::start(|_| Reply::Hold);
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    let start = Instant::now();
+    client.send(read_request());
+    until("the attempt is out", || backend.seen() == 1);
+    client.stream.shutdown(Shutdown::Both).unwrap();
+    until("the attempt's connection is closed", || backend.ended() == 1);
+    // Well before the attempt would have been given up anyway.
+    assert!(start.elapsed() < Duration::from_millis(600), "{:?}", start.elapsed());
+}
+
+#[test]
+fn a_drained_backend_gets_nothing_new_and_a_new_one_does() {
+    let (old, new) = (Backend::start(|_| ok(b"old")), Backend::start(|_| ok(b"new")));
+    let (_counter, discovery, ingress) = one_backend(&old);
+    let mut client = ingress.client();
+    assert_eq!(client.call(read_request()).body, b"old");
+    discovery.change(member("s-2", new.address, "in_service"));
+    discovery.change(member("s-1", old.address, "terminating"));
+    until("its idle connection is closed", || old.ended() == 1);
+    for _ in 0..10 {
+        assert_eq!(client.call(read_request()).body, b"new");
+    }
+    assert_eq!(old.seen(), 1);
+    discovery.change(member("s-2", new.address, "terminated"));
+    until("its idle connection is closed", || new.ended() == new.connections());
+    assert_eq!(client.call(read_request()).status(), 503);
+}
+
+#[test]
+fn a_backend_that_moves_is_followed_by_its_id() {
+    let (old, new) = (Backend::start(|_| ok(b"old")), Backend::start(|_| ok(b"new")));
+    let (_counter, discovery, ingress) = one_backend(&old);
+    let mut client = ingress.client();
+    assert_eq!(client.call(read_request()).body, b"old");
+    discovery.change(member("s-1", new.address, "in_service"));
+    until("the old connection is closed", || old.ended() == 1);
+    assert_eq!(client.call(read_request()).body, b"new");
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_begun_anew() {
+    let (old, new) = (Backend::start(|_| ok(b"old")), Backend::start(|_| ok(b"new")));
+    let (_counter, discovery, ingress) = one_backend(&old);
+    discovery.silence(true);
+    discovery.change(member("s-1", old.address, "terminated"));
+    discovery.change(member("s-2", new.address, "in_service"));
+    let calls = discovery.calls();
+    // The call that was swallowed is given up, and later ones too, until one is answered.
+    until("a further call came", || discovery.calls() > calls);
+    discovery.silence(false);
+    until("the new list is in force", || ingress.client().call(read_request()).body == b"new");
+}
+
+#[test]
+fn it_is_ready_only_with_a_list_and_starts_from_the_known_one() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (counter, discovery) = (Counter::start(), Discovery::start(Vec::new()));
+    discovery.silence(true);
+    let bare = Ingress::spawn(&counter, &discovery, |_| {});
+    until("it listens", || Client::try_open(bare.address).is_some());
+    assert_eq!(bare.client().call(READY).status(), 503);
+    let known = json!({"revision": 3, "complete": true,
+                       "members": [member("s-1", backend.address, "in_service")]});
+    let ingress = Ingress::start_with(&counter, &discovery, |config| config["known"] = known);
+    assert_eq!(ingress.client().call(read_request()).status(), 200);
+}
+
+#[test]
+fn beyond_the_quota_the_refusal_comes_at_once_and_says_when_to_return() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    let narrow = || head("GET", "avail-read", "narrow", "1500m") + "\r\n";
+    let refused = (0..12).find_map(|_| {
+        let start = Instant::now();
+        let answer = client.call(narrow());
+        (answer.status() != 200).then_some((answer, start.elapsed()))
+    });
+    let (answer, took) = refused.expect("the burst is used up");
+    assert_eq!(answer.status(), 429);
+    let seconds: f64 = answer.headers["retry-after"].parse().unwrap();
+    assert!(seconds > 0.0 && seconds <= 2.0, "{seconds}");
+    assert!(took < Duration::from_millis(200), "{took:?}");
+}
+
+#[test]
+fn a_counter_that_is_silent_busy_or_broken_does_not_stop_the_service() {
+    for mode in [Mode::Silent, Mode::Busy, Mode::Break] {
+        let backend = Backend::start(|_| ok(b"x"));
+        let (counter, _discovery, ingress) = one_backend(&backend);
+        counter.set(mode);
+        let mut client = ingress.client();
+        for _ in 0..8 {
+            let start = Instant::now();
+            assert_eq!(client.call(read_request()).status(), 200);
+            assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+        }
+        counter.set(Mode::Answer);
+        // It is asked again once it is back; a connection that owes answers is replaced.
+        until("the counter answers again", || {
+            counter.calls.lock().unwrap().clear();
+            assert_eq!(client.call(read_request()).status(), 200);
+            !counter.calls.lock().unwrap().is_empty()
+        });
+    }
+}
+
+#[test]
+fn malformed_requests_are_turned_down_and_never_go_on() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let good = read_request();
+    let without = |name: &str| {
+        let lines = good.split_inclusive("\r\n").filter(|line| !line.starts_with(name));
+        lines.collect::<String>()
+    };
+    let with = |from: &str, to: &str| {
+        assert!(good.contains(from), "{from}");
+        good.replace(from, to)
+    };
+    let booking_head = head("POST", "booking-post", "wide", "1000m");
+    let cases = [
+        (without("Req-Id"), 400),
+        (without("Req-Kind"), 400),
+        (without("X-Tier"), 400),
+        (without("Cookie"), 400),
+        (without("Req-Deadline"), 400),
+        (without("X-Call-Terms"), 400),
+        (with("/avail-read/", "/booking-post/"), 404),
+        (with("avail-read", "unheard-of"), 404),
+        (with("X-Tier: wide", "X-Tier: none"), 400),
+        (with("account=0000000000000007", "account=7"), 400),
+        (with("account=0000000000000007", "account=ffffffffffffffff"), 400),
+        (with("1500m", "1500"), 400),
+        (with("1500m", "-5m"), 400),
+        (with("1500m", "NaNm"), 400),
+        (with("units=2", "units=inf"), 400),
+        (with("units=2", "units=0"), 400),
+        (with("spread=2", "spread=x"), 400),
+        (with("GET ", "POST "), 400),
+        (with("Req-Id: ", "Req-Id: 0000000000000001\r\nReq-Id: "), 400),
+        (booking_head.clone() + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 400),
+        (booking_head.clone() + "Content-Length: 65537\r\n\r\n", 413),
+        (booking_head.clone() + "Content-Length: minus\r\n\r\n", 400),
+        ("GET /favicon.ico HTTP/1.1\r\nHost: a\r\n\r\n".into(), 400),
+        ("\u{1}\u{2}\u{3} junk\r\n\r\n".into(), 400),
+    ];
+    for (text, status) in cases {
+        assert_eq!(ingress.client().call(&text).status(), status, "{text}");
+    }
+    // Half a request, and a connection closed in its middle.
+    let mut half = ingress.client();
+    half.send(booking_head + "Content-Length: 10\r\n\r\nhalf");
+    half.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(half.answer().is_none_or(|answer| answer.status() == 400));
+    ingress.client().send(&good[..good.len() / 2]);
+    assert_eq!(backend.seen(), 0);
+    assert_eq!(ingress.client().call(read_request()).status(), 200);
+}
+
+#[test]
+fn more_connections_than_descriptors_end_nothing() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (counter, discovery) =
+        (Counter::start(), Discovery::start(vec![member("s-1", backend.address, "in_service")]));
+    let mut ingress =
+        Ingress::start_with(&counter, &discovery, |config| config["limits"]["sockets"] = json!(64));
+    let mut idle: Vec<_> = (0..100).map(|_| ingress.client()).collect();
+    // Those within the budget are answered, with a refusal at its upper end.
+    let answer = idle[0].call(read_request());
+    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (503, "close"));
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", ingress.child.id())).unwrap().count();
+    assert!(descriptors < 64, "{descriptors}");
+    idle.clear();
+    until("there is room again", || {
+        let answer = Client::try_open(ingress.address).and_then(|mut client| client.try_call(read_request()));
+        answer.is_some_and(|answer| answer.status() == 200)
+    });
+    assert!(ingress.child.try_wait().unwrap().is_none());
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_takes_new_connections_for_a_while() {
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let backend = Backend::start(move |request| {
+        if request.first.starts_with("POST") {
+            let _ = held.recv();
+        }
+        ok(b"x")
+    });
+    let (_counter, _discovery, mut ingress) = one_backend(&backend);
+    let (mut idle, mut busy) = (ingress.client(), ingress.client());
+    assert_eq!(idle.call(READY).status(), 200);
+    busy.send(booking("x"));
+    until("the request is out", || backend.seen() == 1);
+    ingress.terminate();
+    assert!(idle.closed(), "an idle connection is closed between requests");
+    release.send(()).unwrap();
+    let answer = busy.answer().expect("what was taken is answered");
+    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
+    let answer = ingress.client().call(read_request());
+    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (200, "close"));
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_is_named_in_one_line() {
+    let path = std::env::temp_dir().join(format!("violetyoke-bad-{}.json", std::process::id()));
+    for text in
+        ["", "{}", "{\"seed\":\"1\",\"settings\":{}}", "{\"seed\":\"1\",\"listen\":\"here\",\"settings\":{}}"]
+    {
+        std::fs::write(&path, text).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_violetyoke"))
+            .env("EDGE_CONFIG", &path)
+            .stdin(Stdio::null())
+            .output()
+            .unwrap();
+        let message = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(1), "{message}");
+        assert!(message.starts_with("violetyoke: ") && message.lines().count() == 1, "{message}");
+    }
+    std::fs::remove_file(&path).unwrap();
+}
