Profile an ingress, keep the accept loop out of every wake; say what remains

The accept loop showed up in about one sample in twenty, since the runtime polls the outermost future with every wake. It is a task of its own now.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -111,8 +111,10 @@
     let driver = driver::Driver::new(&config, clock, messages, counter, peers, shared.ready.clone());
     let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let driver = tokio::task::spawn_local(driver.run(inbox));
+    // A task of its own: the runtime polls the outermost future with every wake, whatever that was for.
+    let service = tokio::task::spawn_local(server::serve(listener, shared, Duration::from_micros(longest)));
     tokio::select! {
-        end = server::serve(listener, shared, Duration::from_micros(longest)) => end,
+        end = service => end.map_err(io::Error::other)?,
         // Without the module nothing can be served: the platform had better start anew.
         _ = driver => Err(io::Error::other("the decision module has failed")),
     }
