--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -158,6 +158,8 @@
     Busy,
     /// Closes the connection on the next call.
     Break,
+    /// Answers well after the caller's time-out.
+    Late,
 }
 
 pub struct Counter {
@@ -166,6 +168,7 @@
     /// Name and amount of each call.
     pub calls: Arc<Mutex<Vec<(String, f64)>>>,
     totals: Arc<Mutex<HashMap<String, f64>>>,
+    connections: Arc<AtomicU32>,
 }
 
 impl Counter {
@@ -176,10 +179,13 @@
             mode: Arc::new(Mutex::new(Mode::Answer)),
             calls: Arc::default(),
             totals: Arc::default(),
+            connections: Arc::default(),
         };
+        let connections = counter.connections.clone();
         let (mode, calls, totals) = (counter.mode.clone(), counter.calls.clone(), counter.totals.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                connections.fetch_add(1, Ordering::SeqCst);
                 let (mode, calls, totals) = (mode.clone(), calls.clone(), totals.clone());
                 thread::spawn(move || Counter::serve(stream, &mode, &calls, &totals));
             }
@@ -191,6 +197,10 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    pub fn connections(&self) -> u32 {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     pub fn names(&self) -> Vec<String> {
         self.calls.lock().unwrap().iter().map(|(name, _)| name.clone()).collect()
     }
@@ -211,7 +221,10 @@
                 Mode::Silent => continue,
                 Mode::Break => return,
                 Mode::Busy => "-BUSY\r\n".to_string(),
-                Mode::Answer => {
+                Mode::Answer | Mode::Late => {
+                    if mode == Mode::Late {
+                        thread::sleep(Duration::from_millis(120));
+                    }
                     let mut totals = totals.lock().unwrap();
                     let total = totals.entry(words[1].clone()).or_default();
                     *total += amount;
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -6,7 +6,7 @@
 use fakes::*;
 use serde_json::json;
 use std::collections::HashSet;
-use std::net::Shutdown;
+use std::net::{Shutdown, UdpSocket};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -237,6 +237,45 @@
     }
 }
 
+#[test]
+fn late_answers_of_the_counter_keep_their_places() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    counter.set(Mode::Late);
+    for _ in 0..4 {
+        assert_eq!(client.call(read_request()).status(), 200);
+    }
+    counter.set(Mode::Answer);
+    until("several more calls were made", || {
+        assert_eq!(client.call(read_request()).status(), 200);
+        counter.calls.lock().unwrap().len() >= 8
+    });
+    // An answer out of place would have broken the connection.
+    assert_eq!(counter.connections(), 1);
+}
+
+#[test]
+fn datagrams_of_peers_and_strangers_end_nothing() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (counter, discovery) =
+        (Counter::start(), Discovery::start(vec![member("s-1", backend.address, "in_service")]));
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let ingress = Ingress::start_with(&counter, &discovery, |config| {
+        config["settings"]["bounds"]["peer-messages"] = json!(true);
+        config["peer_listen"] = json!(own.to_string());
+        config["peers"] = json!([own.to_string(), peer.local_addr().unwrap().to_string()]);
+    });
+    let told = [vec![], vec![1], vec![0xff; 256], [7u64.to_le_bytes().to_vec(), vec![1]].concat()];
+    for data in &told {
+        peer.send_to(data, own).unwrap();
+        stranger.send_to(data, own).unwrap();
+    }
+    assert_eq!(ingress.client().call(read_request()).status(), 200);
+}
+
 #[test]
 fn malformed_requests_are_turned_down_and_never_go_on() {
     let backend = Backend::start(|_| ok(b"x"));
