Keep room for clients, heed SIGHUP, turn bad requests down for good

Mend: a table of client connections closes heads that take over 2.4 s and, above 7/16 of the descriptors, the longest idle ones after 2 s; SIGHUP starts a new watch and a new counter connection; every 4xx closes, drains and passes nothing on. An early lost answer of the counter no longer counts as a crowded counter.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,5 @@
 //! Every decision of a gateway, in the types of `src/interface.rs`.
-//! Top-down: quota, ceiling, counter health, backend choice, cold start, queue and deadlines, attempts.
+//! Top-down: quota, ceiling, counter health, backends, cold start, queue and deadlines, attempts.
 
 use crate::interface::*;
 use std::cmp::Reverse;
@@ -547,11 +547,15 @@
         let fade = self.faded(self.counter.judged_at, SPACING_FADE);
         let health = &mut self.counter;
         (health.spacing, health.judged_at) = (health.spacing * fade, self.now);
-        if outcome == Outcome::Ok && (waited as f64) < LATE_ANSWER * timeout {
+        let early = (waited as f64) < LATE_ANSWER * timeout;
+        if outcome == Outcome::Ok && early {
             (health.bad, health.spacing) = (0, health.spacing * SPACING_DOWN);
         } else {
             health.bad += 1;
-            health.spacing = (health.spacing * SPACING_UP).clamp(timeout, LONGEST_SPACING);
+            // An answer lost early, spoilt or with its connection, does not tell of a crowd.
+            let crowded = !(outcome == Outcome::Timeout && early);
+            let more = (health.spacing * SPACING_UP).clamp(timeout, LONGEST_SPACING);
+            health.spacing = if crowded { more } else { health.spacing };
         }
     }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -58,15 +58,33 @@
     sockets: Option<usize>,
 }
 
-/// Reads the configuration; an error says in plain words what is wrong.
-pub fn load() -> Result<Config, String> {
+/// Addresses that a replaced configuration may change while the program runs.
+pub struct Addresses {
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+}
+
+/// Reads the file again, after SIGHUP: what stands in it is newer than the variables, which can't change.
+pub fn reload() -> Result<Addresses, String> {
+    let (path, file) = read()?;
+    let discovery = file.discovery.ok_or_else(|| in_file(&path, "discovery is missing"))?;
+    Ok(Addresses { discovery, counter: file.counter })
+}
+
+fn read() -> Result<(String, File), String> {
     let path = env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let text = std::fs::read(&path).map_err(|error| format!("EDGE_CONFIG {path}: {error}"))?;
+    let file = serde_json::from_slice(&text).map_err(|error| in_file(&path, error))?;
+    Ok((path, file))
+}
+
+/// Reads the configuration; an error says in plain words what is wrong.
+pub fn load() -> Result<Config, String> {
+    let (path, file) = read()?;
     let address = |variable: &str| match env::var(variable) {
         Ok(text) => text.parse().map(Some).map_err(|error| format!("{variable} {text}: {error}")),
         Err(_) => Ok(None),
     };
-    let file: File = serde_json::from_slice(&text).map_err(|error| in_file(&path, error))?;
     let listen = address("EDGE_LISTEN")?.or(file.listen);
     let discovery = address("EDGE_DISCOVERY")?.or(file.discovery);
     let settings = serde_json::to_vec(&file.settings).map_err(|error| in_file(&path, error))?;
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -31,9 +31,11 @@
     name: u64,
     amount: f64,
     life: Micros,
+    written: Rc<Cell<bool>>,
 }
 
 pub struct Counter {
+    pub address: SocketAddr,
     queue: mpsc::UnboundedSender<Call>,
     shared: Rc<Shared>,
 }
@@ -43,8 +45,7 @@
     /// After that long a call has been reported as never made and must not be written any more.
     timeout: Micros,
     messages: Messages,
-    /// Newest call handed to a socket, and calls not yet answered.
-    written: Cell<u64>,
+    /// Calls not yet answered.
     held: Cell<usize>,
 }
 
@@ -58,28 +59,20 @@
 impl Counter {
     pub fn open(address: SocketAddr, timeout: Micros, clock: Clock, messages: Messages) -> Counter {
         let (queue, calls) = mpsc::unbounded_channel();
-        let shared = Rc::new(Shared { clock, timeout, messages, written: Cell::new(0), held: Cell::new(0) });
+        let shared = Rc::new(Shared { clock, timeout, messages, held: Cell::new(0) });
         tokio::task::spawn_local(run(address, shared.clone(), calls));
-        Counter { queue, shared }
+        Counter { address, queue, shared }
     }
 
-    /// Makes a call; false if it can't be. Ids must ascend from 1.
-    pub fn call(&self, id: u64, at: Micros, name: u64, amount: f64, life: Micros) -> bool {
+    /// Makes a call, and tells by then whether it may have been written; none if it can't be made.
+    pub fn call(&self, id: u64, at: Micros, name: u64, amount: f64, life: Micros) -> Option<Rc<Cell<bool>>> {
         if self.shared.held.get() >= MOST_CALLS {
-            return false;
-        }
-        let taken = self.queue.send(Call { id, at, name, amount, life }).is_ok();
-        self.shared.held.set(self.shared.held.get() + usize::from(taken));
-        taken
-    }
-
-    /// How a call ends that got no answer in time: one that was never written has added nothing.
-    pub fn overdue(&self, id: u64) -> Outcome {
-        if id <= self.shared.written.get() {
-            Outcome::Timeout
-        } else {
-            Outcome::ConnectFailed
+            return None;
         }
+        let written = Rc::new(Cell::new(false));
+        self.queue.send(Call { id, at, name, amount, life, written: written.clone() }).ok()?;
+        self.shared.held.set(self.shared.held.get() + 1);
+        Some(written)
     }
 }
 
@@ -92,50 +85,47 @@
         }
         let connected = timeout(CONNECT, TcpStream::connect(address)).await;
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        let broken = match connected.and_then(|stream| stream.set_nodelay(true).map(|()| stream)) {
+        match connected.and_then(|stream| stream.set_nodelay(true).map(|()| stream)) {
+            // However it ends, the next one is opened at once: each takes a call along, so this can't spin.
             Ok(stream) => {
+                pause = FIRST_PAUSE;
                 let mut slots = VecDeque::new();
-                let mut answered = false;
-                let end = converse(stream, &shared, &mut queue, &mut batch, &mut slots, &mut answered).await;
+                let _ = converse(stream, &shared, &mut queue, &mut batch, &mut slots).await;
                 // Written and unanswered: it may have been added, or may yet be.
                 slots.drain(..).for_each(|(id, _)| shared.end(id, Outcome::Timeout, 0.0));
-                if answered {
-                    pause = FIRST_PAUSE;
-                }
-                end.is_err()
             }
-            Err(_) => true,
-        };
-        if broken {
-            batch.drain(..).for_each(|call| shared.end(call.id, Outcome::ConnectFailed, 0.0));
-            let wake = sleep(pause);
-            tokio::pin!(wake);
-            pause = (pause * 2).min(LONGEST_PAUSE);
-            loop {
-                tokio::select! {
-                    () = &mut wake => break,
-                    call = queue.recv() => match call {
-                        Some(call) => shared.end(call.id, Outcome::ConnectFailed, 0.0),
-                        None => return,
-                    },
+            Err(_) => {
+                batch.drain(..).for_each(|call| shared.end(call.id, Outcome::ConnectFailed, 0.0));
+                let wake = sleep(pause);
+                tokio::pin!(wake);
+                pause = (pause * 2).min(LONGEST_PAUSE);
+                loop {
+                    tokio::select! {
+                        () = &mut wake => break,
+                        call = queue.recv() => match call {
+                            Some(call) => shared.end(call.id, Outcome::ConnectFailed, 0.0),
+                            None => return,
+                        },
+                    }
                 }
             }
         }
     }
 }
 
-/// Speaks on one connection until it breaks (an error) or has stood idle when calls come (they stay).
+/// Speaks on one connection until it breaks or has stood idle when calls come. Calls in `batch` stay there
+/// until they are written; those in `slots` have been, and wait for their answers.
 async fn converse(
     mut stream: TcpStream,
     shared: &Shared,
     queue: &mut mpsc::UnboundedReceiver<Call>,
     batch: &mut Vec<Call>,
     slots: &mut VecDeque<(u64, Micros)>,
-    answered: &mut bool,
 ) -> io::Result<()> {
     let (mut reader, mut writer) = stream.split();
     let (mut input, mut output) = (Vec::with_capacity(1024), Vec::with_capacity(1024));
     let mut used = shared.clock.now();
+    let mut ends = false;
     loop {
         if !batch.is_empty() {
             let now = shared.clock.now();
@@ -150,30 +140,30 @@
                 }
                 encode(&call, &mut output);
                 slots.push_back((call.id, now));
-                shared.written.set(call.id);
+                call.written.set(true);
             }
             used = now;
             timeout(STALL, writer.write_all(&output)).await??;
         }
+        if ends && slots.is_empty() {
+            return Ok(());
+        }
         let stalled = slots.front().map(|(_, at)| shared.clock.instant(*at) + STALL);
         tokio::select! {
             read = reader.read_buf(&mut input) => {
                 if read? == 0 {
-                    // Closed while idle: the next call opens a new one at once.
-                    return if slots.is_empty() { Ok(()) } else { Err(io::ErrorKind::ConnectionReset.into()) };
+                    return Ok(());
                 }
                 let mut at = 0;
                 while let Some((length, outcome, total)) = reply(&input[at..])? {
                     at += length;
                     let (id, _) = slots.pop_front().ok_or(io::ErrorKind::InvalidData)?;
                     shared.end(id, outcome, total);
-                    *answered = true;
                 }
                 input.drain(..at);
             }
-            taken = queue.recv_many(batch, BATCH) => if taken == 0 {
-                return Err(io::ErrorKind::Interrupted.into());
-            },
+            // No more calls will come: what is out may still be answered.
+            taken = queue.recv_many(batch, BATCH), if !ends => ends = taken == 0,
             () = until(stalled) => return Err(io::ErrorKind::TimedOut.into()),
         }
     }
@@ -200,7 +190,8 @@
     );
 }
 
-/// The first whole answer in `input`, if any: its length, what became of the call, and the total.
+/// The first whole answer in `input`, if any: its length, what became of the call, and the total. An error:
+/// nothing legible; the call may have been added, and the connection is of no further use.
 fn reply(input: &[u8]) -> io::Result<Option<(usize, Outcome, f64)>> {
     let line = |from: usize| {
         let end = input[from..].windows(2).position(|pair| pair == b"\r\n")?;
@@ -214,7 +205,10 @@
         text.parse::<f64>().ok().filter(|value| value.is_finite())
     };
     match first.split_first() {
-        Some((b'-', _)) => Ok(Some((next, Outcome::Full, 0.0))),
+        // Only these two say that nothing was added; any other word is noise.
+        Some((b'-', text)) if text.starts_with(b"BUSY") || text.starts_with(b"ERR") => {
+            Ok(Some((next, Outcome::Full, 0.0)))
+        }
         Some((b'$', length)) => {
             let length = number(length).filter(|length| (1.0..=64.0).contains(length));
             let end = next + length.ok_or(io::ErrorKind::InvalidData)? as usize;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -38,7 +38,7 @@
     peers: Option<Peers>,
     ready: Rc<Cell<bool>>,
     requests: HashMap<RequestId, Open>,
-    calls: HashMap<u64, (u64, Micros)>,
+    calls: HashMap<u64, Calling>,
     next_call: u64,
     ids: HashMap<String, BackendId>,
     backends: Vec<Rc<Backend>>,
@@ -70,6 +70,14 @@
     task: AbortHandle,
 }
 
+/// A call to the counter that has not ended.
+struct Calling {
+    count: u64,
+    at: Micros,
+    /// Whether it may have been written: one that was not has added nothing.
+    written: Rc<Cell<bool>>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Module(u64),
@@ -197,6 +205,13 @@
             }
             Message::Counted { call, outcome, total } => self.counted(call, outcome, total),
             Message::Targets(list) => self.targets(list),
+            // The old one ends by itself once its calls are answered or its connection is closed.
+            Message::CounterMoved(address) => {
+                if self.counter.as_ref().is_some_and(|counter| counter.address != address) {
+                    let (timeout, messages) = (self.counter_timeout, self.messages.clone());
+                    self.counter = Some(Counter::open(address, timeout, self.clock, messages));
+                }
+            }
             Message::Peer { from, data } => self.events.push_back(Event::PeerMessage { from, data }),
         }
     }
@@ -210,8 +225,8 @@
             Timer::Connect(request, _) | Timer::Expire(request, _) => self.give_up(request),
             Timer::Deadline(request) => self.last_call(request),
             Timer::Call(call) => {
-                let outcome = self.counter.as_ref().map_or(Outcome::Timeout, |counter| counter.overdue(call));
-                self.counted(call, outcome, 0.0);
+                let written = self.calls.get(&call).is_some_and(|calling| calling.written.get());
+                self.counted(call, if written { Outcome::Timeout } else { Outcome::ConnectFailed }, 0.0);
             }
             Timer::Sweep => {
                 let now = self.clock.now();
@@ -415,9 +430,9 @@
     fn count(&mut self, count: u64, amount: f64, life: Micros) {
         let (call, now) = (self.next_call, self.clock.now());
         self.next_call += 1;
-        let made = self.counter.as_ref().is_some_and(|counter| counter.call(call, now, count, amount, life));
-        if made {
-            self.calls.insert(call, (count, now));
+        let counter = self.counter.as_ref();
+        if let Some(written) = counter.and_then(|counter| counter.call(call, now, count, amount, life)) {
+            self.calls.insert(call, Calling { count, at: now, written });
             self.set(now + self.counter_timeout, Timer::Call(call));
         } else {
             self.events.push_back(Event::Counted {
@@ -431,7 +446,7 @@
 
     fn counted(&mut self, call: u64, outcome: Outcome, total: f64) {
         // A late answer to a call that was given up already says nothing more.
-        let Some((count, at)) = self.calls.remove(&call) else { return };
+        let Some(Calling { count, at, .. }) = self.calls.remove(&call) else { return };
         let waited = self.clock.now().saturating_sub(at);
         self.events.push_back(Event::Counted { count, outcome, total, waited });
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,12 +2,15 @@
 //! the module's actions and the other files turn one kind of socket each into its events.
 
 mod backend;
+mod clients;
 pub mod config;
 mod counter;
 mod discovery;
 mod driver;
 mod peers;
+mod request;
 mod server;
+mod socket;
 
 use crate::interface::{Micros, Outcome, Report, RequestId};
 use bytes::Bytes;
@@ -16,8 +19,10 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot};
 
 /// The largest body that either side may send.
@@ -84,16 +89,34 @@
 pub enum Message {
     Request(ClientRequest),
     Abandoned(RequestId),
-    AttemptEnded { request: RequestId, attempt: u8, outcome: Outcome, report: Report, body: Bytes },
-    Counted { call: u64, outcome: Outcome, total: f64 },
+    AttemptEnded {
+        request: RequestId,
+        attempt: u8,
+        outcome: Outcome,
+        report: Report,
+        body: Bytes,
+    },
+    Counted {
+        call: u64,
+        outcome: Outcome,
+        total: f64,
+    },
     Targets(TargetList),
-    Peer { from: u32, data: Vec<u8> },
+    /// The counter is at this address from now on.
+    CounterMoved(SocketAddr),
+    Peer {
+        from: u32,
+        data: Vec<u8>,
+    },
 }
 
 pub type Messages = mpsc::UnboundedSender<Message>;
 
 /// Serves until told to end; returns once everything taken has been answered.
 pub async fn serve(config: Config) -> io::Result<()> {
+    // Before anything is ready: a signal that finds no handler ends the program.
+    let terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let (messages, inbox) = mpsc::unbounded_channel();
     let listener = server::listen(config.listen)?;
@@ -106,13 +129,31 @@
     let counter = config.counter.zip(config.settings.counter);
     let counter = counter
         .map(|(address, counter)| counter::Counter::open(address, counter.timeout, clock, messages.clone()));
-    tokio::task::spawn_local(discovery::watch(config.discovery, messages.clone()));
+    let mut watch = tokio::task::spawn_local(discovery::watch(config.discovery, messages.clone()));
+    let moved = messages.clone();
+    tokio::task::spawn_local(async move {
+        while reload.recv().await.is_some() {
+            match config::reload() {
+                Ok(addresses) => {
+                    eprintln!("SIGHUP: discovery {}, counter {:?}", addresses.discovery, addresses.counter);
+                    // A new watch begins with the whole list, so nothing told meanwhile is missed.
+                    watch.abort();
+                    watch = tokio::task::spawn_local(discovery::watch(addresses.discovery, moved.clone()));
+                    if let Some(address) = addresses.counter {
+                        let _ = moved.send(Message::CounterMoved(address));
+                    }
+                }
+                Err(error) => eprintln!("SIGHUP: the configuration in force stays: {error}"),
+            }
+        }
+    });
     let shared = server::Shared::new(&config, clock, messages.clone());
     let driver = driver::Driver::new(&config, clock, messages, counter, peers, shared.ready.clone());
     let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let driver = tokio::task::spawn_local(driver.run(inbox));
     // A task of its own: the runtime polls the outermost future with every wake, whatever that was for.
-    let service = tokio::task::spawn_local(server::serve(listener, shared, Duration::from_micros(longest)));
+    let service =
+        tokio::task::spawn_local(server::serve(listener, shared, terminate, Duration::from_micros(longest)));
     tokio::select! {
         end = service => end.map_err(io::Error::other)?,
         // Without the module nothing can be served: the platform had better start anew.
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -160,6 +160,8 @@
     Break,
     /// Answers well after the caller's time-out.
     Late,
+    /// Adds, and answers with no number in it.
+    Noise,
 }
 
 pub struct Counter {
@@ -221,14 +223,14 @@
                 Mode::Silent => continue,
                 Mode::Break => return,
                 Mode::Busy => "-BUSY\r\n".to_string(),
-                Mode::Answer | Mode::Late => {
+                Mode::Answer | Mode::Late | Mode::Noise => {
                     if mode == Mode::Late {
                         thread::sleep(Duration::from_millis(120));
                     }
                     let mut totals = totals.lock().unwrap();
                     let total = totals.entry(words[1].clone()).or_default();
                     *total += amount;
-                    let text = total.to_string();
+                    let text = if mode == Mode::Noise { "?!".to_string() } else { total.to_string() };
                     format!("${}\r\n{text}\r\n", text.len())
                 }
             };
@@ -424,7 +426,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_violetyoke"))
             .env("EDGE_CONFIG", &path)
             .env_remove("EDGE_LISTEN")
-            .env_remove("EDGE_DISCOVERY")
+            .env("EDGE_DISCOVERY", discovery.address.to_string())
             .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
@@ -436,10 +438,24 @@
     }
 
     pub fn terminate(&self) {
-        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(status.success());
     }
 
+    /// Replaces the configuration's file and sends SIGHUP.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn config(&self) -> Value {
+        serde_json::from_slice(&std::fs::read(&self.config).unwrap()).unwrap()
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         let mut status = None;
         until("the ingress ends", || {
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -307,6 +307,17 @@
         (with("1500m", "NaNm"), 400),
         (with("units=2", "units=inf"), 400),
         (with("units=2", "units=0"), 400),
+        (with("units=2", "units=6.5"), 400),
+        (with("units=2", "units=2,units=1"), 400),
+        (with("units=2", "units=1e0"), 400),
+        (with("spread=2", "spread=1.5"), 400),
+        (with("spread=2", "spread=3"), 400),
+        (with("spread=2", "spread=0"), 400),
+        (with("first=0", "first=2"), 400),
+        (with("first=0", "first=-1"), 400),
+        (with("first=0", "first=0.5"), 400),
+        (with("1500m", "0m"), 400),
+        (with("1500m", "1e3m"), 400),
         (with("spread=2", "spread=x"), 400),
         (with("GET ", "POST "), 400),
         (with("Req-Id: ", "Req-Id: 0000000000000001\r\nReq-Id: "), 400),
@@ -330,26 +341,156 @@
 }
 
 #[test]
-fn more_connections_than_descriptors_end_nothing() {
+fn clients_that_ask_once_and_stay_keep_nobody_out() {
     let backend = Backend::start(|_| ok(b"x"));
     let (counter, discovery) =
         (Counter::start(), Discovery::start(vec![member("s-1", backend.address, "in_service")]));
     let mut ingress =
         Ingress::start_with(&counter, &discovery, |config| config["limits"]["sockets"] = json!(64));
-    let mut idle: Vec<_> = (0..100).map(|_| ingress.client()).collect();
-    // Those within the budget are answered, with a refusal at its upper end.
-    let answer = idle[0].call(read_request());
-    assert_eq!((answer.status(), answer.headers["connection"].as_str()), (503, "close"));
+    // Well more than there are descriptors: the longest idle ones have to make room.
+    let mut stay = Vec::new();
+    for number in 0..100 {
+        let mut client = ingress.client();
+        assert_eq!(client.call(read_request()).status(), 200, "number {number}");
+        stay.push(client);
+    }
+    // The newest is still open, and of use.
+    assert_eq!(stay[99].call(read_request()).status(), 200);
     let descriptors = std::fs::read_dir(format!("/proc/{}/fd", ingress.child.id())).unwrap().count();
     assert!(descriptors < 64, "{descriptors}");
-    idle.clear();
-    until("there is room again", || {
-        let answer = Client::try_open(ingress.address).and_then(|mut client| client.try_call(read_request()));
-        answer.is_some_and(|answer| answer.status() == 200)
-    });
     assert!(ingress.child.try_wait().unwrap().is_none());
 }
 
+#[test]
+fn a_client_that_says_nothing_or_half_a_request_is_sent_away_within_three_seconds() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let start = Instant::now();
+    let (mut silent, mut half, mut body) = (ingress.client(), ingress.client(), ingress.client());
+    half.send(&read_request()[..40]);
+    body.send(head("POST", "booking-post", "wide", "1000m") + "Content-Length: 10\r\n\r\nhalf");
+    assert!(silent.closed() && half.closed());
+    assert!(body.answer().is_none_or(|answer| answer.status() == 408));
+    let took = start.elapsed();
+    assert!(took > Duration::from_millis(2000) && took < Duration::from_millis(3000), "{took:?}");
+    assert_eq!(backend.seen(), 0);
+}
+
+#[test]
+fn a_request_turned_down_ends_its_connection_and_what_follows_is_never_passed_on() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let hidden = read_request();
+    let chunked = format!("0\r\n\r\n{hidden}");
+    let (te, cl) = ("Transfer-Encoding: chunked\r\n", format!("Content-Length: {}\r\n", chunked.len()));
+    let heads = [head("POST", "booking-post", "wide", "1000m"), head("GET", "avail-read", "wide", "1000m")];
+    let ready = "GET /-/ready HTTP/1.1\r\nHost: a\r\n".to_string();
+    let mut cases = Vec::new();
+    for head in heads.iter().chain([&ready]) {
+        cases.push(format!("{head}{te}{cl}\r\n{chunked}"));
+        cases.push(format!("{head}{cl}{te}\r\n{chunked}"));
+        cases.push(format!("{head}{te}\r\n{chunked}"));
+    }
+    cases.push(read_request().replace("units=2", "units=7") + &hidden);
+    cases.push(head("POST", "booking-post", "wide", "1000m") + "Content-Length: 70000\r\n\r\n" + &hidden);
+    for text in cases {
+        let mut client = ingress.client();
+        let answer = client.call(&text);
+        assert!((400..500).contains(&answer.status()), "{} {text}", answer.status());
+        assert_eq!(answer.headers["connection"], "close", "{text}");
+        assert!(client.closed(), "{text}");
+    }
+    assert_eq!(backend.seen(), 0);
+}
+
+#[test]
+fn a_client_that_sends_far_too_much_still_reads_why_it_is_turned_down() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    client.send(head("POST", "booking-post", "wide", "1000m") + "Content-Length: 60000000\r\n\r\n");
+    let part = vec![b'x'; 1_000_000];
+    // It reads nothing before all is sent; a reset on the way would fail a write, or eat the answer.
+    (0..60).for_each(|_| client.send(&part));
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(413));
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(client.closed());
+}
+
+#[test]
+fn the_id_of_an_open_request_is_not_sent_on_again() {
+    let backend = Backend::start(|_| Reply::Hold);
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let (mut first, mut second) = (ingress.client(), ingress.client());
+    let request = booking("x");
+    first.send(&request);
+    until("the request is out", || backend.seen() == 1);
+    assert_eq!(second.call(&request).status(), 400);
+    assert_eq!(backend.seen(), 1);
+    // Once it is over the id is forgotten.
+    assert_eq!(first.answer().map(|answer| answer.status()), Some(502));
+    second = ingress.client();
+    second.send(&request);
+    until("it is sent on", || backend.seen() == 2);
+}
+
+#[test]
+fn sighup_takes_discovery_and_counter_from_the_new_file() {
+    let (old, new) = (Backend::start(|_| ok(b"old")), Backend::start(|_| ok(b"new")));
+    let (counter, discovery) =
+        (Counter::start(), Discovery::start(vec![member("s-1", old.address, "in_service")]));
+    let (counter2, discovery2) =
+        (Counter::start(), Discovery::start(vec![member("s-2", new.address, "in_service")]));
+    let mut ingress = Ingress::start(&counter, &discovery);
+    assert_eq!(ingress.client().call(read_request()).body, b"old");
+    let first = ingress.config();
+    let mut second = first.clone();
+    second["discovery"] = json!(discovery2.address.to_string());
+    second["counter"] = json!(counter2.address.to_string());
+    let asked = |counter: &Counter, body: &[u8]| {
+        until("the new list is in force", || ingress.client().call(read_request()).body == body);
+        until("the new counter is asked", || {
+            counter.calls.lock().unwrap().clear();
+            assert_eq!(ingress.client().call(read_request()).body, body);
+            !counter.calls.lock().unwrap().is_empty()
+        });
+    };
+    ingress.reload(&second.to_string());
+    asked(&counter2, b"new");
+    // A file that makes no sense leaves all as it is.
+    for bad in ["", "{}", "{\"discovery\": 7"] {
+        ingress.reload(bad);
+    }
+    asked(&counter2, b"new");
+    ingress.reload(&first.to_string());
+    asked(&counter, b"old");
+    // The old connections are given up, and a signal to end is still heeded.
+    ingress.reload(&second.to_string());
+    asked(&counter2, b"new");
+    ingress.terminate();
+    assert_eq!(ingress.exit().code(), Some(0));
+}
+
+#[test]
+fn a_total_that_is_none_costs_only_its_own_call() {
+    let backend = Backend::start(|_| ok(b"x"));
+    let (counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    assert_eq!(client.call(read_request()).status(), 200);
+    counter.set(Mode::Noise);
+    let start = Instant::now();
+    assert_eq!(client.call(read_request()).status(), 200);
+    // The illegible answer is seen when it comes, not when the call's time is up.
+    assert!(start.elapsed() < Duration::from_millis(45), "{:?}", start.elapsed());
+    counter.set(Mode::Answer);
+    // Nor does it make the counter pass for a slow one, which is asked more rarely.
+    counter.calls.lock().unwrap().clear();
+    for _ in 0..8 {
+        assert_eq!(client.call(read_request()).status(), 200);
+    }
+    assert_eq!((counter.connections(), counter.calls.lock().unwrap().len()), (2, 8));
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken_and_takes_new_connections_for_a_while() {
     let (release, held) = std::sync::mpsc::channel::<()>();
