Tell spoilt answers from broken backends, look before reusing a connection, forget what is gone

Want of a descriptor and a drain at send time came out as ConnectFailed. Customers, gone backends and stale timers only grew; close searched the queue from end to end. Ruled out: hyper serving what lies behind a good answer in its own buffer (it ends the connection itself).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -285,12 +285,14 @@
     Cancelled,
     /// Not sent at all.
     Moot,
+    /// Held back for want of a descriptor or at word of a drain; did not run, and is no fault of the backend's.
+    Withheld,
 }
 
 impl Outcome {
     /// Whether this outcome proves that nothing ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Withheld)
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 use crate::interface::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound;
 
 /// Longest life of a counter name (us), and the part of it that a window may take: two and late reads fit.
 const LONGEST_LIFE: f64 = 60e6;
@@ -67,6 +68,10 @@
 const JITTER: f64 = 0.1;
 /// Ticks that an answer needs to reach the client after the gateway has it, taken off the aim.
 const AIM_MARGIN_TICKS: u64 = 2;
+/// Customers looked at with each request, and windows of silence after which one is forgotten: its units have
+/// been refilled, the counter has dropped its names, and what it may send untold has grown back.
+const LOOKED_AT: usize = 4;
+const FORGET_AFTER: f64 = 6.0;
 /// Fall times over which this gateway's rate of attempts is taken.
 const RATE_SPAN: f64 = 2.0;
 
@@ -77,6 +82,7 @@
     random: u64,
     now: Micros,
     customers: BTreeMap<CustomerId, Customer>,
+    looked_at: CustomerId,
     counter: CounterHealth,
     calls: BTreeMap<u64, VecDeque<Call>>,
     /// What the event in hand asks for.
@@ -94,11 +100,13 @@
     open: BTreeMap<RequestId, Open>,
     flights: BTreeMap<(RequestId, u8), Flight>,
     /// Held requests: most worth for its work first, then the one to be given up soonest.
-    queue: BTreeSet<(Reverse<u64>, Micros, RequestId)>,
+    queue: BTreeSet<Place>,
     due: BTreeSet<(Micros, RequestId)>,
     armed: Micros,
 }
 
+type Place = (Reverse<u64>, Micros, RequestId);
+
 /// What is known of one customer's use, over all gateways.
 #[derive(Default)]
 struct Customer {
@@ -131,6 +139,9 @@
     spare_at: Micros,
     out: u32,
     waiting: Vec<RequestId>,
+    /// Its requests that are not over, and when the last one came.
+    open: u32,
+    seen: Micros,
 }
 
 /// The share refused untold, after a total has decided, here or at a peer.
@@ -178,6 +189,8 @@
     arrived: Micros,
     stage: Stage,
     due: Micros,
+    /// Its place in the queue, while it is held.
+    place: Place,
     /// Total told with its units, once told, and units that its call stands for.
     counted: Option<f64>,
     stands: f64,
@@ -235,6 +248,11 @@
         actions.append(&mut self.actions);
     }
 
+    /// How many customers and backends it keeps figures of.
+    pub fn known(&self) -> (usize, usize) {
+        (self.customers.len(), self.backends.len())
+    }
+
     // ---- Quota: the sliding tail ----
 
     /// Length of a plan's windows (us) and the units that a window's length of use may hold.
@@ -252,11 +270,13 @@
             return self.actions.push(Action::Fail { request: id });
         };
         let quota = plan.rate > 0.0;
+        self.forget();
         self.roll(&request);
         let open = Open {
             arrived: self.now,
             stage: Stage::Asking,
             due: 0,
+            place: (Reverse(0), 0, id),
             counted: None,
             stands: 0.0,
             charged: None,
@@ -301,6 +321,7 @@
             spare_at: now,
             ..Customer::default()
         });
+        (customer.open, customer.seen) = (customer.open + 1, now);
         if window > customer.window {
             let seen = customer.total + customer.unseen / customer.part;
             let part = (customer.own + customer.unseen) / if seen > 0.0 { seen } else { f64::INFINITY };
@@ -314,6 +335,22 @@
         }
     }
 
+    /// Forgets customers whose figures say nothing any more: many come once only. A few at a time, in turn.
+    fn forget(&mut self) {
+        for _ in 0..LOOKED_AT {
+            let next = self.customers.range(self.looked_at..).next();
+            let Some((of, customer)) = next else { return self.looked_at = 0 };
+            let plan = &self.settings.plans[customer.plan];
+            let length = if plan.rate > 0.0 { self.window_of(plan).0 } else { LONGEST_LIFE };
+            let silent = (self.now - customer.seen) as f64 > FORGET_AFTER * length;
+            let (of, over) = (*of, customer.open == 0 && customer.out == 0 && silent);
+            self.looked_at = of.saturating_add(1);
+            if over {
+                self.customers.remove(&of);
+            }
+        }
+    }
+
     /// The design's estimate: the previous window by its unelapsed fraction, and the current one.
     fn estimate(&self, customer: &Customer, current: f64) -> f64 {
         let (length, _) = self.window_of(&self.settings.plans[customer.plan]);
@@ -413,8 +450,9 @@
             self.calls.remove(&count);
         }
         self.judge_counter(outcome, waited);
-        let (length, limit) = self.window_of(&self.settings.plans[self.customers[&call.customer].plan]);
-        let customer = self.customers.get_mut(&call.customer).expect("called for");
+        let Some(plan) = self.customers.get(&call.customer).map(|customer| customer.plan) else { return };
+        let (length, limit) = self.window_of(&self.settings.plans[plan]);
+        let customer = self.customers.get_mut(&call.customer).expect("just read");
         let undecided = |call: &&Call| call.request.is_some_and(|id| customer.waiting.contains(&id));
         let others = self.calls.get(&count).into_iter().flatten();
         let still_out: f64 = others.filter(|call| !undecided(call)).map(|call| call.amount).sum();
@@ -587,7 +625,7 @@
         if kind == ListKind::Full || kind == ListKind::Cached {
             let listed: BTreeSet<BackendId> = entries.iter().map(|entry| entry.id).collect();
             for backend in self.backends.values_mut().filter(|backend| !listed.contains(&backend.entry.id)) {
-                backend.told_gone = true;
+                (backend.told_gone, backend.entry.condition) = (true, Condition::Gone);
             }
         }
         let ask = self.settings.discovery == Discovery::Ask && kind == ListKind::Cached;
@@ -608,6 +646,8 @@
             backend.told_gone = entry.condition != Condition::Ready;
             backend.entry = entry;
         }
+        // One that comes back is told with its new start.
+        self.backends.retain(|_, backend| backend.entry.condition != Condition::Gone || backend.out > 0);
     }
 
     /// The cheapest backend that may take this request now, if any.
@@ -615,10 +655,11 @@
         let open = &self.open[&id];
         let class = &self.settings.classes[usize::from(open.request.class)];
         let bound_to = open.may_have_run.filter(|_| class.effect == Effect::Keyed);
-        if bound_to.is_some_and(|(_, sent)| self.now >= sent + class.repeat_window) {
+        let home = bound_to.and_then(|(backend, _)| self.backends.get(&backend)).map(|home| &home.entry);
+        let lost = bound_to.is_some() && home.is_none() && class.group != Group::All;
+        if lost || bound_to.is_some_and(|(_, sent)| self.now >= sent + class.repeat_window) {
             return None;
         }
-        let home = bound_to.and_then(|(backend, _)| self.backends.get(&backend)).map(|home| &home.entry);
         let ready = self.backends.values().filter(|backend| !backend.told_gone);
         let mean = ready.map(|backend| backend.entry.share).sum::<f64>() / self.ready();
         // A bound under one leaves room for an attempt after a pause.
@@ -698,7 +739,7 @@
                     backend.trial = true;
                 }
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
         }
     }
 
@@ -773,8 +814,9 @@
         let worth = class.value * self.settings.plans[usize::from(open.request.plan)].worth;
         let worth = worth / self.best[usize::from(open.request.class)];
         let rank = Reverse((1e3 + worth.max(1e-12).log(1.5)).round() as u64);
-        self.open.get_mut(&id).expect("open").stage = Stage::Held;
-        self.queue.insert((rank, until, id));
+        let open = self.open.get_mut(&id).expect("open");
+        (open.stage, open.place) = (Stage::Held, (rank, until, id));
+        self.queue.insert(open.place);
         self.set_due(id, until.max(self.now + self.settings.tick));
     }
 
@@ -804,16 +846,17 @@
     }
 
     fn dispatch(&mut self) {
-        let held: Vec<_> = self.queue.iter().copied().collect();
-        for (rank, until, id) in held {
-            match self.pick(id) {
+        let mut next = self.queue.first().copied();
+        while let Some(place) = next {
+            match self.pick(place.2) {
                 Some(backend) => {
-                    self.queue.remove(&(rank, until, id));
-                    self.send(id, backend);
+                    self.queue.remove(&place);
+                    self.send(place.2, backend);
                 }
-                None if self.open[&id].may_have_run.is_some() => {}
+                None if self.open[&place.2].may_have_run.is_some() => {}
                 None => break,
             }
+            next = self.queue.range((Bound::Excluded(place), Bound::Unbounded)).next().copied();
         }
     }
 
@@ -846,8 +889,9 @@
         if let Some(backend) = self.backends.get_mut(&flight.backend) {
             backend.out = backend.out.saturating_sub(1);
         }
-        let customer = self.customers.get_mut(&flight.customer).expect("rolled on arrival");
-        customer.out = customer.out.saturating_sub(1);
+        if let Some(customer) = self.customers.get_mut(&flight.customer) {
+            customer.out = customer.out.saturating_sub(1);
+        }
         self.learn(flight.backend, flight.class, end.outcome, end.waited);
         if end.closed || end.outcome == Outcome::Ok {
             return self.close(end.request);
@@ -898,9 +942,10 @@
     fn close(&mut self, id: RequestId) {
         let Some(open) = self.open.remove(&id) else { return };
         self.due.remove(&(open.due, id));
-        self.queue.retain(|(_, _, other)| *other != id);
+        self.queue.remove(&open.place);
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.waiting.retain(|other| *other != id);
+            customer.open = customer.open.saturating_sub(1);
         }
     }
 }
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -1,5 +1,6 @@
 //! Backends: their connections, and one attempt on one of them.
 
+use super::socket::Socket;
 use super::{Forward, LARGEST_BODY};
 use crate::interface::{Micros, Outcome, Report, ReportField};
 use bytes::Bytes;
@@ -7,20 +8,31 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST, TRANSFER_ENCODING};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 16;
+/// How long an answer may take from its first byte to its last: backends write theirs in one go, and one
+/// whose length is a lie would otherwise be waited for until the request's time is up.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// How often an attempt looks whether its answer has begun.
+const LOOK: Duration = Duration::from_millis(100);
+/// The longest head of an answer.
+const LARGEST_HEAD: usize = 16 * 1024;
+/// Largest figure in a load report that can be meant.
+const LARGEST_FIGURE: f64 = 1e6;
 
 pub const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 pub const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
@@ -31,23 +43,49 @@
 pub struct Backend {
     pub address: Cell<SocketAddr>,
     pub accepting: Cell<bool>,
+    /// Discovery names it no longer.
+    pub gone: Cell<bool>,
     idle: RefCell<Vec<Link>>,
     budget: Rc<Budget>,
 }
 
 /// Connections to all backends together.
 pub struct Budget {
-    pub open: Cell<usize>,
-    pub most: usize,
+    open: Cell<usize>,
+    most: usize,
+    backends: RefCell<Vec<Weak<Backend>>>,
+}
+
+impl Budget {
+    pub fn new(most: usize) -> Rc<Budget> {
+        Rc::new(Budget { open: Cell::new(0), most, backends: RefCell::default() })
+    }
+
+    /// A place for one more connection. Where there is none, the longest idle connection to any backend has to
+    /// go: it is of less use than the request at hand.
+    fn place(self: &Rc<Budget>) -> Option<Slot> {
+        if self.open.get() >= self.most {
+            let backends = self.backends.borrow();
+            let oldest = backends.iter().filter_map(Weak::upgrade).filter_map(|backend| {
+                let since = backend.idle.borrow().first()?.since;
+                Some((since, backend))
+            });
+            let (_, backend) = oldest.min_by_key(|(since, _)| *since)?;
+            drop(backend.idle.borrow_mut().remove(0));
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Slot(self.clone()))
+    }
 }
 
 /// A connection that carries no request. Nothing drives it while it is idle: it is polled when it is taken.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    connection: Connection<Counted, Full<Bytes>>,
-    written: Rc<Cell<u64>>,
+    connection: Connection<TokioIo<Socket>, Full<Bytes>>,
+    socket: Socket,
     address: SocketAddr,
     since: Micros,
+    _slot: Slot,
 }
 
 /// What became of an attempt.
@@ -55,22 +93,29 @@
     pub outcome: Outcome,
     pub report: Report,
     pub body: Bytes,
+    whole: bool,
 }
 
 impl Ended {
     fn without_answer(outcome: Outcome) -> Ended {
-        Ended { outcome, report: Report::new(), body: Bytes::new() }
+        Ended { outcome, report: Report::new(), body: Bytes::new(), whole: false }
     }
 }
 
 impl Backend {
-    pub fn new(address: SocketAddr, budget: Rc<Budget>) -> Backend {
-        Backend {
+    pub fn new(address: SocketAddr, budget: Rc<Budget>) -> Rc<Backend> {
+        let backend = Rc::new(Backend {
             address: Cell::new(address),
             accepting: Cell::new(false),
+            gone: Cell::new(false),
             idle: RefCell::new(Vec::new()),
-            budget,
-        }
+            budget: budget.clone(),
+        });
+        let mut backends = budget.backends.borrow_mut();
+        backends.retain(|backend| backend.strong_count() > 0);
+        backends.push(Rc::downgrade(&backend));
+        drop(backends);
+        backend
     }
 
     pub fn close_idle(&self) {
@@ -82,29 +127,27 @@
         self.idle.borrow_mut().retain(|link| link.since >= then);
     }
 
-    /// The newest idle connection that the peer has not closed.
+    /// The newest idle connection that the peer has neither closed nor written to: bytes that come unasked
+    /// would be taken for the answer to the next request.
     fn take(&self, cx: &mut Context<'_>) -> Option<Link> {
         loop {
             let mut link = self.idle.borrow_mut().pop()?;
-            let alive = Pin::new(&mut link.connection).poll(cx).is_pending();
+            let alive = Pin::new(&mut link.connection).poll(cx).is_pending() && link.socket.quiet();
             if alive && link.sender.is_ready() && link.address == self.address.get() {
                 return Some(link);
             }
         }
     }
 
-    async fn connect(&self) -> io::Result<Link> {
-        if self.budget.open.get() >= self.budget.most {
-            return Err(io::ErrorKind::QuotaExceeded.into());
-        }
-        let slot = Slot::take(&self.budget);
+    async fn connect(&self, slot: Slot) -> io::Result<Link> {
         let address = self.address.get();
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let written = Rc::new(Cell::new(0));
-        let io = Counted { stream: TokioIo::new(stream), written: written.clone(), _slot: slot };
-        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
-        Ok(Link { sender, connection, written, address, since: 0 })
+        let socket = Socket::new(TcpStream::connect(address).await?);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(LARGEST_HEAD)
+            .handshake(TokioIo::new(socket.clone()))
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Link { sender, connection, socket, address, since: 0, _slot: slot })
     }
 
     fn keep(&self, link: Link) {
@@ -132,18 +175,22 @@
         let reused = idle.is_some();
         let link = match idle {
             Some(link) => link,
-            None => match backend.connect().await {
-                Ok(link) => link,
-                Err(_) => return Ended::without_answer(Outcome::ConnectFailed),
+            // Want of descriptors and news of a drain are no fault of the backend's.
+            None => match backend.budget.place() {
+                None => return Ended::without_answer(Outcome::Withheld),
+                Some(slot) => match backend.connect(slot).await {
+                    Ok(link) => link,
+                    Err(_) => return Ended::without_answer(Outcome::ConnectFailed),
+                },
             },
         };
         // A drain told while the connection came up: nothing new may go there.
         if !backend.accepting.get() || link.address != backend.address.get() {
-            return Ended::without_answer(Outcome::ConnectFailed);
+            return Ended::without_answer(Outcome::Withheld);
         }
         sent.set(true);
         let (ended, unwritten, link) =
-            exchange(link, request(&forward, link_address(&backend), time_left), &fields).await;
+            exchange(link, request(&forward, backend.address.get(), time_left), &fields).await;
         if let Some(mut link) = link {
             link.since = now();
             backend.keep(link);
@@ -159,10 +206,6 @@
     }
 }
 
-fn link_address(backend: &Backend) -> SocketAddr {
-    backend.address.get()
-}
-
 fn request(forward: &Forward, address: SocketAddr, time_left: Micros) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(forward.body.clone()));
     *request.method_mut() = forward.method.clone();
@@ -182,7 +225,7 @@
     request: Request<Full<Bytes>>,
     fields: &[ReportField],
 ) -> (Ended, bool, Option<Link>) {
-    let before = link.written.get();
+    let (written, read) = (link.socket.written(), link.socket.read());
     let mut alive = true;
     let (ended, returned) = {
         let response = link.sender.try_send_request(request);
@@ -191,12 +234,13 @@
                 Ok(response) => (whole(response, fields).await, false),
                 Err(mut error) => {
                     let unsent = error.take_message().is_some();
-                    (Ended::without_answer(Outcome::Reset), unsent)
+                    let outcome = if unsent { Outcome::Reset } else { spoilt_or_reset(error.error()) };
+                    (Ended::without_answer(outcome), unsent)
                 }
             }
         });
         let connection = &mut link.connection;
-        poll_fn(|cx| loop {
+        let exchanged = poll_fn(|cx| loop {
             if let Poll::Ready(ended) = answer.as_mut().poll(cx) {
                 return Poll::Ready(ended);
             }
@@ -207,19 +251,51 @@
                 Poll::Ready(_) => alive = false,
                 Poll::Pending => return answer.as_mut().poll(cx),
             }
-        })
-        .await
+        });
+        let socket = &link.socket;
+        tokio::select! {
+            biased;
+            ended = exchanged => ended,
+            () = stalled(socket, read) => (Ended::without_answer(Outcome::Error), false),
+        }
     };
-    let answered = !matches!(ended.outcome, Outcome::Reset);
-    let unwritten = !answered && (returned || link.written.get() == before);
-    let reusable = answered
+    let broken = ended.outcome == Outcome::Reset;
+    let unwritten = broken && (returned || link.socket.written() == written);
+    let reusable = ended.whole
         && alive
         && poll_fn(|cx| Poll::Ready(Pin::new(&mut link.connection).poll(cx).is_pending())).await
+        && link.socket.quiet()
         && link.sender.is_ready();
     (ended, unwritten, reusable.then_some(link))
 }
 
-/// Takes the answer's body whole. One that is cut off, or might be, is no answer.
+/// Returns once an answer has begun and has not become whole for too long.
+async fn stalled(socket: &Socket, before: u64) {
+    while socket.read() == before {
+        sleep(LOOK).await;
+    }
+    sleep(ANSWER_TIME).await;
+}
+
+/// What comes of an answer that can't be taken: the backend has spoken, if illegibly, or the connection broke.
+/// Either way the request may have run; but only a broken connection tells of a backend that is going down.
+fn spoilt_or_reset(error: &hyper::Error) -> Outcome {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, TimedOut, UnexpectedEof};
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    let broken = [BrokenPipe, ConnectionAborted, ConnectionReset, TimedOut, UnexpectedEof];
+    let gone = error.is_incomplete_message()
+        || error.is_canceled()
+        || error.is_closed()
+        || source.is_some_and(|source| broken.contains(&source.kind()));
+    if gone {
+        Outcome::Reset
+    } else {
+        Outcome::Error
+    }
+}
+
+/// Takes the answer's body whole. One that is cut off, or might be, is no answer, and neither is a decline
+/// that is not whole: it might stand for something else.
 async fn whole(response: Response<Incoming>, fields: &[ReportField]) -> Ended {
     let (head, body) = response.into_parts();
     let report = report(&head.headers, fields);
@@ -230,20 +306,27 @@
         _ => Outcome::Error,
     };
     let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
+    let fits = body.size_hint().lower() <= LARGEST_BODY as u64;
+    if !framed || !fits || head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Ended::without_answer(Outcome::Error);
+    }
     match Limited::new(body, LARGEST_BODY).collect().await {
-        Ok(body) if framed => Ended { outcome, report, body: body.to_bytes() },
-        _ if outcome == Outcome::Full => Ended { outcome, report, body: Bytes::new() },
-        _ => Ended { outcome: Outcome::Reset, report, body: Bytes::new() },
+        Ok(body) => Ended { outcome, report, body: body.to_bytes(), whole: true },
+        Err(error) => {
+            let error = error.downcast_ref::<hyper::Error>();
+            Ended::without_answer(error.map_or(Outcome::Error, spoilt_or_reset))
+        }
     }
 }
 
-/// The load report, its values in the order of the settings' fields; empty unless it has them all.
+/// The load report, its values in the order of the settings' fields; empty unless it has them all and each
+/// can be meant: a report that makes no sense is no reason to doubt the answer.
 fn report(headers: &HeaderMap, fields: &[ReportField]) -> Report {
     let Some(text) = headers.get(LOAD).and_then(|value| value.to_str().ok()) else { return Report::new() };
     let value = |field: &ReportField| {
         let named = text.split(',').filter_map(|pair| pair.trim().split_once('='));
         let mut values = named.filter(|(name, _)| named_field(name) == *field).map(|(_, value)| value);
-        values.next()?.trim().parse::<f64>().ok().filter(|value| value.is_finite())
+        values.next()?.trim().parse::<f64>().ok().filter(|value| (0.0..=LARGEST_FIGURE).contains(value))
     };
     fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
 }
@@ -263,65 +346,8 @@
 /// A place in the budget, given back when the connection is gone.
 struct Slot(Rc<Budget>);
 
-impl Slot {
-    fn take(budget: &Rc<Budget>) -> Slot {
-        budget.open.set(budget.open.get() + 1);
-        Slot(budget.clone())
-    }
-}
-
 impl Drop for Slot {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
     }
 }
-
-/// A socket that counts the bytes written: with none, a request provably never reached the backend.
-struct Counted {
-    stream: TokioIo<TcpStream>,
-    written: Rc<Cell<u64>>,
-    _slot: Slot,
-}
-
-impl Counted {
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(length)) = result {
-            self.written.set(self.written.get() + length as u64);
-        }
-        result
-    }
-}
-
-impl Read for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
-    }
-}
-
-impl Write for Counted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, data);
-        self.count(result)
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
-        self.count(result)
-    }
-}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -41,7 +41,8 @@
     calls: HashMap<u64, Calling>,
     next_call: u64,
     ids: HashMap<String, BackendId>,
-    backends: Vec<Rc<Backend>>,
+    backends: HashMap<BackendId, Rc<Backend>>,
+    next_backend: BackendId,
     budget: Rc<Budget>,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     timers_set: u64,
@@ -113,8 +114,9 @@
             calls: HashMap::new(),
             next_call: 1,
             ids: HashMap::new(),
-            backends: Vec::new(),
-            budget: Rc::new(Budget { open: Cell::new(0), most: config.sockets * 3 / 8 }),
+            backends: HashMap::new(),
+            next_backend: 0,
+            budget: Budget::new(config.sockets * 3 / 8),
             timers: BinaryHeap::new(),
             timers_set: 0,
             events: VecDeque::new(),
@@ -231,7 +233,8 @@
             Timer::Sweep => {
                 let now = self.clock.now();
                 let idle = self.limits.idle_close / IDLE_PART;
-                self.backends.iter().for_each(|backend| backend.close_older(now.saturating_sub(idle)));
+                self.backends.values().for_each(|backend| backend.close_older(now.saturating_sub(idle)));
+                self.forget();
                 self.set(now + SWEEP, Timer::Sweep);
             }
         }
@@ -251,7 +254,7 @@
                 }
             }
             Action::CloseIdle { backend } => {
-                if let Some(backend) = self.backends.get(backend as usize) {
+                if let Some(backend) = self.backends.get(&backend) {
                     backend.close_idle();
                 }
             }
@@ -333,7 +336,7 @@
         let attempt = open.attempts;
         open.attempts = attempt.saturating_add(1);
         let expires = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
-        let backend = self.backends.get(to as usize).cloned();
+        let backend = self.backends.get(&to).filter(|backend| backend.accepting.get()).cloned();
         let allowed = u32::from(attempt) < self.limits.attempts && open.out.is_none() && expires > now;
         let end = |outcome| {
             Event::AttemptEnded(AttemptEnd {
@@ -348,12 +351,12 @@
                 report: Report::new(),
             })
         };
-        let Some(backend) = backend.filter(|_| allowed) else {
+        if !allowed {
             return self.events.push_back(end(Outcome::Moot));
-        };
-        if !backend.accepting.get() {
-            return self.events.push_back(end(Outcome::ConnectFailed));
         }
+        let Some(backend) = backend else {
+            return self.events.push_back(end(Outcome::Withheld));
+        };
         let (sent, messages, clock) = (Rc::new(Cell::new(false)), self.messages.clone(), self.clock);
         let work = backend::attempt(
             backend,
@@ -364,7 +367,7 @@
             move || clock.now(),
         );
         let task = tokio::task::spawn_local(async move {
-            let Ended { outcome, report, body } = work.await;
+            let Ended { outcome, report, body, .. } = work.await;
             let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body });
         });
         open.out = Some(Out { attempt, backend: to, at: now, sent, task: task.abort_handle() });
@@ -455,10 +458,13 @@
 
     fn targets(&mut self, list: TargetList) {
         if list.complete {
-            self.backends.iter().for_each(|backend| backend.accepting.set(false));
+            for backend in self.backends.values() {
+                backend.accepting.set(false);
+                backend.gone.set(true);
+            }
         }
         let entries: Vec<_> = list.members.iter().map(|target| self.target(target)).collect();
-        for backend in self.backends.iter().filter(|backend| !backend.accepting.get()) {
+        for backend in self.backends.values().filter(|backend| !backend.accepting.get()) {
             backend.close_idle();
         }
         self.ready.set(self.ready.get() || !self.backends.is_empty());
@@ -470,20 +476,33 @@
         self.events.push_back(Event::Backends { kind, version: list.revision, entries });
     }
 
+    /// Forgets what is over: backends that are gone once nothing is out to them, and timers that outlived
+    /// their purpose below the next one due. A number is never given twice.
+    fn forget(&mut self) {
+        self.backends.retain(|_, backend| !backend.gone.get() || Rc::strong_count(backend) > 1);
+        self.ids.retain(|_, id| self.backends.contains_key(id));
+        let mut timers = std::mem::take(&mut self.timers);
+        timers.retain(|Reverse((_, _, timer))| !self.is_stale(*timer));
+        self.timers = timers;
+    }
+
     fn target(&mut self, target: &Target) -> BackendEntry {
         let id = match self.ids.get(&target.id) {
             Some(id) => *id,
             None => {
-                let id = self.backends.len() as BackendId;
+                let id = self.next_backend;
+                self.next_backend += 1;
                 self.ids.insert(target.id.clone(), id);
-                self.backends.push(Rc::new(Backend::new(target.host_port, self.budget.clone())));
                 id
             }
         };
-        let backend = &self.backends[id as usize];
+        let budget = &self.budget;
+        let new = || Backend::new(target.host_port, budget.clone());
+        let backend = self.backends.entry(id).or_insert_with(new);
         if backend.address.replace(target.host_port) != target.host_port {
             backend.close_idle();
         }
+        backend.gone.set(target.phase == Phase::Terminated);
         backend.accepting.set(target.phase == Phase::InService);
         let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
         BackendEntry {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -4,6 +4,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -45,6 +46,13 @@
         self.traffic.blocked.get()
     }
 
+    /// Whether nothing can be read and the peer has not closed. Asks the kernel: the runtime learns of bytes
+    /// only at its next turn, and by then a request would have been written before them.
+    pub fn quiet(&self) -> bool {
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     pub fn end_sending(&self) {
         let _ = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
     }
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -62,6 +62,8 @@
     Raw(Vec<u8>),
     /// Writes these bytes and closes.
     Close(Vec<u8>),
+    /// Writes the first bytes, and the others shortly after that.
+    Later(Vec<u8>, Vec<u8>),
     /// Says nothing and holds the connection until the peer ends it.
     Hold,
 }
@@ -88,6 +90,7 @@
     requests: Mutex<Vec<Http>>,
     connections: AtomicU32,
     ended: AtomicU32,
+    late: AtomicU32,
 }
 
 impl Backend {
@@ -99,6 +102,7 @@
             requests: Mutex::default(),
             connections: AtomicU32::new(0),
             ended: AtomicU32::new(0),
+            late: AtomicU32::new(0),
         });
         let shared = state.clone();
         thread::spawn(move || {
@@ -126,6 +130,11 @@
         self.state.connections.load(Ordering::SeqCst)
     }
 
+    /// Answers that were followed by late bytes.
+    pub fn late(&self) -> u32 {
+        self.state.late.load(Ordering::SeqCst)
+    }
+
     /// Connections that either side has ended.
     pub fn ended(&self) -> u32 {
         self.state.ended.load(Ordering::SeqCst)
@@ -134,6 +143,7 @@
 
 impl BackendState {
     fn serve(&self, mut stream: TcpStream) {
+        stream.set_nodelay(true).unwrap();
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_http(&mut reader) {
             self.requests.lock().unwrap().push(request.clone());
@@ -141,6 +151,12 @@
             match reply {
                 Reply::Raw(bytes) => drop(stream.write_all(&bytes)),
                 Reply::Close(bytes) => return drop(stream.write_all(&bytes)),
+                Reply::Later(bytes, more) => {
+                    let _ = stream.write_all(&bytes);
+                    thread::sleep(Duration::from_millis(5));
+                    let _ = stream.write_all(&more);
+                    self.late.fetch_add(1, Ordering::SeqCst);
+                }
                 Reply::Hold => {
                     let _ = reader.read(&mut [0; 16]);
                     return;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -416,3 +416,33 @@
     }
     assert!((5..=60).contains(&first_second), "{first_second} attempts in the first second");
 }
+
+#[test]
+fn customers_and_backends_that_are_gone_are_forgotten() {
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let mut now = START;
+    // Each comes once only, and backends are replaced all the while.
+    for number in 0..2_000u32 {
+        now += 50_000;
+        let mut events = vec![Event::Request(request(number, 100 + u64::from(number)))];
+        while let Some(event) = events.pop() {
+            events.extend(step(&mut gateway, now, event).into_iter().filter_map(|action| match action {
+                Action::Count { count, .. } => {
+                    Some(Event::Counted { count, outcome: Outcome::Ok, total: 1.0, waited: 1_000 })
+                }
+                Action::Send { request, backend, .. } => Some(ended(request, 0, backend, Outcome::Ok)),
+                _ => None,
+            }));
+        }
+        if number % 10 == 0 {
+            step(&mut gateway, now, list(&[number, number + 1]));
+        }
+    }
+    // Some windows of customers, of two seconds each, and the backends of the last list.
+    let (customers, backends) = gateway.known();
+    assert!((1..500).contains(&customers), "{customers}");
+    assert_eq!(backends, 2);
+    // A late word of one that is forgotten ends nothing.
+    step(&mut gateway, now, ended(3, 0, 1, Outcome::Reset));
+    step(&mut gateway, now, Event::Counted { count: 7, outcome: Outcome::Ok, total: 1.0, waited: 1_000 });
+}
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -96,6 +96,126 @@
     assert_eq!((answer.status(), backend.seen()), (200, 2));
 }
 
+/// Spoilt in every way that bytes can be; the connection stays open and is of no further use.
+const SPOILT: [&str; 9] = [
+    "\u{7f}\u{3}noise with no head in it at all, and no end of it either\r\n\r\n",
+    "HTTP/1.1 twohundred OK\r\nContent-Length: 1\r\n\r\nx",
+    "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf",
+    "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nhalf",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nthere is more",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nx\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Head: that does not end",
+    "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 9\r\n\r\nhalf",
+];
+
+#[test]
+fn a_spoilt_answer_fails_its_attempt_and_leaves_the_backend_in_use() {
+    for spoilt in SPOILT {
+        let mut number = 0;
+        let backend = Backend::start(move |request| {
+            number += 1;
+            // Two spoilt answers in a row, from the only backend there is.
+            if number <= 2 || request.first.starts_with("POST") {
+                raw(spoilt)
+            } else {
+                ok(b"good")
+            }
+        });
+        let (_counter, _discovery, ingress) = one_backend(&backend);
+        let mut client = ingress.client();
+        // Safe to repeat: sent again until it is answered, each time on a new connection.
+        let start = Instant::now();
+        let answer = client.call(read_request());
+        assert_eq!((answer.status(), answer.body), (200, b"good".to_vec()), "{spoilt}");
+        assert!(start.elapsed() < Duration::from_millis(700), "{:?} {spoilt}", start.elapsed());
+        assert_eq!((backend.seen(), backend.connections()), (3, 3), "{spoilt}");
+        // It may have run: an unsafe one has failed, and is not sent again.
+        let status = client.call(booking("x")).status();
+        assert!(![200, 429, 503].contains(&status), "{status} {spoilt}");
+        assert_eq!(backend.seen(), 4, "{spoilt}");
+    }
+}
+
+#[test]
+fn what_comes_with_a_good_answer_or_behind_it_changes_nothing() {
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+    let cases = [
+        (format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n{good}mine"), 1),
+        ("HTTP/1.1 200 OK\r\nSrv-Load: inflight=NaN\r\nContent-Length: 4\r\n\r\nmine".to_string(), 1),
+        ("HTTP/1.1 200 OK\r\nSrv-Load: \u{ff}=\u{fe}\r\nContent-Length: 4\r\n\r\nmine".to_string(), 1),
+        ("HTTP/1.1 200 OK\r\nSrv-Load: inflight=-9e99\r\nContent-Length: 4\r\n\r\nmine".to_string(), 1),
+        // More than belongs to it: the connection is of no further use.
+        (format!("{good}mine{good}next"), 2),
+        (format!("{good}mine\r\n\u{1}noise"), 2),
+    ];
+    for (first, connections) in cases {
+        let mut reply = Some(first.clone());
+        let backend = Backend::start(move |_| reply.take().map_or(ok(b"other"), |text| raw(&text)));
+        let (_counter, _discovery, ingress) = one_backend(&backend);
+        let mut client = ingress.client();
+        assert_eq!(client.call(read_request()).body, b"mine", "{first}");
+        assert_eq!(client.call(read_request()).body, b"other", "{first}");
+        assert_eq!(backend.connections(), connections, "{first}");
+    }
+}
+
+#[test]
+fn bytes_that_come_after_the_connection_was_put_back_are_seen_before_its_next_use() {
+    let late = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+    let mut number = 0;
+    let backend = Backend::start(move |_| {
+        number += 1;
+        match ok(b"mine") {
+            Reply::Raw(bytes) if number % 2 == 1 => Reply::Later(bytes, late.as_bytes().to_vec()),
+            reply => reply,
+        }
+    });
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    for _ in 0..10 {
+        assert_eq!(client.call(read_request()).body, b"mine");
+        let late = backend.late();
+        until("the stale bytes are out", || backend.late() > late || backend.seen() % 2 == 0);
+        assert_eq!(client.call(read_request()).body, b"mine");
+    }
+}
+
+#[test]
+fn idle_connections_make_room_for_one_that_is_needed() {
+    let backends: Vec<_> = (0..30).map(|_| Backend::start(|_| ok(b"x"))).collect();
+    let members = backends.iter().enumerate();
+    let members = members.map(|(i, backend)| member(&format!("s-{i}"), backend.address, "in_service"));
+    let (counter, discovery) = (Counter::start(), Discovery::start(members.collect()));
+    // 24 connections to backends at most, and 30 backends that each get their turn.
+    let ingress = Ingress::start_with(&counter, &discovery, |config| config["limits"]["sockets"] = json!(64));
+    let mut client = ingress.client();
+    for _ in 0..120 {
+        assert_eq!(client.call(read_request()).status(), 200);
+    }
+    assert!(backends.iter().filter(|backend| backend.seen() > 0).count() > 24);
+}
+
+#[test]
+fn a_backend_that_was_gone_serves_again_under_its_id_and_its_address_under_another() {
+    let (first, second) = (Backend::start(|_| ok(b"first")), Backend::start(|_| ok(b"second")));
+    let (_counter, discovery, ingress) = one_backend(&first);
+    let mut client = ingress.client();
+    assert_eq!(client.call(read_request()).body, b"first");
+    for round in 0..2 {
+        discovery.change(member("s-2", second.address, "in_service"));
+        discovery.change(member("s-1", first.address, "terminated"));
+        until("the second serves", || client.call(read_request()).body == b"second");
+        // Forgotten ones are dropped once a second.
+        std::thread::sleep(Duration::from_millis(1200));
+        let id = ["s-1", "s-3"][round];
+        discovery.change(member(id, first.address, "in_service"));
+        discovery.change(member("s-2", second.address, "terminated"));
+        until("the first serves", || client.call(read_request()).body == b"first");
+        discovery.change(member(id, first.address, "in_service"));
+    }
+}
+
 #[test]
 fn a_connection_that_the_backend_closed_while_idle_loses_no_request() {
     let mut first = true;
