Crowded counter: peers tell of units sent on, and calls go where a decision is near

Mend: one step of the spacing for each crowd; a customer far below its limit asks more rarely; while calls are rare, gateways tell each other the units they send on, at half of what peers take in, netted with what totals show of others. On the ordinary path nothing changes: each request asks.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,17 +21,26 @@
 const UNWELL_AFTER: u32 = 2;
 /// Factors on the spacing of calls with a bad and a good answer (in balance one in four is late), its fading
 /// and its longest (us), and the windows up to which a customer's wait for a call counts.
-const SPACING_UP: f64 = 2.0;
-const SPACING_DOWN: f64 = 0.8;
+const SPACING_UP: f64 = 1.5;
+const SPACING_DOWN: f64 = 0.88;
 const SPACING_FADE: f64 = 10e6;
 const LONGEST_SPACING: f64 = 120e6;
 const LONGEST_WAIT: f64 = 2.0;
+/// Least part of the usual chance to ask of a crowded counter, for a customer far below its limit: a call tells
+/// most where the decision is near.
+const CALM_PART: f64 = 0.2;
 /// Steps of the share refused where nothing is told, with each refusal on a total and each pass: it rests at
 /// one refusal in five, so that told decisions fill the quota first.
 const REFUSED_STEP: f64 = 0.32;
 const PASSED_STEP: f64 = -0.08;
 /// Most gateways of a customer for which own units tell of the others'; past it, one would stand for a burst.
 const TELLING_SPREAD: f64 = 6.0;
+/// While calls are rare, gateways tell one another what they send on: part of the messages taken in that this may
+/// use, for how long after the last crowd, and the length of a record (a customer and its units).
+const NEWS_PART: f64 = 0.5;
+const NEWS_STAY: f64 = 5e6;
+const NEWS_RECORD: usize = 12;
+const LONGEST_NEWS: usize = 252;
 /// Multiple of its part of the quota that a gateway may send alone: parts are uneven, and known roughly.
 const ALONE_PART: f64 = 1.5;
 /// Usual gaps between two attempts to one backend over which recent ones count: they keep turns even.
@@ -84,6 +93,10 @@
     customers: BTreeMap<CustomerId, Customer>,
     looked_at: CustomerId,
     counter: CounterHealth,
+    /// Customers whose latest units peers have yet to be told of, when that is next done, and until when it is.
+    news: VecDeque<CustomerId>,
+    news_at: Micros,
+    news_until: Micros,
     calls: BTreeMap<u64, VecDeque<Call>>,
     /// What the event in hand asks for.
     actions: Vec<Action>,
@@ -137,6 +150,9 @@
     /// What may be sent untold, and when that was last filled.
     spare: f64,
     spare_at: Micros,
+    /// Units that peers told of and no total shows yet (below 0: shown before told), and own ones to tell of.
+    heard: f64,
+    untold: f64,
     out: u32,
     waiting: Vec<RequestId>,
     /// Its requests that are not over, and when the last one came.
@@ -162,6 +178,7 @@
     /// Time between a customer's calls from which each of its requests asks (us); 0: each does.
     spacing: f64,
     judged_at: Micros,
+    spaced_at: Micros,
     bad: u32,
 }
 
@@ -244,6 +261,7 @@
         }
         self.fall_due();
         self.dispatch();
+        self.spread_news();
         self.arm();
         actions.append(&mut self.actions);
     }
@@ -322,8 +340,16 @@
             ..Customer::default()
         });
         (customer.open, customer.seen) = (customer.open + 1, now);
+        self.advance(request.customer);
+    }
+
+    fn advance(&mut self, of: CustomerId) {
+        let customer = &self.customers[&of];
+        let plan = &self.settings.plans[customer.plan];
+        let length = if plan.rate > 0.0 { self.window_of(plan).0 } else { LONGEST_LIFE };
+        let (window, seen) = (self.now / length as u64, self.seen(customer));
+        let customer = self.customers.get_mut(&of).expect("just read");
         if window > customer.window {
-            let seen = customer.total + customer.unseen / customer.part;
             let part = (customer.own + customer.unseen) / if seen > 0.0 { seen } else { f64::INFINITY };
             let known = seen > 0.0 && (customer.telling || customer.total > 0.0);
             let newest = if known { SHARE_WEIGHT } else { 0.0 };
@@ -332,6 +358,20 @@
             customer.before = if window == customer.window + 1 { seen } else { 0.0 };
             (customer.window, customer.before_known, customer.before_asked) = (window, false, false);
             (customer.total, customer.unseen, customer.own, customer.owed) = (0.0, 0.0, 0.0, 0.0);
+            customer.heard = 0.0;
+        }
+    }
+
+    /// The customer's units of its window by all that is known: own ones stand for others' where none tells.
+    fn seen(&self, customer: &Customer) -> f64 {
+        customer.total + customer.heard.max(0.0) + customer.unseen / self.part(customer)
+    }
+
+    fn part(&self, customer: &Customer) -> f64 {
+        if self.now < self.news_until {
+            1.0
+        } else {
+            customer.part
         }
     }
 
@@ -383,10 +423,11 @@
     /// call: own units of a customer of few gateways then wait, else a call stands for those not made.
     fn ask(&mut self, id: RequestId, of: CustomerId) {
         let (units, customer) = (self.open[&id].request.units, &self.customers[&of]);
-        let longest = LONGEST_WAIT * self.window_of(&self.settings.plans[customer.plan]).0;
-        let (since, spacing) = (((self.now - customer.asked_at) as f64).min(longest), self.spacing());
-        let chance =
-            if spacing > self.settings.tick as f64 { (since / spacing).clamp(1e-3, 1.0) } else { 1.0 };
+        let (length, limit) = self.window_of(&self.settings.plans[customer.plan]);
+        let (since, spacing) = ((self.now - customer.asked_at) as f64, self.spacing());
+        let near = ((self.estimate(customer, self.seen(customer)) + units) / limit).clamp(CALM_PART, 1.0);
+        let earned = near * since.min(LONGEST_WAIT * length) / spacing.max(1.0);
+        let chance = if spacing > self.settings.tick as f64 { earned.clamp(1e-3, 1.0) } else { 1.0 };
         let asks = self.settings.counter.is_some() && self.by_chance(chance);
         let waits = asks && self.counter.bad < UNWELL_AFTER;
         let alone = !waits && self.decide_alone(id);
@@ -434,8 +475,60 @@
         }
     }
 
-    /// A peer's word in the form of `tell`; anything else changes nothing.
+    /// Notes units sent on, for peers to be told of.
+    fn note_news(&mut self, of: CustomerId, units: f64) {
+        let Some(customer) = self.customers.get_mut(&of).filter(|_| self.now < self.news_until) else {
+            return;
+        };
+        if customer.telling && customer.spread > 1.0 {
+            if customer.untold == 0.0 {
+                self.news.push_back(of);
+            }
+            customer.untold += units;
+        }
+    }
+
+    fn spread_news(&mut self) {
+        if self.news.is_empty() || self.now < self.news_at {
+            return;
+        }
+        let senders = f64::from(self.settings.gateways - 1);
+        let pause = senders * 1e6 / (NEWS_PART * self.settings.limits.peer_intake);
+        self.news_at = self.now + pause as Micros;
+        let mut data = Vec::new();
+        while data.len() < LONGEST_NEWS {
+            let Some(of) = self.news.pop_front() else { break };
+            let Some(customer) = self.customers.get_mut(&of) else { continue };
+            data.extend(of.to_le_bytes());
+            data.extend((std::mem::take(&mut customer.untold) as f32).to_le_bytes());
+        }
+        self.actions.push(Action::Tell { to: None, data });
+    }
+
+    /// Takes note of units that a peer has sent on, but for those that the counter has shown already.
+    fn heard(&mut self, of: CustomerId, units: f64) {
+        if !self.customers.contains_key(&of) || !(0.0..=1e6).contains(&units) {
+            return;
+        }
+        self.advance(of);
+        let customer = self.customers.get_mut(&of).expect("just read");
+        let known = customer.heard.max(0.0);
+        customer.heard += units;
+        let came = customer.heard.max(0.0) - known;
+        self.watch(of, came, 0.0);
+    }
+
+    /// A peer's word in the form of `spread_news` or of `tell`; anything else changes nothing.
     fn told_by_peer(&mut self, data: &[u8]) {
+        if data.len() % NEWS_RECORD == 0 {
+            for record in data.chunks_exact(NEWS_RECORD) {
+                let (of, units) = record.split_at(NEWS_RECORD - 4);
+                if let (Ok(of), Ok(units)) = (of.try_into(), units.try_into()) {
+                    self.heard(CustomerId::from_le_bytes(of), f64::from(f32::from_le_bytes(units)));
+                }
+            }
+            return;
+        }
         let Some((refused, of)) = data.split_last().filter(|(refused, _)| **refused < 2) else { return };
         let Ok(of) = <[u8; 8]>::try_from(of).map(CustomerId::from_le_bytes) else { return };
         if let Some(customer) = self.customers.get_mut(&of) {
@@ -452,6 +545,7 @@
         self.judge_counter(outcome, waited);
         let Some(plan) = self.customers.get(&call.customer).map(|customer| customer.plan) else { return };
         let (length, limit) = self.window_of(&self.settings.plans[plan]);
+        let part = self.part(&self.customers[&call.customer]);
         let customer = self.customers.get_mut(&call.customer).expect("just read");
         let undecided = |call: &&Call| call.request.is_some_and(|id| customer.waiting.contains(&id));
         let others = self.calls.get(&count).into_iter().flatten();
@@ -468,7 +562,7 @@
                 customer.owed += lost;
                 customer.own += call.amount - lost;
                 let unseen = (customer.owed - lost + still_out).max(0.0);
-                let guessed = (customer.unseen - unseen) / customer.part;
+                let guessed = (customer.unseen - unseen) / part;
                 came = if lost > 0.0 { asked } else { total - customer.total - guessed };
                 (customer.total, customer.unseen) = (total + lost, unseen);
                 if let Some(open) = call.request.and_then(|id| self.open.get_mut(&id)) {
@@ -495,7 +589,13 @@
         let mut waiting = customer.waiting.clone();
         waiting.extend(call.request.filter(|id| outcome.never_ran() && !waiting.contains(id)));
         let own = if told { asked } else { 0.0 };
-        self.watch(call.customer, came - own, own);
+        let mut others = came - own;
+        if told {
+            // Others' units in the total are those that peers told of, first of all.
+            let left = (customer.heard - others).max(-limit);
+            others += left.max(0.0) - std::mem::replace(&mut customer.heard, left).max(0.0);
+        }
+        self.watch(call.customer, others, own);
         for id in waiting {
             let answered = self.open.get(&id).is_some_and(|open| open.counted.is_some());
             if (call.request == Some(id) && !told) || (read && !known) {
@@ -514,7 +614,8 @@
     fn decide(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id) else { return };
         let (of, units, stands) = (open.request.customer, open.request.units, open.stands);
-        let within = self.within(of, open.counted.unwrap_or(0.0), 0.0);
+        let heard = self.customers[&of].heard.max(0.0);
+        let within = self.within(of, open.counted.unwrap_or(0.0) + heard, 0.0);
         let customer = self.customers.get_mut(&of).expect("just read");
         customer.beyond = stepped(customer.beyond, within);
         customer.waiting.retain(|other| *other != id);
@@ -591,9 +692,16 @@
         } else {
             health.bad += 1;
             // An answer lost early, spoilt or with its connection, does not tell of a crowd.
-            let crowded = !(outcome == Outcome::Timeout && early);
-            let more = (health.spacing * SPACING_UP).clamp(timeout, LONGEST_SPACING);
-            health.spacing = if crowded { more } else { health.spacing };
+            // Calls made before the last step could take effect tell of the same crowd once more.
+            let same = (self.now - health.spaced_at) as f64 <= waited as f64;
+            if !(same || outcome == Outcome::Timeout && early) {
+                health.spaced_at = self.now;
+                health.spacing = (health.spacing * SPACING_UP).clamp(timeout, LONGEST_SPACING);
+                let limits = &self.settings.limits;
+                if limits.peer_messages && limits.peer_intake > 0.0 && health.spacing > timeout {
+                    self.news_until = self.now + NEWS_STAY as Micros;
+                }
+            }
         }
     }
 
@@ -603,10 +711,10 @@
         let Some(open) = self.open.get(&id).filter(|open| open.stage == Stage::Asking) else { return false };
         let (of, units) = (open.request.customer, open.request.units);
         let spare = self.spare(of);
-        let customer = self.customers.get_mut(&of).expect("rolled on arrival");
+        let customer = &self.customers[&of];
+        let (all, beyond, seen) = (units / self.part(customer), customer.beyond, self.seen(customer));
+        let customer = self.customers.get_mut(&of).expect("just read");
         customer.waiting.retain(|other| *other != id);
-        let (all, beyond) = (units / customer.part, customer.beyond);
-        let seen = customer.total + customer.unseen / customer.part;
         let within = if customer.telling { self.within(of, seen, all) } else { self.by_chance(1.0 - beyond) };
         if !within || units > spare {
             self.refuse_beyond(id);
@@ -872,6 +980,7 @@
         let (class, customer) = (usize::from(open.request.class), open.request.customer);
         self.due.remove(&(open.due, id));
         open.stage = Stage::Out;
+        let (first, units) = (open.attempts == 0, open.request.units);
         let flight = Flight { backend: to, class, customer, sent: self.now };
         self.flights.insert((id, open.attempts), flight);
         open.attempts += 1;
@@ -882,6 +991,9 @@
         (backend.sent_at, backend.phase) = (self.now, 1.0);
         self.customers.get_mut(&customer).expect("rolled on arrival").out += 1;
         self.actions.push(Action::Send { request: id, backend: to, expires });
+        if first {
+            self.note_news(customer, units);
+        }
     }
 
     fn attempt_ended(&mut self, end: AttemptEnd) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -446,3 +446,53 @@
     step(&mut gateway, now, ended(3, 0, 1, Outcome::Reset));
     step(&mut gateway, now, Event::Counted { count: 7, outcome: Outcome::Ok, total: 1.0, waited: 1_000 });
 }
+
+/// Units that are said to peers, by customer.
+fn told(actions: &[Action]) -> f64 {
+    let data = actions.iter().filter_map(|action| match action {
+        Action::Tell { to: None, data } => Some(data),
+        _ => None,
+    });
+    let records = data.flat_map(|data| data.chunks_exact(12));
+    records.map(|record| f64::from(f32::from_le_bytes(record[8..].try_into().unwrap()))).sum()
+}
+
+#[test]
+fn while_the_counter_is_crowded_peers_tell_of_units_and_hold_one_quota() {
+    let mut settings = settings();
+    (settings.limits.peer_messages, settings.limits.peer_intake) = (true, 40.0);
+    let mut gateways: Vec<_> = (0..2)
+        .map(|index| {
+            let mut gateway = Gateway::new(Settings { index, ..settings.clone() }, 7 + u64::from(index));
+            step(&mut gateway, START, list(&[1, 2, 3]));
+            gateway
+        })
+        .collect();
+    let (mut sent, mut bytes) = (0.0, 0);
+    // No call is answered in time. The customer asks for four times its quota of 5 units a second, all of it at
+    // one gateway in one half of the time and at the other in the other: parts learned before tell nothing.
+    let calm = 10 * SECOND;
+    for number in 0..800u32 {
+        let (now, at) = (START + u64::from(number) * 50_000, usize::from(number / 60 % 2 == 1));
+        let mut events = vec![(at, Event::Request(request(number, 42)))];
+        while let Some((at, event)) = events.pop() {
+            let actions = step(&mut gateways[at], now, event);
+            bytes += told(&actions) as usize;
+            events.extend(actions.into_iter().filter_map(|action| match action {
+                Action::Count { count, .. } => {
+                    let (outcome, total) = (Outcome::Timeout, 0.0);
+                    Some((at, Event::Counted { count, outcome, total, waited: 50_000 }))
+                }
+                Action::Send { request, backend, .. } => {
+                    sent += if now > START + calm { 1.0 } else { 0.0 };
+                    Some((at, ended(request, 0, backend, Outcome::Ok)))
+                }
+                Action::Tell { data, .. } => Some((1 - at, Event::PeerMessage { from: at as u32, data })),
+                _ => None,
+            }));
+        }
+    }
+    assert!(bytes > 0, "peers were told");
+    // 30 s at 5 units a second, and a burst of 10.
+    assert!((100.0..185.0).contains(&sent), "{sent}");
+}
