Customers under a ceiling ask once what may be sent untold is used up

Seen on rude+garble+fleet: tenant standard, the only one under a ceiling, served 0.743 of its share with 12% of the tries refused with room, as untold sends are held to the part between quota and ceiling (spare) and calls are rationed.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -427,7 +427,11 @@
         let (since, spacing) = ((self.now - customer.asked_at) as f64, self.spacing());
         let near = ((self.estimate(customer, self.seen(customer)) + units) / limit).clamp(CALM_PART, 1.0);
         let earned = near * since.min(LONGEST_WAIT * length) / spacing.max(1.0);
-        let chance = if spacing > self.settings.tick as f64 { earned.clamp(1e-3, 1.0) } else { 1.0 };
+        let mut chance = if spacing > self.settings.tick as f64 { earned.clamp(1e-3, 1.0) } else { 1.0 };
+        // Under a ceiling little may be sent untold: past that, only a total can let in what the quota has room for.
+        if chance < 1.0 && self.ceiling_stops(of, units) {
+            chance = 1.0;
+        }
         let asks = self.settings.counter.is_some() && self.by_chance(chance);
         let waits = asks && self.counter.bad < UNWELL_AFTER;
         let alone = !waits && self.decide_alone(id);
@@ -678,6 +682,15 @@
         customer.spare
     }
 
+    /// Whether the quota would let in units untold that the ceiling does not.
+    fn ceiling_stops(&mut self, of: CustomerId, units: f64) -> bool {
+        let customer = &self.customers[&of];
+        let (seen, all) = (self.seen(customer), units / self.part(customer));
+        self.settings.plans[customer.plan].ceiling_rate > 0.0
+            && units > self.spare(of)
+            && self.within(of, seen, all)
+    }
+
     // ---- Counter health and fallback ----
 
     /// One judgement for a silent, slow, crowded or refusing counter: answers do not come in time.
