--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,8 +26,8 @@
 const SPACING_FADE: f64 = 10e6;
 const LONGEST_SPACING: f64 = 120e6;
 const LONGEST_WAIT: f64 = 2.0;
-/// Least part of the usual chance to ask of a crowded counter, for a customer far below its limit: a call tells
-/// most where the decision is near.
+/// Least part of the usual chance to ask a crowded counter, for a customer far below its limit: a call
+/// tells most where the decision is near.
 const CALM_PART: f64 = 0.2;
 /// Steps of the share refused where nothing is told, with each refusal on a total and each pass: it rests at
 /// one refusal in five, so that told decisions fill the quota first.
@@ -35,8 +35,8 @@
 const PASSED_STEP: f64 = -0.08;
 /// Most gateways of a customer for which own units tell of the others'; past it, one would stand for a burst.
 const TELLING_SPREAD: f64 = 6.0;
-/// While calls are rare, gateways tell one another what they send on: part of the messages taken in that this may
-/// use, for how long after the last crowd, and the length of a record (a customer and its units).
+/// While calls are rare, gateways tell one another what they send on: part of the messages taken in that this
+/// may use, for how long after the last crowd, and the length of a record (a customer and its units).
 const NEWS_PART: f64 = 0.5;
 const NEWS_STAY: f64 = 5e6;
 const NEWS_RECORD: usize = 12;
@@ -93,7 +93,7 @@
     customers: BTreeMap<CustomerId, Customer>,
     looked_at: CustomerId,
     counter: CounterHealth,
-    /// Customers whose latest units peers have yet to be told of, when that is next done, and until when it is.
+    /// Customers whose latest units peers are yet to hear of, when that is next done, and until when it is.
     news: VecDeque<CustomerId>,
     news_at: Micros,
     news_until: Micros,
@@ -432,7 +432,7 @@
         let near = ((self.estimate(customer, self.seen(customer)) + units) / limit).clamp(CALM_PART, 1.0);
         let earned = near * since.min(LONGEST_WAIT * length) / spacing.max(1.0);
         let mut chance = if spacing > self.settings.tick as f64 { earned.clamp(1e-3, 1.0) } else { 1.0 };
-        // Under a ceiling little may be sent untold: past that, only a total can let in what the quota has room for.
+        // Under a ceiling little may be sent untold: past that, only a total can let in what the quota holds.
         if chance < 1.0 && self.ceiling_stops(of, units) {
             chance = 1.0;
         }
