Use rested connections first; time an answer from its first byte without polling

The wait for a spoilt answer woke each attempt every 100 ms and was up to 100 ms late; it now starts with the first byte.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -20,15 +20,16 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, Sleep};
 
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 16;
 /// How long an answer may take from its first byte to its last: backends write theirs in one go, and one
 /// whose length is a lie would otherwise be waited for until the request's time is up.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
-/// How often an attempt looks whether its answer has begun.
-const LOOK: Duration = Duration::from_millis(100);
+/// A peer that closes a connection right after an answer, or writes more than the answer, does so within this
+/// time: one that has rested so long is used first, as a request that crosses a close may have run.
+const REST: Micros = 20_000;
 /// The longest head of an answer.
 const LARGEST_HEAD: usize = 16 * 1024;
 /// Largest figure in a load report that can be meant.
@@ -127,11 +128,14 @@
         self.idle.borrow_mut().retain(|link| link.since >= then);
     }
 
-    /// The newest idle connection that the peer has neither closed nor written to: bytes that come unasked
-    /// would be taken for the answer to the next request.
-    fn take(&self, cx: &mut Context<'_>) -> Option<Link> {
+    /// The newest idle connection that has rested and that the peer has neither closed nor written to: bytes
+    /// that come unasked would be taken for the answer to the next request.
+    fn take(&self, cx: &mut Context<'_>, now: Micros) -> Option<Link> {
         loop {
-            let mut link = self.idle.borrow_mut().pop()?;
+            let mut idle = self.idle.borrow_mut();
+            let rested = idle.iter().rposition(|link| link.since + REST <= now);
+            let mut link = (!idle.is_empty()).then(|| idle.remove(rested.unwrap_or(0)))?;
+            drop(idle);
             let alive = Pin::new(&mut link.connection).poll(cx).is_pending() && link.socket.quiet();
             if alive && link.sender.is_ready() && link.address == self.address.get() {
                 return Some(link);
@@ -171,7 +175,7 @@
     now: impl Fn() -> Micros,
 ) -> Ended {
     loop {
-        let idle = poll_fn(|cx| Poll::Ready(backend.take(cx))).await;
+        let idle = poll_fn(|cx| Poll::Ready(backend.take(cx, now()))).await;
         let reused = idle.is_some();
         let link = match idle {
             Some(link) => link,
@@ -239,8 +243,9 @@
                 }
             }
         });
-        let connection = &mut link.connection;
-        let exchanged = poll_fn(|cx| loop {
+        let (connection, socket) = (&mut link.connection, &link.socket);
+        let mut late = pin!(None::<Sleep>);
+        poll_fn(|cx| loop {
             if let Poll::Ready(ended) = answer.as_mut().poll(cx) {
                 return Poll::Ready(ended);
             }
@@ -249,15 +254,21 @@
             }
             match Pin::new(&mut *connection).poll(cx) {
                 Poll::Ready(_) => alive = false,
-                Poll::Pending => return answer.as_mut().poll(cx),
+                Poll::Pending => {
+                    if let Poll::Ready(ended) = answer.as_mut().poll(cx) {
+                        return Poll::Ready(ended);
+                    }
+                    // One that has begun and does not end has a length that is a lie, or a head without end.
+                    if late.is_none() && socket.read() > read {
+                        late.set(Some(sleep(ANSWER_TIME)));
+                    }
+                    let stalled = late.as_mut().as_pin_mut().is_some_and(|late| late.poll(cx).is_ready());
+                    let spoilt = (Ended::without_answer(Outcome::Error), false);
+                    return if stalled { Poll::Ready(spoilt) } else { Poll::Pending };
+                }
             }
-        });
-        let socket = &link.socket;
-        tokio::select! {
-            biased;
-            ended = exchanged => ended,
-            () = stalled(socket, read) => (Ended::without_answer(Outcome::Error), false),
-        }
+        })
+        .await
     };
     let broken = ended.outcome == Outcome::Reset;
     let unwritten = broken && (returned || link.socket.written() == written);
@@ -269,14 +280,6 @@
     (ended, unwritten, reusable.then_some(link))
 }
 
-/// Returns once an answer has begun and has not become whole for too long.
-async fn stalled(socket: &Socket, before: u64) {
-    while socket.read() == before {
-        sleep(LOOK).await;
-    }
-    sleep(ANSWER_TIME).await;
-}
-
 /// What comes of an answer that can't be taken: the backend has spoken, if illegibly, or the connection broke.
 /// Either way the request may have run; but only a broken connection tells of a backend that is going down.
 fn spoilt_or_reset(error: &hyper::Error) -> Outcome {
