--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -27,9 +27,6 @@
 /// How long an answer may take from its first byte to its last: backends write theirs in one go, and one
 /// whose length is a lie would otherwise be waited for until the request's time is up.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
-/// A peer that closes a connection right after an answer, or writes more than the answer, does so within this
-/// time: one that has rested so long is used first, as a request that crosses a close may have run.
-const REST: Micros = 20_000;
 /// The longest head of an answer.
 const LARGEST_HEAD: usize = 16 * 1024;
 /// Largest figure in a load report that can be meant.
@@ -128,14 +125,11 @@
         self.idle.borrow_mut().retain(|link| link.since >= then);
     }
 
-    /// The newest idle connection that has rested and that the peer has neither closed nor written to: bytes
-    /// that come unasked would be taken for the answer to the next request.
-    fn take(&self, cx: &mut Context<'_>, now: Micros) -> Option<Link> {
+    /// The newest idle connection that the peer has neither closed nor written to: bytes that come unasked
+    /// would be taken for the answer to the next request.
+    fn take(&self, cx: &mut Context<'_>) -> Option<Link> {
         loop {
-            let mut idle = self.idle.borrow_mut();
-            let rested = idle.iter().rposition(|link| link.since + REST <= now);
-            let mut link = (!idle.is_empty()).then(|| idle.remove(rested.unwrap_or(0)))?;
-            drop(idle);
+            let mut link = self.idle.borrow_mut().pop()?;
             let alive = Pin::new(&mut link.connection).poll(cx).is_pending() && link.socket.quiet();
             if alive && link.sender.is_ready() && link.address == self.address.get() {
                 return Some(link);
@@ -175,7 +169,7 @@
     now: impl Fn() -> Micros,
 ) -> Ended {
     loop {
-        let idle = poll_fn(|cx| Poll::Ready(backend.take(cx, now()))).await;
+        let idle = poll_fn(|cx| Poll::Ready(backend.take(cx))).await;
         let reused = idle.is_some();
         let link = match idle {
             Some(link) => link,
