--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,6 +69,10 @@
 /// Share of failures past which a backend is left out; weight of a broken connection: two suffice.
 const FAIL_EJECT: f64 = 0.4;
 const DOWN: f64 = 0.3;
+/// that breaks connections, say) and those still in would only be overrun. Guards too against a fleet that
+/// that breaks connections, say), and those still in would only be overrun. Guards too against a fleet that
+/// restarts at once. May hurt where more than half are truly down: attempts then go there, at a higher cost.
+const MOST_EJECTED: f64 = 0.5;
 /// First time a backend is left out, in connect time-outs, and how often it doubles.
 const EJECT_FIRST: f64 = 2.0;
 const EJECT_DOUBLES: u32 = 4;
@@ -844,6 +848,9 @@
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             self.bound_all(took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / self.best[class]);
         }
+        let ejected = |backend: &&Backend| !backend.told_gone && backend.ejected_until > now;
+        let others_out = self.backends.values().filter(ejected).count() as f64;
+        let may_eject = others_out == 0.0 || others_out + 1.0 <= MOST_EJECTED * self.ready();
         let Some(backend) = self.backends.get_mut(&id) else { return };
         match outcome {
             Outcome::Ok | Outcome::Timeout => {
@@ -860,7 +867,8 @@
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Full => {
                 let down = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
                 backend.fails += if down { DOWN } else { NEWEST } * (1.0 - backend.fails);
-                if (backend.fails > FAIL_EJECT || backend.trial) && backend.ejected_until <= now {
+                if may_eject && (backend.fails > FAIL_EJECT || backend.trial) && backend.ejected_until <= now
+                {
                     let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
                     backend.ejected_until = now + span as Micros;
                     backend.ejections += 1;
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -8,6 +8,8 @@
 use std::collections::HashSet;
 use std::net::{Shutdown, UdpSocket};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const DECLINED: &str = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
@@ -96,6 +98,47 @@
     assert_eq!((answer.status(), backend.seen()), (200, 2));
 }
 
+fn fleet(backends: &[Backend]) -> (Counter, Discovery, Ingress) {
+    let entries = backends.iter().enumerate();
+    let members = entries.map(|(i, backend)| member(&format!("s-{i}"), backend.address, "in_service"));
+    let (counter, discovery) = (Counter::start(), Discovery::start(members.collect()));
+    let ingress = Ingress::start(&counter, &discovery);
+    (counter, discovery, ingress)
+}
+
+#[test]
+fn a_network_that_breaks_connections_to_all_backends_does_not_take_them_all_out() {
+    let breaks = Arc::new(AtomicBool::new(true));
+    let backends: Vec<_> = (0..4)
+        .map(|_| {
+            let breaks = breaks.clone();
+            Backend::start(move |_| if breaks.load(SeqCst) { Reply::Close(Vec::new()) } else { ok(b"good") })
+        })
+        .collect();
+    let (_counter, _discovery, ingress) = fleet(&backends);
+    let mut client = ingress.client();
+    // Enough to put each of them out.
+    for _ in 0..12 {
+        assert_eq!(client.call(booking("x")).status(), 502);
+    }
+    breaks.store(false, SeqCst);
+    assert_eq!(client.call(read_request()).status(), 200);
+}
+
+#[test]
+fn a_backend_that_breaks_every_connection_is_soon_left_out() {
+    let mut backends: Vec<_> = (0..2).map(|_| Backend::start(|_| ok(b"good"))).collect();
+    backends.push(Backend::start(|_| Reply::Close(Vec::new())));
+    let (_counter, _discovery, ingress) = fleet(&backends);
+    let (mut client, start) = (ingress.client(), Instant::now());
+    for _ in 0..60 {
+        assert_eq!(client.call(read_request()).status(), 200);
+    }
+    // Two to learn of it, and one trial each time that a while (half a second, at first) is over.
+    let trials = start.elapsed().as_millis() as usize / 500;
+    assert!(backends[2].seen() <= 2 + trials, "{} requests", backends[2].seen());
+}
+
 /// Spoilt in every way that bytes can be; the connection stays open and is of no further use.
 const SPOILT: [&str; 9] = [
     "\u{7f}\u{3}noise with no head in it at all, and no end of it either\r\n\r\n",
