--- a/src/interface.rs
+++ b/src/interface.rs
@@ -281,6 +281,9 @@
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
+    /// A connection kept from earlier requests broke before a byte of the answer; may have run. It tells of
+    /// that connection, which the backend or the network may have given up long before, and of nothing else.
+    Stale,
     /// Withdrawn; may have run.
     Cancelled,
     /// Not sent at all.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,9 +66,9 @@
 const FLEET_NEWEST: f64 = 0.02;
 /// How much a failing backend's cost grows with its share of failures (factor).
 const FAIL_COST: f64 = 8.0;
-/// Share of failures past which a backend is left out; weight of a broken connection: two suffice.
+/// Share of failures past which a backend is left out, and of broken connections in a row that suffice.
 const FAIL_EJECT: f64 = 0.4;
-const DOWN: f64 = 0.3;
+const BROKEN_EJECT: u32 = 3;
 /// that breaks connections, say) and those still in would only be overrun. Guards too against a fleet that
 /// that breaks connections, say), and those still in would only be overrun. Guards too against a fleet that
 /// restarts at once. May hurt where more than half are truly down: attempts then go there, at a higher cost.
@@ -194,6 +194,8 @@
     /// Time of its answers against the fleet's usual one.
     slow: f64,
     fails: f64,
+    /// Connections broken since its last good answer.
+    broken: u32,
     ejected_until: Micros,
     ejections: u32,
     trial: bool,
@@ -772,7 +774,7 @@
                 self.random = mix(self.random);
                 backend.phase = self.random as f64 / u64::MAX as f64;
                 (backend.started, backend.sent_at) = (entry.born, self.now);
-                (backend.ejected_until, backend.ejections, backend.fails) = (0, 0, 0.0);
+                (backend.ejected_until, backend.ejections, backend.fails, backend.broken) = (0, 0, 0.0, 0);
                 backend.slow = 1.0;
             }
             backend.told_gone = entry.condition != Condition::Ready;
@@ -861,21 +863,22 @@
                     let best = self.best[class] * (1.0 + FLEET_NEWEST * BEST_RISE);
                     self.best[class] = best.min(self.usual[class]).min(BEST_OF_AIM * aim);
                     backend.fails -= NEWEST * backend.fails;
-                    (backend.ejections, backend.trial) = (0, false);
+                    (backend.ejections, backend.trial, backend.broken) = (0, false, 0);
                 }
             }
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Full => {
                 let down = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-                backend.fails += if down { DOWN } else { NEWEST } * (1.0 - backend.fails);
-                if may_eject && (backend.fails > FAIL_EJECT || backend.trial) && backend.ejected_until <= now
-                {
+                backend.fails += NEWEST * (1.0 - backend.fails);
+                backend.broken += u32::from(down);
+                let failing = backend.fails > FAIL_EJECT || backend.broken >= BROKEN_EJECT || backend.trial;
+                if may_eject && failing && backend.ejected_until <= now {
                     let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
                     backend.ejected_until = now + span as Micros;
                     backend.ejections += 1;
                     backend.trial = true;
                 }
             }
-            Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
+            Outcome::Stale | Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
         }
     }
 
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -187,13 +187,16 @@
             return Ended::without_answer(Outcome::Withheld);
         }
         sent.set(true);
-        let (ended, unwritten, link) =
+        let (mut ended, unwritten, answered, link) =
             exchange(link, request(&forward, backend.address.get(), time_left), &fields).await;
         if let Some(mut link) = link {
             link.since = now();
             backend.keep(link);
         }
         if !unwritten {
+            if reused && !answered && ended.outcome == Outcome::Reset {
+                ended.outcome = Outcome::Stale;
+            }
             return ended;
         }
         sent.set(false);
@@ -216,13 +219,13 @@
     request
 }
 
-/// Sends the request and takes the whole answer. Tells whether provably not a byte went out, and gives the
-/// connection back if it can carry another request.
+/// Sends the request and takes the whole answer. Tells whether provably not a byte went out and whether one
+/// came back, and gives the connection back if it can carry another request.
 async fn exchange(
     mut link: Link,
     request: Request<Full<Bytes>>,
     fields: &[ReportField],
-) -> (Ended, bool, Option<Link>) {
+) -> (Ended, bool, bool, Option<Link>) {
     let (written, read) = (link.socket.written(), link.socket.read());
     let mut alive = true;
     let (ended, returned) = {
@@ -271,7 +274,8 @@
         && poll_fn(|cx| Poll::Ready(Pin::new(&mut link.connection).poll(cx).is_pending())).await
         && link.socket.quiet()
         && link.sender.is_ready();
-    (ended, unwritten, reusable.then_some(link))
+    let answered = link.socket.read() > read;
+    (ended, unwritten, answered, reusable.then_some(link))
 }
 
 /// What comes of an answer that can't be taken: the backend has spoken, if illegibly, or the connection broke.
