--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -109,6 +109,12 @@
         self.places.borrow().len()
     }
 
+    /// Whether so many are open that an answered client had better come again on a new connection, behind those
+    /// that wait to be accepted.
+    pub fn crowded(&self) -> bool {
+        self.count() > self.easy
+    }
+
     pub fn has_room(&self) -> bool {
         self.count() < self.most
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -142,6 +142,13 @@
                     place.enter(Stage::Open);
                     let answer = answer(&shared, request).await;
                     place.enter(Stage::Idle);
+                    // A kept connection holds its place for 2 s at least, whether or not its client has more to
+                    // ask: a table full of those that haven't keeps everybody else waiting. Guards against any
+                    // crowd of clients with little to ask each; costs those with much a handshake a request.
+                    let answer = match answer {
+                        Ok(response) if shared.clients.crowded() => Ok(close(response)),
+                        answer => answer,
+                    };
                     // A client that sent one bad request is not listened to any further: what follows may be
                     // the rest of it.
                     Ok::<_, Infallible>(answer.unwrap_or_else(|code| {
