Leave out backends that fall silent, and keep connections only for as long as they are seen to live

At fault: `learn`, which counted breaks only. Now attempts in a row that are left unanswered for 2.5 times the usual time count as well, three as before, within the same bound of half the fleet. The driver now tells what each connection came to (`Event::Carried`); the module compares times unused, by doublings, with new connections, and says how long one may be kept (`Action::KeepIdle`). Neither is on the simulator's wire.

Both tests fail without their change.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -316,6 +316,12 @@
         request: RequestId,
     },
     AttemptEnded(AttemptEnd),
+    /// A connection has carried a request: how long it had been kept unused (none: it was new), and whether it
+    /// broke before a byte of the answer.
+    Carried {
+        unused: Option<Micros>,
+        broke: bool,
+    },
     /// A streamed answer has begun; the attempt is the client's from here on.
     AnswerBegun {
         request: RequestId,
@@ -389,6 +395,10 @@
     CloseIdle {
         backend: BackendId,
     },
+    /// Use no connection to a backend that has been idle for longer.
+    KeepIdle {
+        longest: Micros,
+    },
     /// Send at most 256 bytes to one gateway, or to all others.
     Tell {
         to: Option<u16>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,13 +66,25 @@
 const FLEET_NEWEST: f64 = 0.02;
 /// How much a failing backend's cost grows with its share of failures (factor).
 const FAIL_COST: f64 = 8.0;
-/// Share of failures past which a backend is left out, and of broken connections in a row that suffice.
+/// Share of failures past which a backend is left out, and attempts in a row that suffice, broken or left
+/// unanswered for far longer than usual: a machine that vanishes breaks nothing. May leave out one that is
+/// merely overrun, which spares it work for a while.
 const FAIL_EJECT: f64 = 0.4;
-const BROKEN_EJECT: u32 = 3;
+const DOWN_EJECT: u32 = 3;
 /// that breaks connections, say) and those still in would only be overrun. Guards too against a fleet that
 /// that breaks connections, say), and those still in would only be overrun. Guards too against a fleet that
 /// restarts at once. May hurt where more than half are truly down: attempts then go there, at a higher cost.
 const MOST_EJECTED: f64 = 0.5;
+/// Connections kept unused for longer are not used again where more of these break than of new ones: the
+/// shortest time (us) and the doublings told apart, the margin (a broken request costs some twenty times what
+/// a handshake does), how many requests count as no different, and the fading (us), after which longer times
+/// are tried again. Guards against whatever drops connections unseen, backend or network; may hurt where
+/// handshakes are dear.
+const SHORTEST_KEPT: Micros = 16_000;
+const AGES: usize = 10;
+const BREAK_MARGIN: f64 = 0.05;
+const BREAK_PRIOR: f64 = 8.0;
+const BREAK_FADE: f64 = 20e6;
 /// First time a backend is left out, in connect time-outs, and how often it doubles.
 const EJECT_FIRST: f64 = 2.0;
 const EJECT_DOUBLES: u32 = 4;
@@ -114,6 +126,11 @@
     cut_at: Micros,
     sent_lately: f64,
     sent_at: Micros,
+    /// Requests that a break ended and all, on new connections and on kept ones by their time unused; when
+    /// last told, and how long they may be kept.
+    carried: [(f64, f64); AGES + 1],
+    carried_at: Micros,
+    keep_idle: Micros,
     open: BTreeMap<RequestId, Open>,
     flights: BTreeMap<(RequestId, u8), Flight>,
     /// Held requests: most worth for its work first, then the one to be given up soonest.
@@ -194,8 +211,8 @@
     /// Time of its answers against the fleet's usual one.
     slow: f64,
     fails: f64,
-    /// Connections broken since its last good answer.
-    broken: u32,
+    /// Attempts broken or left without an answer since its last good one.
+    down: u32,
     ejected_until: Micros,
     ejections: u32,
     trial: bool,
@@ -249,6 +266,7 @@
             pace: 1.0,
             usual,
             armed: Micros::MAX,
+            keep_idle: Micros::MAX,
             settings,
             ..Gateway::default()
         }
@@ -262,6 +280,7 @@
             Event::Request(request) => self.arrive(request),
             Event::Timer { token } if token == self.armed => self.armed = Micros::MAX,
             Event::Abandoned { request } | Event::AnswerBegun { request, .. } => self.close(request),
+            Event::Carried { unused, broke } => self.carried(unused, broke),
             Event::AttemptEnded(end) => self.attempt_ended(end),
             Event::Counted { count, outcome, total, waited } => self.counted(count, outcome, total, waited),
             Event::PeerMessage { data, .. } => self.told_by_peer(&data),
@@ -774,7 +793,7 @@
                 self.random = mix(self.random);
                 backend.phase = self.random as f64 / u64::MAX as f64;
                 (backend.started, backend.sent_at) = (entry.born, self.now);
-                (backend.ejected_until, backend.ejections, backend.fails, backend.broken) = (0, 0, 0.0, 0);
+                (backend.ejected_until, backend.ejections, backend.fails, backend.down) = (0, 0, 0.0, 0);
                 backend.slow = 1.0;
             }
             backend.told_gone = entry.condition != Condition::Ready;
@@ -858,27 +877,47 @@
             Outcome::Ok | Outcome::Timeout => {
                 let ratio = took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / usual;
                 backend.slow += NEWEST * (ratio - backend.slow);
+                let silent = outcome == Outcome::Timeout && took > QUEUED * usual;
+                backend.down += u32::from(silent);
                 if outcome == Outcome::Ok {
                     self.usual[class] += FLEET_NEWEST * (took - usual);
                     let best = self.best[class] * (1.0 + FLEET_NEWEST * BEST_RISE);
                     self.best[class] = best.min(self.usual[class]).min(BEST_OF_AIM * aim);
                     backend.fails -= NEWEST * backend.fails;
-                    (backend.ejections, backend.trial, backend.broken) = (0, false, 0);
+                    (backend.ejections, backend.trial, backend.down) = (0, false, 0);
                 }
             }
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Full => {
-                let down = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
                 backend.fails += NEWEST * (1.0 - backend.fails);
-                backend.broken += u32::from(down);
-                let failing = backend.fails > FAIL_EJECT || backend.broken >= BROKEN_EJECT || backend.trial;
-                if may_eject && failing && backend.ejected_until <= now {
-                    let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
-                    backend.ejected_until = now + span as Micros;
-                    backend.ejections += 1;
-                    backend.trial = true;
-                }
+                backend.down += u32::from(matches!(outcome, Outcome::ConnectFailed | Outcome::Reset));
             }
-            Outcome::Stale | Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
+            Outcome::Stale | Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => return,
+        }
+        let failing = backend.fails > FAIL_EJECT || backend.down >= DOWN_EJECT || backend.trial;
+        if may_eject && failing && outcome != Outcome::Ok && backend.ejected_until <= now {
+            let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
+            backend.ejected_until = now + span as Micros;
+            backend.ejections += 1;
+            backend.trial = true;
+        }
+    }
+
+    /// Learns for how long connections may be kept.
+    fn carried(&mut self, unused: Option<Micros>, broke: bool) {
+        let faded = self.faded(self.carried_at, BREAK_FADE);
+        self.carried_at = self.now;
+        self.carried.iter_mut().for_each(|(broken, all)| (*broken, *all) = (*broken * faded, *all * faded));
+        let age = |unused: Micros| 1 + ((unused / SHORTEST_KEPT).max(1).ilog2() as usize).min(AGES - 1);
+        let (broken, all) = &mut self.carried[unused.map_or(0, age)];
+        (*broken, *all) = (*broken + f64::from(u8::from(broke)), *all + 1.0);
+        let usual = self.carried[0].0 / (self.carried[0].1 + BREAK_PRIOR);
+        let dead = |(broken, all): &(f64, f64)| {
+            (broken + BREAK_PRIOR * usual) / (all + BREAK_PRIOR) > usual + BREAK_MARGIN
+        };
+        let first = self.carried[2..].iter().position(dead);
+        let longest = first.map_or(Micros::MAX, |first| SHORTEST_KEPT << (first + 1));
+        if std::mem::replace(&mut self.keep_idle, longest) != longest {
+            self.actions.push(Action::KeepIdle { longest });
         }
     }
 
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -2,7 +2,7 @@
 
 use super::socket::Socket;
 use super::{Forward, LARGEST_BODY};
-use crate::interface::{Micros, Outcome, Report, ReportField};
+use crate::interface::{Event, Micros, Outcome, Report, ReportField};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -91,12 +91,14 @@
     pub outcome: Outcome,
     pub report: Report,
     pub body: Bytes,
+    /// What is to be told of the connection, where it carried the request.
+    pub carried: Option<Event>,
     whole: bool,
 }
 
 impl Ended {
     fn without_answer(outcome: Outcome) -> Ended {
-        Ended { outcome, report: Report::new(), body: Bytes::new(), whole: false }
+        Ended { outcome, report: Report::new(), body: Bytes::new(), carried: None, whole: false }
     }
 }
 
@@ -187,6 +189,7 @@
             return Ended::without_answer(Outcome::Withheld);
         }
         sent.set(true);
+        let unused = reused.then(|| now().saturating_sub(link.since));
         let (mut ended, unwritten, answered, link) =
             exchange(link, request(&forward, backend.address.get(), time_left), &fields).await;
         if let Some(mut link) = link {
@@ -194,7 +197,9 @@
             backend.keep(link);
         }
         if !unwritten {
-            if reused && !answered && ended.outcome == Outcome::Reset {
+            let broke = !answered && ended.outcome == Outcome::Reset;
+            ended.carried = Some(Event::Carried { unused, broke });
+            if reused && broke {
                 ended.outcome = Outcome::Stale;
             }
             return ended;
@@ -312,7 +317,7 @@
         return Ended::without_answer(Outcome::Error);
     }
     match Limited::new(body, LARGEST_BODY).collect().await {
-        Ok(body) => Ended { outcome, report, body: body.to_bytes(), whole: true },
+        Ok(body) => Ended { outcome, report, body: body.to_bytes(), carried: None, whole: true },
         Err(error) => {
             let error = error.downcast_ref::<hyper::Error>();
             Ended::without_answer(error.map_or(Outcome::Error, spoilt_or_reset))
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -44,6 +44,8 @@
     backends: HashMap<BackendId, Rc<Backend>>,
     next_backend: BackendId,
     budget: Rc<Budget>,
+    /// For how long a connection to a backend may stand idle and still be used.
+    keep_idle: Micros,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     timers_set: u64,
     /// Events that carrying out an action has brought up, in their order.
@@ -105,7 +107,7 @@
             limits: settings.limits.clone(),
             report_fields: settings.report_fields.clone().into(),
             counter_timeout: settings.counter.map_or(0, |counter| counter.timeout),
-            gateway: Gateway::new(settings, config.seed),
+            gateway: Gateway::new(settings.clone(), config.seed),
             messages,
             counter,
             peers,
@@ -117,6 +119,7 @@
             backends: HashMap::new(),
             next_backend: 0,
             budget: Budget::new(config.sockets * 5 / 16),
+            keep_idle: settings.limits.idle_close / IDLE_PART,
             timers: BinaryHeap::new(),
             timers_set: 0,
             events: VecDeque::new(),
@@ -202,7 +205,8 @@
                     self.withdraw(request, open.out);
                 }
             }
-            Message::AttemptEnded { request, attempt, outcome, report, body } => {
+            Message::AttemptEnded { request, attempt, outcome, report, body, carried } => {
+                self.events.extend(carried);
                 self.attempt_ended(request, attempt, outcome, report, body);
             }
             Message::Counted { call, outcome, total } => self.counted(call, outcome, total),
@@ -232,8 +236,8 @@
             }
             Timer::Sweep => {
                 let now = self.clock.now();
-                let idle = self.limits.idle_close / IDLE_PART;
-                self.backends.values().for_each(|backend| backend.close_older(now.saturating_sub(idle)));
+                let since = now.saturating_sub(self.keep_idle);
+                self.backends.values().for_each(|backend| backend.close_older(since));
                 self.forget();
                 self.set(now + SWEEP, Timer::Sweep);
             }
@@ -258,6 +262,9 @@
                     backend.close_idle();
                 }
             }
+            Action::KeepIdle { longest } => {
+                self.keep_idle = longest.min(self.limits.idle_close / IDLE_PART);
+            }
             Action::Tell { to, data } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(to, &data);
@@ -357,6 +364,7 @@
         let Some(backend) = backend else {
             return self.events.push_back(end(Outcome::Withheld));
         };
+        backend.close_older(now.saturating_sub(self.keep_idle));
         let (sent, messages, clock) = (Rc::new(Cell::new(false)), self.messages.clone(), self.clock);
         let work = backend::attempt(
             backend,
@@ -367,8 +375,8 @@
             move || clock.now(),
         );
         let task = tokio::task::spawn_local(async move {
-            let Ended { outcome, report, body, .. } = work.await;
-            let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body });
+            let Ended { outcome, report, body, carried, .. } = work.await;
+            let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body, carried });
         });
         open.out = Some(Out { attempt, backend: to, at: now, sent, task: task.abort_handle() });
         self.set(expires, Timer::Expire(request, attempt));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,7 +12,7 @@
 mod server;
 mod socket;
 
-use crate::interface::{Micros, Outcome, Report, RequestId};
+use crate::interface::{Event, Micros, Outcome, Report, RequestId};
 use bytes::Bytes;
 use config::Config;
 use discovery::TargetList;
@@ -95,6 +95,7 @@
         outcome: Outcome,
         report: Report,
         body: Bytes,
+        carried: Option<Event>,
     },
     Counted {
         call: u64,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -314,6 +314,8 @@
         Action::Cancel { request, attempt } => record(records, 68, &[&request.to_le_bytes(), &[*attempt]]),
         Action::Timer { at, token } => record(records, 69, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Probe { backend } => record(records, 70, &[&backend.to_le_bytes()]),
+        // The simulator keeps its own connections.
+        Action::KeepIdle { .. } => {}
         Action::CloseIdle { backend } => record(records, 71, &[&backend.to_le_bytes()]),
         Action::Tell { to, data } => {
             let span = span(tail, data);
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -78,6 +78,9 @@
     Reply::Raw(text.as_bytes().to_vec())
 }
 
+/// Not a header that came: which request of its connection it is, from 1.
+pub const NTH: &str = "nth of its connection";
+
 pub struct Backend {
     pub address: SocketAddr,
     state: Arc<BackendState>,
@@ -145,7 +148,10 @@
     fn serve(&self, mut stream: TcpStream) {
         stream.set_nodelay(true).unwrap();
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Some(request) = read_http(&mut reader) {
+        let mut number = 0;
+        while let Some(mut request) = read_http(&mut reader) {
+            number += 1;
+            request.headers.insert(NTH.into(), number.to_string());
             self.requests.lock().unwrap().push(request.clone());
             let reply = (self.reply.lock().unwrap())(&request);
             match reply {
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -99,13 +99,45 @@
 }
 
 fn fleet(backends: &[Backend]) -> (Counter, Discovery, Ingress) {
+    fleet_with(backends, |_| {})
+}
+
+fn fleet_with(
+    backends: &[Backend],
+    adjust: impl FnOnce(&mut serde_json::Value),
+) -> (Counter, Discovery, Ingress) {
     let entries = backends.iter().enumerate();
     let members = entries.map(|(i, backend)| member(&format!("s-{i}"), backend.address, "in_service"));
     let (counter, discovery) = (Counter::start(), Discovery::start(members.collect()));
-    let ingress = Ingress::start(&counter, &discovery);
+    let ingress = Ingress::start_with(&counter, &discovery, adjust);
     (counter, discovery, ingress)
 }
 
+#[test]
+fn a_backend_that_falls_silent_is_left_out() {
+    let good = || Reply::Later(b"HTTP/1.1 200 OK\r\n".to_vec(), b"Content-Length: 1\r\n\r\nx".to_vec());
+    let mut backends: Vec<_> = (0..2).map(|_| Backend::start(move |_| good())).collect();
+    backends.push(Backend::start(|_| Reply::Hold));
+    // It is left out for twice as long.
+    let adjust = |config: &mut serde_json::Value| {
+        config["settings"]["bounds"]["connect-timeout-us"] = json!(2_000_000)
+    };
+    let (_counter, _discovery, ingress) = fleet_with(&backends, adjust);
+    let mut client = ingress.client();
+    let mut lost = 0;
+    until("it has let three down", || {
+        lost += u32::from(client.call(read_request()).status() != 200);
+        lost == 3
+    });
+    // Many at once: the others have several in hand, and it has none.
+    let mut clients: Vec<_> = (0..16).map(|_| ingress.client()).collect();
+    for _ in 0..4 {
+        clients.iter_mut().for_each(|client| client.send(read_request()));
+        assert!(clients.iter_mut().all(|client| client.answer().unwrap().status() == 200));
+    }
+    assert_eq!(backends[2].seen(), 3);
+}
+
 #[test]
 fn a_network_that_breaks_connections_to_all_backends_does_not_take_them_all_out() {
     let breaks = Arc::new(AtomicBool::new(true));
@@ -158,14 +190,39 @@
     });
     breaks.store(true, SeqCst);
     let kept = backend.connections();
-    for _ in 0..4 {
-        assert_eq!(clients[0].call(booking("x")).status(), 502);
-    }
+    clients[..4].iter_mut().for_each(|client| client.send(booking("x")));
+    assert!(clients[..4].iter_mut().all(|client| client.answer().unwrap().status() == 502));
     assert_eq!(backend.connections(), kept);
     breaks.store(false, SeqCst);
     assert_eq!(clients[0].call(read_request()).status(), 200);
 }
 
+#[test]
+fn connections_that_die_while_unused_are_soon_kept_for_less() {
+    let mut last = Instant::now();
+    let backend = Backend::start(move |request| {
+        let unused = std::mem::replace(&mut last, Instant::now()).elapsed();
+        if request.headers[NTH] != "1" && unused > Duration::from_millis(30) {
+            Reply::Close(Vec::new())
+        } else {
+            ok(b"x")
+        }
+    });
+    let (_counter, _discovery, ingress) = one_backend(&backend);
+    let mut client = ingress.client();
+    let failed = |_: &i32| {
+        std::thread::sleep(Duration::from_millis(50));
+        client.call(booking("x")).status() == 502
+    };
+    // Each second one, if none were learned from.
+    let failed = (0..16).filter(failed).count();
+    assert!(failed <= 3, "{failed} of 16");
+    // Those in steady use are kept all the same.
+    let before = backend.connections();
+    assert!((0..20).all(|_| client.call(read_request()).status() == 200));
+    assert!(backend.connections() <= before + 2, "{before} {}", backend.connections());
+}
+
 #[test]
 fn a_backend_that_answers_in_between_is_not_left_out_for_broken_connections() {
     let mut number = 0;
