--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,8 +67,8 @@
 /// How much a failing backend's cost grows with its share of failures (factor).
 const FAIL_COST: f64 = 8.0;
 /// Share of failures past which a backend is left out, and attempts in a row that suffice, broken or left
-/// unanswered for far longer than usual: a machine that vanishes breaks nothing. May leave out one that is
-/// merely overrun, which spares it work for a while.
+/// unanswered while the fleet has room: a machine that vanishes breaks nothing, and a fleet that is overrun
+/// has none to leave out. Hurts one that is overrun alone, but spares it work for a while.
 const FAIL_EJECT: f64 = 0.4;
 const DOWN_EJECT: u32 = 3;
 /// that breaks connections, say) and those still in would only be overrun. Guards too against a fleet that
@@ -76,10 +76,9 @@
 /// restarts at once. May hurt where more than half are truly down: attempts then go there, at a higher cost.
 const MOST_EJECTED: f64 = 0.5;
 /// Connections kept unused for longer are not used again where more of these break than of new ones: the
-/// shortest time (us) and the doublings told apart, the margin (a broken request costs some twenty times what
-/// a handshake does), how many requests count as no different, and the fading (us), after which longer times
-/// are tried again. Guards against whatever drops connections unseen, backend or network; may hurt where
-/// handshakes are dear.
+/// shortest time (us) and the doublings told apart, the margin (a broken request costs far more than a
+/// handshake), how many requests count as no different, and the fading (us): then longer is tried again.
+/// Guards against whatever drops connections unseen; may hurt where handshakes are dear.
 const SHORTEST_KEPT: Micros = 16_000;
 const AGES: usize = 10;
 const BREAK_MARGIN: f64 = 0.05;
@@ -878,7 +877,7 @@
                 let ratio = took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / usual;
                 backend.slow += NEWEST * (ratio - backend.slow);
                 let silent = outcome == Outcome::Timeout && took > QUEUED * usual;
-                backend.down += u32::from(silent);
+                backend.down += u32::from(silent && self.pace < ROOMY);
                 if outcome == Outcome::Ok {
                     self.usual[class] += FLEET_NEWEST * (took - usual);
                     let best = self.best[class] * (1.0 + FLEET_NEWEST * BEST_RISE);
@@ -893,8 +892,9 @@
             }
             Outcome::Stale | Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => return,
         }
+        let bad = outcome != Outcome::Ok && (outcome != Outcome::Timeout || self.pace < ROOMY);
         let failing = backend.fails > FAIL_EJECT || backend.down >= DOWN_EJECT || backend.trial;
-        if may_eject && failing && outcome != Outcome::Ok && backend.ejected_until <= now {
+        if may_eject && bad && failing && backend.ejected_until <= now {
             let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
             backend.ejected_until = now + span as Micros;
             backend.ejections += 1;
