Make a workspace of packages by concern, and split the decision module's one large file

Need: routes, pools and all that follows need a place to stand, and one file of 1,100 lines with one struct of 30 fields is no place to find a change in.

Change: packages under crates/ (decision, settings, sim, ingress, violetyoke) and xtask. logic.rs becomes eight files (quota, alone, counter, peers, fleet, connections, cold, requests), each with its own part of the state. The name nettlehub stays with the sim binary only.

--- /dev/null
+++ b/crates/decision/src/fleet.rs
@@ -0,0 +1,219 @@
+//! Backends: the choice among them, what their answers teach, and when one is left out.
+
+use crate::cold::TURN_GAPS;
+use crate::interface::*;
+use crate::{mix, Gateway};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Attempts out at each backend that all gateways together start from, before answers teach better; the part
+/// that stays after a sign of overload, and at least: what times out may do so for other reasons. Most that
+/// one answer counts for, against the best: four in ten lost to other causes are no overload yet.
+const FIRST_BOUND: f64 = 16.0;
+const OUT_CUT: f64 = 0.8;
+const LEAST_PART: f64 = 0.3;
+const MOST_PACE: f64 = 4.0;
+/// Answer times against the fleet's best: below, a backend has room; above, more in hand only slows it.
+const ROOMY: f64 = 1.7;
+const QUEUED: f64 = 2.5;
+/// Most of the aim that work without queues may need, lest a fleet overrun from the start pass for slow.
+const BEST_OF_AIM: f64 = 0.15;
+/// Rise of the fleet's best time with each hundred answers or so (part): what was once fast need not last.
+const BEST_RISE: f64 = 0.05;
+/// Weight of the newest answer in a backend's figures (the last ten count), and in the fleet's (fifty).
+const NEWEST: f64 = 0.1;
+const FLEET_NEWEST: f64 = 0.02;
+/// How much a failing backend's cost grows with its share of failures (factor).
+const FAIL_COST: f64 = 8.0;
+/// Share of failures past which a backend is left out, and attempts in a row that suffice, broken or left
+/// unanswered while the fleet has room: a machine that vanishes breaks nothing, and a fleet that is overrun
+/// has none to leave out. Hurts one that is overrun alone, but spares it work for a while.
+const FAIL_EJECT: f64 = 0.4;
+const DOWN_EJECT: u32 = 3;
+/// Part of the fleet that is left out at once, at most: past it, something else is at fault (a network
+/// that breaks connections, say) and those still in would only be overrun. Guards too against a fleet that
+/// restarts at once. May hurt where more than half are truly down: attempts then go there, at a higher cost.
+const MOST_EJECTED: f64 = 0.5;
+/// First time a backend is left out, in connect time-outs, and how often it doubles.
+const EJECT_FIRST: f64 = 2.0;
+const EJECT_DOUBLES: u32 = 4;
+/// Cost factor of another zone, for near-ties only; chance adds up to twice that, lest all choose alike.
+const CROSS_ZONE: f64 = 1.05;
+const JITTER: f64 = 0.1;
+
+#[derive(Default)]
+pub(crate) struct Fleet {
+    pub(crate) backends: BTreeMap<BackendId, Backend>,
+    /// Usual time of a good answer for each class (us), and the least of late: work without queues.
+    pub(crate) usual: Vec<f64>,
+    pub(crate) best: Vec<f64>,
+    /// Bound on this gateway's attempts out (0: none yet), times of its answers against the best, latest cut.
+    pub(crate) room: f64,
+    pub(crate) pace: f64,
+    pub(crate) cut_at: Micros,
+    pub(crate) sent_lately: f64,
+    pub(crate) sent_at: Micros,
+}
+
+impl Fleet {
+    pub(crate) fn new(classes: &[Class]) -> Fleet {
+        let usual: Vec<f64> = classes.iter().map(|class| class.aim as f64 * BEST_OF_AIM).collect();
+        Fleet { best: usual.clone(), usual, pace: 1.0, ..Fleet::default() }
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Backend {
+    pub(crate) entry: BackendEntry,
+    pub(crate) told_gone: bool,
+    pub(crate) out: u32,
+    /// Time of its answers against the fleet's usual one.
+    pub(crate) slow: f64,
+    pub(crate) fails: f64,
+    /// Attempts broken or left without an answer since its last good one.
+    pub(crate) down: u32,
+    pub(crate) ejected_until: Micros,
+    pub(crate) ejections: u32,
+    pub(crate) trial: bool,
+    /// When it was last seen to start, when it was last sent to, and turns to be earned before the next.
+    pub(crate) started: Micros,
+    pub(crate) sent_at: Micros,
+    pub(crate) phase: f64,
+    /// Attempts lately sent, faded over the time that a turn through all backends takes.
+    pub(crate) recent: f64,
+}
+
+impl Gateway {
+    pub(crate) fn backends_told(&mut self, kind: ListKind, entries: Vec<BackendEntry>) {
+        if kind == ListKind::Full || kind == ListKind::Cached {
+            let listed: BTreeSet<BackendId> = entries.iter().map(|entry| entry.id).collect();
+            for backend in
+                self.fleet.backends.values_mut().filter(|backend| !listed.contains(&backend.entry.id))
+            {
+                (backend.told_gone, backend.entry.condition) = (true, Condition::Gone);
+            }
+        }
+        let ask = self.settings.discovery == Discovery::Ask && kind == ListKind::Cached;
+        if ask || kind == ListKind::Failed {
+            self.actions.push(Action::Watch { on: true });
+        }
+        for entry in entries {
+            let fresh = Backend { slow: 1.0, ..Backend::default() };
+            let backend = self.fleet.backends.entry(entry.id).or_insert(fresh);
+            if entry.born > backend.started {
+                // All gateways hear of a start at about the same time: each begins in its own part of a turn.
+                self.random = mix(self.random);
+                backend.phase = self.random as f64 / u64::MAX as f64;
+                (backend.started, backend.sent_at) = (entry.born, self.now);
+                (backend.ejected_until, backend.ejections, backend.fails, backend.down) = (0, 0, 0.0, 0);
+                backend.slow = 1.0;
+            }
+            backend.told_gone = entry.condition != Condition::Ready;
+            backend.entry = entry;
+        }
+        // One that comes back is told with its new start.
+        self.fleet
+            .backends
+            .retain(|_, backend| backend.entry.condition != Condition::Gone || backend.out > 0);
+    }
+
+    /// The cheapest backend that may take this request now, if any.
+    pub(crate) fn pick(&mut self, id: RequestId) -> Option<BackendId> {
+        let open = &self.requests.open[&id];
+        let class = &self.settings.classes[usize::from(open.request.class)];
+        let bound_to = open.may_have_run.filter(|_| class.effect == Effect::Keyed);
+        let home =
+            bound_to.and_then(|(backend, _)| self.fleet.backends.get(&backend)).map(|home| &home.entry);
+        let lost = bound_to.is_some() && home.is_none() && class.group != Group::All;
+        if lost || bound_to.is_some_and(|(_, sent)| self.now >= sent + class.repeat_window) {
+            return None;
+        }
+        let ready = self.fleet.backends.values().filter(|backend| !backend.told_gone);
+        let mean = ready.map(|backend| backend.entry.share).sum::<f64>() / self.ready();
+        // A bound under one leaves room for an attempt after a pause.
+        let pause = self.fleet.usual[usize::from(open.request.class)] * (1.0 / self.fleet.room - 1.0);
+        let full = self.requests.flights.len() as f64 + 1.0 > self.fleet.room.max(1.0);
+        if self.fleet.room > 0.0 && (full || ((self.now - self.fleet.sent_at) as f64) < pause) {
+            return None;
+        }
+        let (turn, mut random) = (self.turn(), self.random);
+        let mut best: Option<(f64, BackendId)> = None;
+        for (backend_id, backend) in &self.fleet.backends {
+            let same_group = match (home, class.group) {
+                (None, _) | (_, Group::All) => true,
+                (Some(home), Group::Zone) => home.zone == backend.entry.zone,
+                (Some(home), Group::Cell) => home.cell == backend.entry.cell,
+            };
+            let left_out = backend.told_gone || backend.ejected_until > self.now || !same_group;
+            if left_out || (backend.trial && backend.out > 0) || !self.cold_allows(backend, turn / TURN_GAPS)
+            {
+                continue;
+            }
+            let size = if mean > 0.0 { (backend.entry.share / mean).max(0.1) } else { 1.0 };
+            let recent = backend.recent * self.faded(backend.sent_at, turn);
+            let mut cost = (f64::from(backend.out) + recent + 1.0) * backend.slow / size;
+            random = mix(random);
+            cost *= 1.0 + FAIL_COST * backend.fails + JITTER * random as f64 / u64::MAX as f64;
+            cost *= if backend.entry.zone == self.settings.zone { 1.0 } else { CROSS_ZONE };
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *backend_id));
+            }
+        }
+        self.random = random;
+        best.map(|(_, backend)| backend)
+    }
+
+    /// Bounds all attempts out by all answers: one gateway of many sees a backend too rarely to bound each.
+    pub(crate) fn bound_all(&mut self, pace: f64) {
+        let share = self.ready() / f64::from(self.settings.gateways.max(1));
+        self.fleet.pace += NEWEST * (pace.min(MOST_PACE) - self.fleet.pace);
+        if self.fleet.room == 0.0 {
+            self.fleet.room = FIRST_BOUND * share;
+        } else if self.fleet.pace > QUEUED && (self.now - self.fleet.cut_at) as f64 > self.fleet.best[0] {
+            self.fleet.room = (self.fleet.room * OUT_CUT).max(LEAST_PART * FIRST_BOUND * share);
+            self.fleet.cut_at = self.now;
+        } else if self.fleet.pace < ROOMY && self.requests.flights.len() as f64 + 2.0 >= self.fleet.room {
+            self.fleet.room += self.fleet.room.min(1.0 / self.fleet.room);
+        }
+    }
+
+    pub(crate) fn learn(&mut self, id: BackendId, class: usize, outcome: Outcome, waited: Micros) {
+        let (aim, took) = (self.settings.classes[class].aim as f64, waited as f64);
+        let (usual, now) = (self.fleet.usual[class], self.now);
+        let first_ejection = EJECT_FIRST * self.settings.limits.connect_timeout as f64;
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
+            self.bound_all(took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / self.fleet.best[class]);
+        }
+        let ejected = |backend: &&Backend| !backend.told_gone && backend.ejected_until > now;
+        let others_out = self.fleet.backends.values().filter(ejected).count() as f64;
+        let may_eject = others_out == 0.0 || others_out + 1.0 <= MOST_EJECTED * self.ready();
+        let Some(backend) = self.fleet.backends.get_mut(&id) else { return };
+        match outcome {
+            Outcome::Ok | Outcome::Timeout => {
+                let ratio = took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / usual;
+                backend.slow += NEWEST * (ratio - backend.slow);
+                let silent = outcome == Outcome::Timeout && took > QUEUED * usual;
+                backend.down += u32::from(silent && self.fleet.pace < ROOMY);
+                if outcome == Outcome::Ok {
+                    self.fleet.usual[class] += FLEET_NEWEST * (took - usual);
+                    let best = self.fleet.best[class] * (1.0 + FLEET_NEWEST * BEST_RISE);
+                    self.fleet.best[class] = best.min(self.fleet.usual[class]).min(BEST_OF_AIM * aim);
+                    backend.fails -= NEWEST * backend.fails;
+                    (backend.ejections, backend.trial, backend.down) = (0, false, 0);
+                }
+            }
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Full => {
+                backend.fails += NEWEST * (1.0 - backend.fails);
+                backend.down += u32::from(matches!(outcome, Outcome::ConnectFailed | Outcome::Reset));
+            }
+            Outcome::Stale | Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => return,
+        }
+        let bad = outcome != Outcome::Ok && (outcome != Outcome::Timeout || self.fleet.pace < ROOMY);
+        let failing = backend.fails > FAIL_EJECT || backend.down >= DOWN_EJECT || backend.trial;
+        if may_eject && bad && failing && backend.ejected_until <= now {
+            let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
+            backend.ejected_until = now + span as Micros;
+            backend.ejections += 1;
+            backend.trial = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,95 @@
+//! The decisions of a quota-keeping gateway for a shared API.
+//!
+//! [`Gateway`] is a state machine without input or output of its own: it is handed [`Event`]s with the
+//! time they happened and appends the [`Action`]s it wants carried out. Its limiter is the sliding
+//! tail: each request adds its units to its customer's count of the current window on a shared counter
+//! service, the previous window weighs in by its unelapsed fraction, and what goes past the limit is
+//! refused at once.
+//!
+//! [`Event`]: interface::Event
+//! [`Action`]: interface::Action
+
+mod alone;
+mod cold;
+mod connections;
+mod counter;
+mod fleet;
+pub mod interface;
+mod peers;
+mod quota;
+mod requests;
+
+use connections::Kept;
+use counter::CounterHealth;
+use fleet::Fleet;
+use interface::*;
+use peers::News;
+use quota::Quota;
+use requests::Requests;
+
+/// One gateway: `handle` takes each event and appends what to do about it.
+#[derive(Default)]
+pub struct Gateway {
+    settings: Settings,
+    random: u64,
+    now: Micros,
+    /// What the event in hand asks for.
+    actions: Vec<Action>,
+    quota: Quota,
+    counter: CounterHealth,
+    news: News,
+    fleet: Fleet,
+    kept: Kept,
+    requests: Requests,
+}
+
+impl Gateway {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let fleet = Fleet::new(&settings.classes);
+        Gateway { random: seed, fleet, settings, ..Gateway::default() }
+    }
+
+    /// Takes one event and appends the actions that answer it.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Backends { kind, entries, .. } => self.backends_told(kind, entries),
+            Event::Request(request) => self.arrive(request),
+            Event::Timer { token } if self.requests.armed == Some(token) => self.requests.armed = None,
+            Event::Abandoned { request } | Event::AnswerBegun { request, .. } => self.close(request),
+            Event::Carried { unused, broke } => self.carried(unused, broke),
+            Event::AttemptEnded(end) => self.attempt_ended(end),
+            Event::Counted { count, outcome, total, waited } => self.counted(count, outcome, total, waited),
+            Event::PeerMessage { data, .. } => self.told_by_peer(&data),
+            Event::Timer { .. } | Event::Probed { .. } => {}
+        }
+        self.fall_due();
+        self.dispatch();
+        self.spread_news();
+        self.arm();
+        actions.append(&mut self.actions);
+    }
+
+    /// How many customers and backends it keeps figures of.
+    pub fn known(&self) -> (usize, usize) {
+        (self.quota.customers.len(), self.fleet.backends.len())
+    }
+
+    pub(crate) fn by_chance(&mut self, chance: f64) -> bool {
+        self.random = mix(self.random);
+        (self.random as f64 / u64::MAX as f64) < chance
+    }
+
+    /// What is left of a figure that fades over `span` (us) and was taken at `since`.
+    pub(crate) fn faded(&self, since: Micros, span: f64) -> f64 {
+        (-((self.now - since) as f64) / span).exp()
+    }
+}
+
+/// A well-mixed 64-bit value.
+pub(crate) fn mix(value: u64) -> u64 {
+    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/decision/src/quota.rs
@@ -0,0 +1,391 @@
+//! Quota: the sliding tail. Each request adds its units to its customer's window, and the weighted estimate
+//! over two windows decides.
+
+use crate::counter::{LONGEST_WAIT, UNWELL_AFTER};
+use crate::interface::*;
+use crate::peers::stepped;
+use crate::requests::{Open, Stage};
+use crate::{mix, Gateway};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Longest life of a counter name (us), and the part of it that a window may take: two and late reads fit.
+const LONGEST_LIFE: f64 = 60e6;
+const WINDOW_PART: f64 = 0.4;
+/// Fewest ticks in a window: below that, the time for a call to the counter blurs it.
+const WINDOW_TICKS: f64 = 50.0;
+/// Weight of a customer's newest window in this gateway's part of its units: shifts last about two windows.
+const SHARE_WEIGHT: f64 = 0.5;
+/// Part of its own units that a total shows at least, rounded to seven digits and kept so by others.
+const ROUNDING: f64 = 0.9;
+/// Least part of the usual chance to ask a crowded counter, for a customer far below its limit: a call
+/// tells most where the decision is near.
+const CALM_PART: f64 = 0.2;
+/// Most gateways of a customer for which own units tell of the others'; past it, one would stand for a burst.
+const TELLING_SPREAD: f64 = 6.0;
+/// Customers looked at with each request, and windows of silence after which one is forgotten: its units have
+/// been refilled, the counter has dropped its names, and what it may send untold has grown back.
+const LOOKED_AT: usize = 4;
+const FORGET_AFTER: f64 = 6.0;
+
+#[derive(Default)]
+pub(crate) struct Quota {
+    pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    pub(crate) looked_at: CustomerId,
+    pub(crate) calls: BTreeMap<u64, VecDeque<Call>>,
+}
+
+/// What is known of one customer's use, over all gateways.
+#[derive(Default)]
+pub(crate) struct Customer {
+    pub(crate) plan: usize,
+    pub(crate) spread: f64,
+    pub(crate) first: u16,
+    pub(crate) window: u64,
+    /// Total of the current window as last told, own units not yet in it, and those the counter has added.
+    pub(crate) total: f64,
+    pub(crate) unseen: f64,
+    pub(crate) own: f64,
+    /// Own units sent on that are still to be added.
+    pub(crate) owed: f64,
+    pub(crate) before: f64,
+    pub(crate) before_known: bool,
+    pub(crate) before_asked: bool,
+    /// Share of its requests that go beyond the quota; when one last asked, and when peers were last told.
+    pub(crate) beyond: f64,
+    pub(crate) asked_at: Micros,
+    pub(crate) told_at: Micros,
+    /// Units that the quota has not yet refilled, as their coming was watched, and up to when.
+    pub(crate) standing: f64,
+    pub(crate) watched: Micros,
+    /// This gateway's part of the customer's units, whether that tells of the others', and if so the part.
+    pub(crate) share: f64,
+    pub(crate) telling: bool,
+    pub(crate) part: f64,
+    /// What may be sent untold, and when that was last filled.
+    pub(crate) spare: f64,
+    pub(crate) spare_at: Micros,
+    /// Units that peers told of and no total shows yet (below 0: shown before told), and own ones to tell of.
+    pub(crate) heard: f64,
+    pub(crate) untold: f64,
+    pub(crate) out: u32,
+    pub(crate) waiting: Vec<RequestId>,
+    /// Its requests that are not over, and when the last one came.
+    pub(crate) open: u32,
+    pub(crate) seen: Micros,
+}
+
+/// A call to the counter that is not answered yet.
+pub(crate) struct Call {
+    pub(crate) customer: CustomerId,
+    pub(crate) window: u64,
+    pub(crate) amount: f64,
+    pub(crate) request: Option<RequestId>,
+}
+
+impl Gateway {
+    /// Length of a plan's windows (us) and the units that a window's length of use may hold.
+    pub(crate) fn window_of(&self, plan: &Plan) -> (f64, f64) {
+        let shortest = WINDOW_TICKS * self.settings.tick as f64;
+        let natural = plan.burst / plan.rate * 1e6;
+        let length = natural.clamp(shortest, LONGEST_LIFE * WINDOW_PART).round();
+        (length, plan.rate * length / 1e6)
+    }
+
+    pub(crate) fn arrive(&mut self, request: Request) {
+        let (id, customer) = (request.id, request.customer);
+        let plan = self.settings.plans.get(usize::from(request.plan));
+        let (Some(plan), true) = (plan, usize::from(request.class) < self.settings.classes.len()) else {
+            return self.actions.push(Action::Fail { request: id });
+        };
+        let quota = plan.rate > 0.0;
+        self.forget();
+        self.roll(&request);
+        let open = Open {
+            arrived: self.now,
+            stage: Stage::Asking,
+            due: 0,
+            place: (Reverse(0), 0, id),
+            counted: None,
+            stands: 0.0,
+            window: 0,
+            charged: None,
+            attempts: 0,
+            may_have_run: None,
+            request,
+        };
+        self.requests.open.insert(id, open);
+        if !quota {
+            self.admit(id);
+        } else {
+            self.ask(id, customer);
+        }
+    }
+
+    /// Moves a customer on to the window that `now` falls in.
+    pub(crate) fn roll(&mut self, request: &Request) {
+        let (now, plan) = (self.now, &self.settings.plans[usize::from(request.plan)]);
+        let spread = f64::from(self.settings.gateways).min(request.spread.max(1.0));
+        let length = if plan.rate > 0.0 { self.window_of(plan).0 } else { LONGEST_LIFE };
+        let telling = spread <= TELLING_SPREAD || self.settings.counter.is_none();
+        let window = now / length as u64;
+        let customer = self.quota.customers.entry(request.customer).or_insert_with(|| Customer {
+            plan: usize::from(request.plan),
+            spread,
+            window,
+            watched: now.saturating_sub(length as Micros),
+            share: 1.0 / spread,
+            telling,
+            part: if telling { 1.0 / spread } else { 1.0 },
+            first: request.first_gateway as u16,
+            spare: if plan.ceiling_rate > 0.0 { 0.0 } else { self.settings.largest_request },
+            spare_at: now,
+            ..Customer::default()
+        });
+        (customer.open, customer.seen) = (customer.open + 1, now);
+        self.advance(request.customer);
+    }
+
+    pub(crate) fn advance(&mut self, of: CustomerId) {
+        let customer = &self.quota.customers[&of];
+        let plan = &self.settings.plans[customer.plan];
+        let length = if plan.rate > 0.0 { self.window_of(plan).0 } else { LONGEST_LIFE };
+        let (window, seen) = (self.now / length as u64, self.seen(customer));
+        let customer = self.quota.customers.get_mut(&of).expect("just read");
+        if window > customer.window {
+            let part = (customer.own + customer.unseen) / if seen > 0.0 { seen } else { f64::INFINITY };
+            let known = seen > 0.0 && (customer.telling || customer.total > 0.0);
+            let newest = if known { SHARE_WEIGHT } else { 0.0 };
+            customer.share += newest * (part.clamp(0.5 / customer.spread, 1.0) - customer.share);
+            customer.part = if customer.telling { customer.share } else { 1.0 };
+            customer.before = if window == customer.window + 1 { seen } else { 0.0 };
+            (customer.window, customer.before_known, customer.before_asked) = (window, false, false);
+            (customer.total, customer.unseen, customer.own, customer.owed) = (0.0, 0.0, 0.0, 0.0);
+            // Word of what the counter has shown already may still be on its way, or lost.
+            customer.heard = customer.heard.min(0.0) / 2.0;
+        }
+    }
+
+    /// The customer's units of its window by all that is known: own ones stand for others' where none tells.
+    pub(crate) fn seen(&self, customer: &Customer) -> f64 {
+        customer.total + customer.heard.max(0.0) + customer.unseen / self.part(customer)
+    }
+
+    pub(crate) fn part(&self, customer: &Customer) -> f64 {
+        if self.now < self.news.until {
+            1.0
+        } else {
+            customer.part
+        }
+    }
+
+    /// Forgets customers whose figures say nothing any more: many come once only. A few at a time, in turn.
+    pub(crate) fn forget(&mut self) {
+        for _ in 0..LOOKED_AT {
+            let next = self.quota.customers.range(self.quota.looked_at..).next();
+            let Some((of, customer)) = next else { return self.quota.looked_at = 0 };
+            let plan = &self.settings.plans[customer.plan];
+            let length = if plan.rate > 0.0 { self.window_of(plan).0 } else { LONGEST_LIFE };
+            let silent = (self.now - customer.seen) as f64 > FORGET_AFTER * length;
+            let (of, over) = (*of, customer.open == 0 && customer.out == 0 && silent);
+            self.quota.looked_at = of.saturating_add(1);
+            if over {
+                self.quota.customers.remove(&of);
+            }
+        }
+    }
+
+    /// The design's estimate: the previous window by its unelapsed fraction, and the current one.
+    pub(crate) fn estimate(&self, customer: &Customer, current: f64) -> f64 {
+        let (length, _) = self.window_of(&self.settings.plans[customer.plan]);
+        let elapsed = (self.now as f64 - customer.window as f64 * length) / length;
+        customer.before * (1.0 - elapsed).clamp(0.0, 1.0) + current
+    }
+
+    /// Takes note of others' units that came since the last look, around the middle of that time, and of own
+    /// ones that come now. The quota refills all the while: what came early stands for less than late units.
+    pub(crate) fn watch(&mut self, of: CustomerId, others: f64, own: f64) {
+        let now = self.now;
+        let customer = self.quota.customers.get_mut(&of).expect("rolled on arrival");
+        let half = self.settings.plans[customer.plan].rate * (now - customer.watched) as f64 / 2e6;
+        let middle = (customer.standing - half).max(0.0) + others;
+        customer.standing = (middle - half).max(0.0) + own;
+        customer.watched = now;
+    }
+
+    /// Whether the customer's use is within its limit: by the design's estimate, or, where that assumes
+    /// units to stand that were seen to come early enough to be refilled, by when they came.
+    pub(crate) fn within(&self, of: CustomerId, current: f64, further: f64) -> bool {
+        let customer = &self.quota.customers[&of];
+        let plan = &self.settings.plans[customer.plan];
+        let refilled = plan.rate * (self.now - customer.watched) as f64 / 1e6;
+        self.estimate(customer, current + further) <= self.window_of(plan).1
+            || (customer.standing - refilled).max(0.0) + further <= plan.burst
+    }
+
+    /// Adds the request's units to the current window. A crowded counter is asked by chance, less after a new
+    /// call: own units of a customer of few gateways then wait, else a call stands for those not made.
+    pub(crate) fn ask(&mut self, id: RequestId, of: CustomerId) {
+        let (units, customer) = (self.requests.open[&id].request.units, &self.quota.customers[&of]);
+        let (length, limit) = self.window_of(&self.settings.plans[customer.plan]);
+        let (since, spacing) = ((self.now - customer.asked_at) as f64, self.spacing());
+        let near = ((self.estimate(customer, self.seen(customer)) + units) / limit).clamp(CALM_PART, 1.0);
+        let earned = near * since.min(LONGEST_WAIT * length) / spacing.max(1.0);
+        let mut chance = if spacing > self.settings.tick as f64 { earned.clamp(1e-3, 1.0) } else { 1.0 };
+        // Under a ceiling little may be sent untold: past that, only a total can let in what the quota holds.
+        if chance < 1.0 && self.ceiling_stops(of, units) {
+            chance = 1.0;
+        }
+        let asks = self.settings.counter.is_some() && self.by_chance(chance);
+        let waits = asks && self.counter.bad < UNWELL_AFTER;
+        let alone = !waits && self.decide_alone(id);
+        let customer = self.quota.customers.get_mut(&of).expect("rolled on arrival");
+        let sparse = chance < 1.0 && !customer.telling;
+        customer.owed += if alone && !sparse { units } else { 0.0 };
+        if !asks {
+            return;
+        }
+        customer.asked_at = self.now;
+        let (window, owed) = (customer.window, std::mem::take(&mut customer.owed));
+        let stands = if sparse { units / chance } else { units };
+        let amount = owed + if waits || (sparse && alone) { stands } else { 0.0 };
+        if waits {
+            customer.waiting.push(id);
+            let patience = self.settings.counter.map_or(0, |counter| counter.timeout);
+            let open = self.requests.open.get_mut(&id).expect("open");
+            (open.stands, open.window) = (stands, window);
+            let latest = self.useless_at(&self.requests.open[&id]);
+            self.set_due(id, (self.now + patience).min(latest).max(self.now + 1));
+        }
+        self.call(Call { customer: of, window, amount, request: waits.then_some(id) });
+    }
+
+    pub(crate) fn call(&mut self, call: Call) {
+        let plan = &self.settings.plans[self.quota.customers[&call.customer].plan];
+        let life = (2.5 * self.window_of(plan).0).min(LONGEST_LIFE) as Micros;
+        let (count, amount) = (mix(mix(call.customer) ^ call.window), call.amount);
+        self.quota.calls.entry(count).or_default().push_back(call);
+        self.actions.push(Action::Count { count, amount, life });
+    }
+
+    pub(crate) fn counted(&mut self, count: u64, outcome: Outcome, total: f64, waited: Micros) {
+        let Some(call) = self.quota.calls.get_mut(&count).and_then(VecDeque::pop_front) else { return };
+        if self.quota.calls[&count].is_empty() {
+            self.quota.calls.remove(&count);
+        }
+        self.judge_counter(outcome, waited);
+        let Some(plan) = self.quota.customers.get(&call.customer).map(|customer| customer.plan) else {
+            return;
+        };
+        let (length, limit) = self.window_of(&self.settings.plans[plan]);
+        let part = self.part(&self.quota.customers[&call.customer]);
+        let customer = self.quota.customers.get_mut(&call.customer).expect("just read");
+        let undecided = |call: &&Call| call.request.is_some_and(|id| customer.waiting.contains(&id));
+        let others = self.quota.calls.get(&count).into_iter().flatten();
+        let still_out: f64 = others.filter(|call| !undecided(call)).map(|call| call.amount).sum();
+        let asking = call.request.filter(|id| customer.waiting.contains(id));
+        let asked = asking.and_then(|id| self.requests.open.get(&id)).map_or(0.0, |open| open.request.units);
+        let (current, read) = (call.window == customer.window, call.window + 1 == customer.window);
+        let mut came = 0.0;
+        match outcome {
+            Outcome::Ok if current => {
+                // A counter that lost its numbers shows less than this gateway alone added: put that back.
+                // May hurt where a name ended early: old units then count twice for a window.
+                let lost = if total < ROUNDING * (customer.own + call.amount) { customer.own } else { 0.0 };
+                customer.owed += lost;
+                customer.own += call.amount - lost;
+                let unseen = (customer.owed - lost + still_out).max(0.0);
+                let guessed = (customer.unseen - unseen) / part;
+                came = if lost > 0.0 { asked } else { total - customer.total - guessed };
+                (customer.total, customer.unseen) = (total + lost, unseen);
+                if let Some(open) = call.request.and_then(|id| self.requests.open.get_mut(&id)) {
+                    open.counted = Some(customer.total - open.stands + open.request.units);
+                }
+            }
+            Outcome::Ok if read && !customer.before_known => {
+                came = total - customer.before;
+                (customer.before, customer.before_known) = (total, true);
+            }
+            _ if current && outcome.never_ran() => {
+                customer.waiting.retain(|id| asking != Some(*id));
+                customer.owed += call.amount;
+            }
+            _ => {}
+        }
+        customer.before_asked &= customer.before_known || !read || outcome == Outcome::Ok;
+        // The previous window is read only where it could change the decision.
+        let elapsed = (self.now as f64 / length).fract();
+        let most_before = customer.before.max(limit) * (1.0 - elapsed);
+        let known = customer.before_known || most_before + customer.total <= limit;
+        let told = current && outcome == Outcome::Ok;
+        let reads = told && !known && !std::mem::replace(&mut customer.before_asked, true);
+        let mut waiting = customer.waiting.clone();
+        waiting.extend(call.request.filter(|id| outcome.never_ran() && !waiting.contains(id)));
+        let own = if told { asked } else { 0.0 };
+        let mut others = came - own;
+        if told {
+            // Others' units in the total are those that peers told of, first of all.
+            let left = (customer.heard - others).max(-limit);
+            others += left.max(0.0) - std::mem::replace(&mut customer.heard, left).max(0.0);
+        }
+        self.watch(call.customer, others, own);
+        for id in waiting {
+            let answered = self.requests.open.get(&id).is_some_and(|open| open.counted.is_some());
+            if (call.request == Some(id) && !told) || (read && !known) {
+                self.decide_alone(id);
+            } else if answered && known {
+                self.decide(id);
+            }
+        }
+        if reads {
+            let window = call.window.saturating_sub(1);
+            self.call(Call { window, amount: 0.0, request: None, ..call });
+        }
+    }
+
+    /// The ordinary path: the counter has answered, and the weighted estimate decides.
+    pub(crate) fn decide(&mut self, id: RequestId) {
+        let Some(open) = self.requests.open.get(&id) else { return };
+        let (of, units, stands) = (open.request.customer, open.request.units, open.stands);
+        let heard = self.quota.customers[&of].heard.max(0.0);
+        let within = self.within(of, open.counted.unwrap_or(0.0) + heard, 0.0);
+        let customer = self.quota.customers.get_mut(&of).expect("just read");
+        customer.beyond = stepped(customer.beyond, within);
+        customer.waiting.retain(|other| *other != id);
+        let window = customer.window;
+        if stands > units {
+            self.tell(of, !within);
+        }
+        if within {
+            self.admit(id);
+        } else {
+            self.give_back(of, window, stands);
+            self.refuse_beyond(id);
+        }
+    }
+
+    /// Refused units must not swell the count, or a greedy customer would be starved of its quota.
+    pub(crate) fn give_back(&mut self, of: CustomerId, window: u64, units: f64) {
+        let crowded = self.settings.counter.is_none_or(|counter| self.spacing() > counter.timeout as f64);
+        let customer = self.quota.customers.get_mut(&of).expect("has a call");
+        let carried = crowded && customer.telling;
+        customer.standing -= units;
+        if window == customer.window {
+            customer.total -= units;
+            customer.owed -= if carried { units } else { 0.0 };
+        } else if window + 1 == customer.window {
+            customer.before -= units;
+        }
+        if !carried {
+            self.call(Call { customer: of, window, amount: -units, request: None });
+        }
+    }
+
+    pub(crate) fn refuse_beyond(&mut self, id: RequestId) {
+        let request = &self.requests.open[&id].request;
+        let customer = &self.quota.customers[&request.customer];
+        let plan = &self.settings.plans[customer.plan];
+        let wait = (customer.standing + request.units - plan.burst).max(0.0) / plan.rate * 1e6;
+        self.refuse(id, wait as Micros);
+    }
+}
--- /dev/null
+++ b/crates/decision/src/requests.rs
@@ -0,0 +1,240 @@
+//! Requests: held in a queue, sent as attempts, and ended with one final answer.
+
+use crate::cold::RATE_SPAN;
+use crate::interface::*;
+use crate::Gateway;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+/// Part of the aim for which a request is held for want of a backend; the rest must do for its work.
+const HOLD_PART: f64 = 0.3;
+/// Ticks that an answer needs to reach the client after the gateway has it, taken off the aim.
+const AIM_MARGIN_TICKS: u64 = 2;
+
+#[derive(Default)]
+pub(crate) struct Requests {
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    pub(crate) flights: BTreeMap<(RequestId, u8), Flight>,
+    /// Held requests: most worth for its work first, then the one to be given up soonest.
+    pub(crate) queue: BTreeSet<Place>,
+    pub(crate) due: BTreeSet<(Micros, RequestId)>,
+    /// The earliest timer that is set.
+    pub(crate) armed: Option<Micros>,
+}
+
+pub(crate) type Place = (Reverse<u64>, Micros, RequestId);
+
+pub(crate) struct Open {
+    pub(crate) request: Request,
+    pub(crate) arrived: Micros,
+    pub(crate) stage: Stage,
+    pub(crate) due: Micros,
+    /// Its place in the queue, while it is held.
+    pub(crate) place: Place,
+    /// Total told with its units, once told, and units that its call stands for.
+    pub(crate) counted: Option<f64>,
+    pub(crate) stands: f64,
+    /// The window that its call adds to.
+    pub(crate) window: u64,
+    /// The window that its units count in, once let in.
+    pub(crate) charged: Option<u64>,
+    pub(crate) attempts: u8,
+    /// Backend and time of the first attempt that may have run.
+    pub(crate) may_have_run: Option<(BackendId, Micros)>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Stage {
+    Asking,
+    Held,
+    Out,
+}
+
+pub(crate) struct Flight {
+    pub(crate) backend: BackendId,
+    pub(crate) class: usize,
+    pub(crate) customer: CustomerId,
+    pub(crate) sent: Micros,
+}
+
+impl Gateway {
+    pub(crate) fn admit(&mut self, id: RequestId) {
+        let open = self.requests.open.get_mut(&id).expect("open");
+        let customer = &self.quota.customers[&open.request.customer];
+        open.charged = (self.settings.plans[customer.plan].rate > 0.0).then_some(customer.window);
+        // The plan's cap on attempts out holds as far as own ones tell of the others'.
+        let cap = self.settings.plans[customer.plan].open_cap;
+        if cap > 0.0 && f64::from(customer.out) / customer.part >= cap {
+            self.refuse(id, 0);
+        } else {
+            self.hold(id);
+        }
+    }
+
+    /// When an answer is worth no more than a refusal.
+    pub(crate) fn useless_at(&self, open: &Open) -> Micros {
+        let class = &self.settings.classes[usize::from(open.request.class)];
+        let tick = self.settings.tick;
+        let given_up = open.arrived + open.request.budget.saturating_sub(tick);
+        let late = class.late_value > 0.0 || class.streamed || class.aim_stretch > 0.0;
+        let aim = open.arrived + class.aim.saturating_sub(AIM_MARGIN_TICKS * tick);
+        if late {
+            given_up
+        } else {
+            given_up.min(aim)
+        }
+    }
+
+    /// Holds a request: most worth for its work first, in steps of half as much again, lest near-equals swap.
+    pub(crate) fn hold(&mut self, id: RequestId) {
+        let open = &self.requests.open[&id];
+        let class = &self.settings.classes[usize::from(open.request.class)];
+        let hold = open.arrived + (HOLD_PART * class.aim as f64) as Micros;
+        let until = hold.max(self.now + self.settings.tick).min(self.useless_at(open));
+        let worth = class.value * self.settings.plans[usize::from(open.request.plan)].worth;
+        let worth = worth / self.fleet.best[usize::from(open.request.class)];
+        let rank = Reverse((1e3 + worth.max(1e-12).log(1.5)).round() as u64);
+        let open = self.requests.open.get_mut(&id).expect("open");
+        (open.stage, open.place) = (Stage::Held, (rank, until, id));
+        self.requests.queue.insert(open.place);
+        self.set_due(id, until.max(self.now + self.settings.tick));
+    }
+
+    pub(crate) fn set_due(&mut self, id: RequestId, at: Micros) {
+        let Some(open) = self.requests.open.get_mut(&id) else { return };
+        self.requests.due.remove(&(open.due, id));
+        open.due = at;
+        self.requests.due.insert((at, id));
+    }
+
+    pub(crate) fn fall_due(&mut self) {
+        while let Some((at, id)) = self.requests.due.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.requests.due.remove(&(at, id));
+            match self.requests.open.get(&id).map(|open| open.stage) {
+                Some(Stage::Asking) => drop(self.decide_alone(id)),
+                Some(Stage::Held) => self.refuse(id, 0),
+                _ => {}
+            }
+        }
+    }
+
+    pub(crate) fn arm(&mut self) {
+        if let Some((at, _)) = self
+            .requests
+            .due
+            .first()
+            .copied()
+            .filter(|(at, _)| self.requests.armed.is_none_or(|armed| *at < armed))
+        {
+            self.requests.armed = Some(at);
+            self.actions.push(Action::Timer { at, token: at });
+        }
+    }
+
+    pub(crate) fn dispatch(&mut self) {
+        let mut next = self.requests.queue.first().copied();
+        while let Some(place) = next {
+            match self.pick(place.2) {
+                Some(backend) => {
+                    self.requests.queue.remove(&place);
+                    self.send(place.2, backend);
+                }
+                None if self.requests.open[&place.2].may_have_run.is_some() => {}
+                None => break,
+            }
+            next = self.requests.queue.range((Bound::Excluded(place), Bound::Unbounded)).next().copied();
+        }
+    }
+
+    pub(crate) fn send(&mut self, id: RequestId, to: BackendId) {
+        let expires = self.useless_at(&self.requests.open[&id]);
+        let span = RATE_SPAN * self.settings.safety.fall_time.max(1) as f64;
+        self.fleet.sent_lately = 1.0 + self.fleet.sent_lately * self.faded(self.fleet.sent_at, span);
+        self.fleet.sent_at = self.now;
+        let turn = self.turn();
+        let open = self.requests.open.get_mut(&id).expect("held");
+        let (class, customer) = (usize::from(open.request.class), open.request.customer);
+        self.requests.due.remove(&(open.due, id));
+        open.stage = Stage::Out;
+        let (first, units) = (open.attempts == 0, open.request.units);
+        let flight = Flight { backend: to, class, customer, sent: self.now };
+        self.requests.flights.insert((id, open.attempts), flight);
+        open.attempts += 1;
+        let faded = self.faded(self.fleet.backends[&to].sent_at, turn);
+        let backend = self.fleet.backends.get_mut(&to).expect("picked");
+        backend.out += 1;
+        backend.recent = 1.0 + backend.recent * faded;
+        (backend.sent_at, backend.phase) = (self.now, 1.0);
+        self.quota.customers.get_mut(&customer).expect("rolled on arrival").out += 1;
+        self.actions.push(Action::Send { request: id, backend: to, expires });
+        if first {
+            self.note_news(customer, units);
+        }
+    }
+
+    pub(crate) fn attempt_ended(&mut self, end: AttemptEnd) {
+        let Some(flight) = self.requests.flights.remove(&(end.request, end.attempt)) else { return };
+        if let Some(backend) = self.fleet.backends.get_mut(&flight.backend) {
+            backend.out = backend.out.saturating_sub(1);
+        }
+        if let Some(customer) = self.quota.customers.get_mut(&flight.customer) {
+            customer.out = customer.out.saturating_sub(1);
+        }
+        self.learn(flight.backend, flight.class, end.outcome, end.waited);
+        if end.closed || end.outcome == Outcome::Ok {
+            return self.close(end.request);
+        }
+        let Some(open) = self.requests.open.get_mut(&end.request) else { return };
+        if !end.outcome.never_ran() && open.may_have_run.is_none() {
+            open.may_have_run = Some((flight.backend, flight.sent));
+        }
+        if self.worth_again(end.request, end.outcome) {
+            self.hold(end.request);
+        } else {
+            self.refuse(end.request, 0);
+        }
+    }
+
+    /// Whether a further attempt is permitted and can still be in time.
+    pub(crate) fn worth_again(&self, id: RequestId, outcome: Outcome) -> bool {
+        let open = &self.requests.open[&id];
+        let class = usize::from(open.request.class);
+        !(open.may_have_run.is_some() && self.settings.classes[class].effect == Effect::Unsafe)
+            && u32::from(open.attempts) < self.settings.limits.attempts
+            && outcome != Outcome::Moot
+            && self.now + self.fleet.usual[class] as Micros <= self.useless_at(open)
+    }
+
+    /// Ends a request unserved: refused where the client may safely try again, else failed.
+    pub(crate) fn refuse(&mut self, id: RequestId, wait: Micros) {
+        let Some(open) = self.requests.open.get(&id) else { return };
+        let class = &self.settings.classes[usize::from(open.request.class)];
+        let harmless = open.may_have_run.is_none()
+            || class.effect == Effect::Safe
+            || (class.effect == Effect::Keyed && class.group == Group::All);
+        self.actions.push(if harmless {
+            let limits = &self.settings.limits;
+            let retry_after = if limits.retry_hints { wait.min(limits.longest_retry_hint) } else { 0 };
+            Action::Refuse { request: id, retry_after }
+        } else {
+            Action::Fail { request: id }
+        });
+        let unsent = open.charged.filter(|_| open.attempts == 0);
+        let (of, units) = (open.request.customer, open.request.units);
+        self.close(id);
+        if let Some(window) = unsent {
+            self.give_back(of, window, units);
+        }
+    }
+
+    pub(crate) fn close(&mut self, id: RequestId) {
+        let Some(open) = self.requests.open.remove(&id) else { return };
+        self.requests.due.remove(&(open.due, id));
+        self.requests.queue.remove(&open.place);
+        if let Some(customer) = self.quota.customers.get_mut(&open.request.customer) {
+            customer.waiting.retain(|other| *other != id);
+            customer.open = customer.open.saturating_sub(1);
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings, requests and answers that the module tests share.
 
-use nettlehub::interface::*;
-use nettlehub::Gateway;
+use violetyoke_decision::interface::*;
+use violetyoke_decision::Gateway;
 
 pub const TICK: Micros = 4_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
-use nettlehub::interface::*;
-use nettlehub::Gateway;
 use std::collections::BTreeMap;
+use violetyoke_decision::interface::*;
+use violetyoke_decision::Gateway;
 
 fn counts(actions: &[Action]) -> Vec<(u64, f64)> {
     let calls = actions.iter().filter_map(|action| match action {
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use nettlehub::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
+use violetyoke_decision::interface::*;
 
 struct Random(u64);
 
--- a/src/net/backend.rs
+++ b/crates/ingress/src/backend.rs
@@ -2,7 +2,6 @@
 
 use super::socket::Socket;
 use super::{Forward, LARGEST_BODY};
-use crate::interface::{Event, Micros, Outcome, Report, ReportField};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -21,6 +20,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
+use violetyoke_decision::interface::{Event, Micros, Outcome, Report, ReportField};
 
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 16;
--- a/src/net/config.rs
+++ b/crates/ingress/src/config.rs
@@ -1,13 +1,12 @@
 //! What the ingress is told at its start: `EDGE_CONFIG`'s file, and the `EDGE_*` variables over it.
 
 use super::discovery::TargetList;
-use crate::interface::Settings;
-use crate::wire;
 use serde::Deserialize;
 use serde_json::Value;
 use std::env;
 use std::fmt::Display;
 use std::net::SocketAddr;
+use violetyoke_decision::interface::Settings;
 
 #[derive(Debug)]
 pub struct Config {
@@ -100,7 +99,7 @@
         peers_all: file.peers_all,
         counter: file.counter,
         known: file.known,
-        settings: wire::settings(&settings).map_err(|error| in_file(&path, error))?,
+        settings: violetyoke_settings::settings(&settings).map_err(|error| in_file(&path, error))?,
         names: Names {
             classes: names(&file.settings["categories"]),
             plans: names(&file.settings["tariffs"]),
--- a/src/net/counter.rs
+++ b/crates/ingress/src/counter.rs
@@ -1,7 +1,6 @@
 //! The shared counter: RESP2 calls, written one behind another, answered in their order.
 
 use super::{Clock, Message, Messages};
-use crate::interface::{Micros, Outcome};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io::{self, Write};
@@ -12,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
+use violetyoke_decision::interface::{Micros, Outcome};
 
 /// Most calls handed over and not yet answered: a stalled counter must not grow memory without bound.
 const MOST_CALLS: usize = 4096;
--- a/src/net/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -6,8 +6,6 @@
 use super::discovery::{Phase, Target, TargetList};
 use super::peers::Peers;
 use super::{Answer, ClientRequest, Clock, Forward, Message, Messages};
-use crate::interface::*;
-use crate::Gateway;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -16,6 +14,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use violetyoke_decision::interface::*;
+use violetyoke_decision::Gateway;
 
 /// Messages taken up in one go.
 const BATCH: usize = 256;
--- a/src/net/mod.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,7 +12,6 @@
 mod server;
 mod socket;
 
-use crate::interface::{Event, Micros, Outcome, Report, RequestId};
 use bytes::Bytes;
 use config::Config;
 use discovery::TargetList;
@@ -24,6 +23,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot};
+use violetyoke_decision::interface::{Event, Micros, Outcome, Report, RequestId};
 
 /// The largest body that either side may send.
 const LARGEST_BODY: usize = 64 * 1024;
--- a/src/net/request.rs
+++ b/crates/ingress/src/request.rs
@@ -4,7 +4,6 @@
 use super::backend::{REQ_DEADLINE, REQ_ID};
 use super::config::{Config, Names};
 use super::LARGEST_BODY;
-use crate::interface::{Effect, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -13,6 +12,7 @@
 use hyper::{Method, StatusCode};
 use std::time::Duration;
 use tokio::time::timeout;
+use violetyoke_decision::interface::{Effect, Micros};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 const TIER: HeaderName = HeaderName::from_static("x-tier");
--- a/src/net/server.rs
+++ b/crates/ingress/src/server.rs
@@ -5,7 +5,6 @@
 use super::request::{check, whole, Rules};
 use super::socket::Socket;
 use super::{Answer, ClientRequest, Clock, Forward, Message, Messages};
-use crate::interface::RequestId;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,6 +25,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
+use violetyoke_decision::interface::RequestId;
 
 /// How long new connections are still taken after SIGTERM.
 const LINGER: Duration = Duration::from_millis(700);
--- a/src/bin/nettlehub-drill.rs
+++ b/crates/sim/src/bin/nettlehub-drill.rs
@@ -1,12 +1,12 @@
 //! Plays the decision module on the simulator's wire: batches on standard input, one reply each on
 //! standard output. Hosts many instances, which share nothing. Decides nothing itself.
 
-use nettlehub::interface::Action;
-use nettlehub::wire::{self, Decoder, Input, WireError};
-use nettlehub::Gateway;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
+use violetyoke_decision::interface::Action;
+use violetyoke_decision::Gateway;
+use violetyoke_sim::wire::{self, Decoder, Input, WireError};
 
 fn main() -> ExitCode {
     match drill(&mut io::stdin().lock(), &mut io::stdout().lock()) {
--- a/src/bin/violetyoke.rs
+++ b/crates/violetyoke/src/main.rs
@@ -1,9 +1,9 @@
 //! One real ingress: reads its configuration, serves until SIGTERM, and exits 0 once all is answered.
 
-use nettlehub::net::{self, config};
 use std::process::ExitCode;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
+use violetyoke_ingress::{self as ingress, config};
 
 fn main() -> ExitCode {
     let config = match config::load() {
@@ -14,7 +14,7 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(format!("no runtime: {error}")),
     };
-    match LocalSet::new().block_on(&runtime, net::serve(config)) {
+    match LocalSet::new().block_on(&runtime, ingress::serve(config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(error.to_string()),
     }
