--- /dev/null
+++ b/crates/routes/src/target.rs
@@ -0,0 +1,158 @@
+//! The one normal form of what a request asks for. It is what routes are matched by and what goes on to a
+//! node, so that no two of the servers on the way can read it differently.
+//!
+//! - Host: from the request target where that is absolute, which the `Host` field must then repeat; else from
+//!   the one `Host` field. Lower case, without port and without the root's dot (RFC 9110 4.2.3).
+//! - Path: percent-encoded bytes that need no encoding are decoded, once, and the others' digits are upper
+//!   case; `.` and `..` are resolved; empty segments are dropped, but a slash at the end stays
+//!   (RFC 3986 6.2.2).
+//! - Refused, as servers are known to differ about them: an encoded slash or backslash, a plain backslash, a
+//!   control byte in any form, a `%` that encodes nothing, `..` above the root, dots with parameters (`/..;x/`),
+//!   and any target but a path or an absolute URI.
+//!
+//! The query is no part of a route and goes on as it came.
+
+use crate::host;
+use std::fmt;
+
+/// What a request asks for, in normal form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    pub host: String,
+    pub path: String,
+}
+
+/// Why a request's target cannot be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// No `Host` field, or more than one.
+    Host,
+    /// The host is no host name.
+    HostName,
+    /// The absolute target names another host than the `Host` field.
+    TwoHosts,
+    /// The path does not begin with a slash.
+    Form,
+    /// The path has an encoding that servers read differently.
+    Encoding,
+    /// The path leads above the root, or hides dots.
+    Dots,
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Bad::Host => "host: there must be one Host field",
+            Bad::HostName => "host: not a host name",
+            Bad::TwoHosts => "host: the target and the Host field differ",
+            Bad::Form => "path: must begin with /",
+            Bad::Encoding => "path: an encoding that servers read differently",
+            Bad::Dots => "path: leads above the root or hides dots",
+        })
+    }
+}
+
+/// The normal form of a request's target. `absolute` is the authority of an absolute target; `hosts` are the
+/// values of the `Host` fields, in order.
+pub fn target<'a>(
+    absolute: Option<&str>,
+    hosts: impl IntoIterator<Item = &'a [u8]>,
+    raw_path: &str,
+) -> Result<Target, Bad> {
+    let mut hosts = hosts.into_iter();
+    let (Some(stated), None) = (hosts.next(), hosts.next()) else { return Err(Bad::Host) };
+    let stated = std::str::from_utf8(stated).map_err(|_| Bad::HostName)?;
+    let host = authority(stated.trim())?;
+    if let Some(absolute) = absolute {
+        // A server in front may have followed the one, a node behind may follow the other.
+        if authority(absolute)? != host {
+            return Err(Bad::TwoHosts);
+        }
+    }
+    Ok(Target { host, path: path(raw_path)? })
+}
+
+/// The host of an authority: lower case, without port and root dot. User names in it are refused.
+pub fn authority(text: &str) -> Result<String, Bad> {
+    let (name, port) = match text.strip_prefix('[') {
+        Some(rest) => {
+            let end = rest.find(']').ok_or(Bad::HostName)?;
+            let port = &rest[end + 1..];
+            let port =
+                if port.is_empty() { None } else { Some(port.strip_prefix(':').ok_or(Bad::HostName)?) };
+            (&text[..end + 2], port)
+        }
+        None => text.split_once(':').map_or((text, None), |(name, port)| (name, Some(port))),
+    };
+    // An empty port is a port by RFC 3986, and means the usual one.
+    if port.is_some_and(|port| port.len() > 5 || !port.bytes().all(|byte| byte.is_ascii_digit())) {
+        return Err(Bad::HostName);
+    }
+    let name = name.strip_suffix('.').unwrap_or(name).to_ascii_lowercase();
+    host::check(&name).map_err(|_| Bad::HostName)?;
+    Ok(name)
+}
+
+/// The normal form of a path.
+pub(crate) fn path(raw: &str) -> Result<String, Bad> {
+    let Some(rest) = raw.strip_prefix('/') else { return Err(Bad::Form) };
+    // Most paths are in normal form already.
+    let plain =
+        |byte: u8| byte.is_ascii_graphic() && !matches!(byte, b'%' | b'\\' | b'.' | b';' | b'?' | b'#');
+    if rest.bytes().all(plain) && !raw.contains("//") {
+        return Ok(raw.to_string());
+    }
+    let mut normal = String::with_capacity(raw.len());
+    let mut ends_open = false;
+    for segment in rest.split('/') {
+        let segment = decoded(segment)?;
+        let name = segment.split(';').next().unwrap_or_default();
+        if matches!(name, "." | "..") && name != segment {
+            return Err(Bad::Dots);
+        }
+        ends_open = matches!(segment.as_str(), "" | "." | "..");
+        match segment.as_str() {
+            "" | "." => {}
+            ".." => normal.truncate(normal.rfind('/').ok_or(Bad::Dots)?),
+            segment => {
+                normal.push('/');
+                normal.push_str(segment);
+            }
+        }
+    }
+    if ends_open || normal.is_empty() {
+        normal.push('/');
+    }
+    Ok(normal)
+}
+
+/// A segment with what needs no encoding decoded, once.
+fn decoded(segment: &str) -> Result<String, Bad> {
+    let bytes = segment.as_bytes();
+    let mut text = String::with_capacity(segment.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        match bytes[at] {
+            b'%' => {
+                let digits = bytes.get(at + 1..at + 3).ok_or(Bad::Encoding)?;
+                let digit = |byte: u8| (byte as char).to_digit(16).ok_or(Bad::Encoding);
+                let byte = (digit(digits[0])? * 16 + digit(digits[1])?) as u8;
+                match byte {
+                    b'/' | b'\\' | 0..=0x1f | 0x7f => return Err(Bad::Encoding),
+                    b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                        text.push(byte as char)
+                    }
+                    _ => text.push_str(&format!("%{byte:02X}")),
+                }
+                at += 3;
+            }
+            b'\\' | b'?' | b'#' => return Err(Bad::Encoding),
+            byte if byte.is_ascii_graphic() => {
+                text.push(byte as char);
+                at += 1;
+            }
+            _ => return Err(Bad::Encoding),
+        }
+    }
+    Ok(text)
+}
