--- a/crates/shares/src/turns.rs
+++ b/crates/shares/src/turns.rs
@@ -61,7 +61,7 @@
 
     /// Whose turn it is; it stays that one's until [`Turns::used`] has used up its credit or it has no more to
     /// do. None: nobody is ready.
-    pub fn next(&mut self) -> Option<Member> {
+    pub fn whose(&mut self) -> Option<Member> {
         loop {
             let member = *self.ring.front()?;
             let Some(standing) = self.members.get_mut(&member) else {
--- a/crates/shares/tests/turns.rs
+++ b/crates/shares/tests/turns.rs
@@ -8,7 +8,7 @@
 fn play(turns: &mut Turns, cost: impl Fn(usize) -> u64, rounds: usize) -> BTreeMap<usize, u64> {
     let mut used = BTreeMap::new();
     for _ in 0..rounds {
-        let member = turns.next().unwrap();
+        let member = turns.whose().unwrap();
         turns.used(member, cost(member), true);
         *used.entry(member).or_default() += cost(member);
     }
@@ -32,15 +32,15 @@
 fn nobody_is_next_when_nobody_is_ready() {
     let mut turns = Turns::new(100);
     turns.set(1, 1);
-    assert_eq!(turns.next(), None);
+    assert_eq!(turns.whose(), None);
     turns.ready(1);
     turns.ready(1);
-    assert_eq!(turns.next(), Some(1));
+    assert_eq!(turns.whose(), Some(1));
     turns.used(1, 5, false);
-    assert_eq!(turns.next(), None);
+    assert_eq!(turns.whose(), None);
     turns.ready(1);
     turns.remove(1);
-    assert_eq!(turns.next(), None);
+    assert_eq!(turns.whose(), None);
 }
 
 #[test]
@@ -66,7 +66,7 @@
     turns.ready(2);
     let (mut coming, mut steady) = (0, 0);
     for _ in 0..10_000 {
-        match turns.next().unwrap() {
+        match turns.whose().unwrap() {
             // Far more than its credit, and then it has nothing to do for a moment.
             1 => {
                 coming += 900;
@@ -102,13 +102,13 @@
         }
         let mut costs = costs.iter().cycle();
         for _ in 0..before {
-            let member = turns.next().unwrap();
+            let member = turns.whose().unwrap();
             turns.used(member, *costs.next().unwrap(), true);
         }
         turns.ready(0);
         let mut waited = 0;
         loop {
-            let member = turns.next().unwrap();
+            let member = turns.whose().unwrap();
             if member == 0 {
                 break;
             }
