--- a/crates/ingress/src/backend.rs
+++ b/crates/ingress/src/backend.rs
@@ -1,5 +1,6 @@
 //! Backends: their connections, and one attempt on one of them.
 
+use super::pool::Shared;
 use super::socket::Socket;
 use super::{Forward, LARGEST_BODY};
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 use violetyoke_decision::interface::{Event, Micros, Outcome, Report, ReportField};
+use violetyoke_shares::{Member, Stock};
 
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 16;
@@ -47,22 +49,29 @@
     budget: Rc<Budget>,
 }
 
-/// Connections to all backends together.
+/// Connections to all backends together: their part of what there is of descriptors.
 pub struct Budget {
-    open: Cell<usize>,
-    most: usize,
+    stock: Shared,
+    member: Member,
     backends: RefCell<Vec<Weak<Backend>>>,
 }
 
 impl Budget {
-    pub fn new(most: usize) -> Rc<Budget> {
-        Rc::new(Budget { open: Cell::new(0), most, backends: RefCell::default() })
+    /// Of a process that has nothing else to share with.
+    pub fn alone(most: usize) -> Rc<Budget> {
+        let mut stock = Stock::new(most as u64);
+        stock.set(0, 0, most as u64);
+        Budget::new(Rc::new(RefCell::new(stock)), 0)
+    }
+
+    pub fn new(stock: Shared, member: Member) -> Rc<Budget> {
+        Rc::new(Budget { stock, member, backends: RefCell::default() })
     }
 
     /// A place for one more connection. Where there is none, the longest idle connection to any backend has to
     /// go: it is of less use than the request at hand.
     fn place(self: &Rc<Budget>) -> Option<Slot> {
-        if self.open.get() >= self.most {
+        if self.stock.borrow().left(self.member) == 0 {
             let backends = self.backends.borrow();
             let oldest = backends.iter().filter_map(Weak::upgrade).filter_map(|backend| {
                 let since = backend.idle.borrow().first()?.since;
@@ -71,8 +80,7 @@
             let (_, backend) = oldest.min_by_key(|(since, _)| *since)?;
             drop(backend.idle.borrow_mut().remove(0));
         }
-        self.open.set(self.open.get() + 1);
-        Some(Slot(self.clone()))
+        self.stock.borrow_mut().take(self.member, 1).then(|| Slot(self.clone()))
     }
 }
 
@@ -354,6 +362,6 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.0.stock.borrow_mut().give(self.0.member, 1);
     }
 }
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -1,13 +1,20 @@
 //! The table of client connections: how each of them stands, and which are closed to keep room for others.
+//!
+//! A process of one pool bounds them all alike. Where several pools share the process, each connection counts
+//! against the pool whose request it carried last, and against the [`DOOR`] until it has carried one; the one
+//! that has been idle the longest makes room for a new one of the same pool.
 
+use super::pool::{Pool, Shared};
 use super::socket::Socket;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::task::Waker;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, LocalSet};
 use tokio::time::Instant;
+use violetyoke_shares::Member;
 
 /// A connection on which no request is open may be closed after this time.
 const MAY_CLOSE: Duration = Duration::from_millis(2000);
@@ -16,7 +23,12 @@
 /// How long a client that was told to go may take to do so.
 const END_TIME: Duration = Duration::from_millis(5000);
 
+/// Those who are yet to say what they want.
+pub const DOOR: Member = 0;
+
 pub struct Clients {
+    /// Descriptors, where pools share them.
+    shared: Option<Shared>,
     places: RefCell<BTreeMap<u64, Rc<Place>>>,
     next: Cell<u64>,
     /// Connections above which idle ones are closed, and above which none is accepted.
@@ -33,6 +45,11 @@
     /// Bytes that had been read when the stage began.
     read: Cell<u64>,
     task: RefCell<Option<AbortHandle>>,
+    /// Whom it counts against; none: it has been given back already.
+    home: Cell<Option<Member>>,
+    /// The set that its task is to go to, and how to wake it where it is.
+    moving: RefCell<Option<Rc<LocalSet>>>,
+    waker: RefCell<Option<Waker>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,6 +77,26 @@
         *self.task.borrow_mut() = Some(task);
     }
 
+    /// The set that its task is to go to, told once.
+    pub fn to_move(&self) -> Option<Rc<LocalSet>> {
+        self.moving.borrow_mut().take()
+    }
+
+    pub fn keep_waker(&self, waker: &Waker) {
+        let mut kept = self.waker.borrow_mut();
+        if !kept.as_ref().is_some_and(|kept| kept.will_wake(waker)) {
+            *kept = Some(waker.clone());
+        }
+    }
+
+    fn move_to(&self, set: Option<&Rc<LocalSet>>) {
+        *self.moving.borrow_mut() = set.cloned();
+    }
+
+    fn idle(&self) -> bool {
+        matches!(self.stage.get(), Stage::Head | Stage::Idle | Stage::Ending)
+    }
+
     fn close(&self) {
         self.stage.set(Stage::Closed);
         if let Some(task) = self.task.borrow().as_ref() {
@@ -76,33 +113,98 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.clients.places.borrow_mut().remove(&self.number);
+        let place = self.clients.places.borrow_mut().remove(&self.number);
+        if let Some(place) = place {
+            self.clients.give(&place);
+        }
         self.clients.freed.notify_one();
     }
 }
 
 impl Clients {
-    pub fn new(sockets: usize) -> Rc<Clients> {
-        Rc::new(Clients {
-            places: RefCell::default(),
-            next: Cell::new(0),
-            easy: sockets * 7 / 16,
-            most: sockets * 5 / 8,
-            freed: Notify::new(),
-        })
+    /// Of a process of one pool.
+    pub fn alone(sockets: usize) -> Rc<Clients> {
+        Clients::new(None, sockets * 7 / 16, sockets * 5 / 8)
+    }
+
+    /// Of a process whose pools share its descriptors.
+    pub fn shared(stock: Shared) -> Rc<Clients> {
+        Clients::new(Some(stock), usize::MAX, usize::MAX)
+    }
+
+    fn new(shared: Option<Shared>, easy: usize, most: usize) -> Rc<Clients> {
+        let places = RefCell::default();
+        Rc::new(Clients { shared, places, next: Cell::new(0), easy, most, freed: Notify::new() })
     }
 
-    pub fn enter(self: &Rc<Clients>, socket: Socket) -> (Rc<Place>, Ticket) {
+    fn give(&self, place: &Place) {
+        if let (Some(stock), Some(home)) = (&self.shared, place.home.take()) {
+            stock.borrow_mut().give(home, 1);
+        }
+    }
+
+    /// Takes a descriptor for a member, if need be from the connection of its own that has been idle the
+    /// longest. That one's descriptor is closed a moment later, when its task is dropped.
+    fn take(&self, stock: &Shared, member: Member) -> bool {
+        if stock.borrow_mut().take(member, 1) {
+            return true;
+        }
+        let places = self.places.borrow();
+        let own = places.values().filter(|place| place.home.get() == Some(member) && place.idle());
+        let Some(longest) = own.min_by_key(|place| place.since.get()) else { return false };
+        self.give(longest);
+        longest.close();
+        stock.borrow_mut().take(member, 1)
+    }
+
+    /// Counts a connection against the pool whose request it carries now, and lets its task go there. False:
+    /// the pool has all the connections that it may have.
+    pub fn settle(&self, place: &Place, pool: &Pool) -> bool {
+        let Some(stock) = &self.shared else { return true };
+        if place.home.get() == Some(pool.member) {
+            return true;
+        }
+        if !self.take(stock, pool.member) {
+            return false;
+        }
+        self.give(place);
+        place.home.set(Some(pool.member));
+        place.move_to(pool.set.as_ref());
+        true
+    }
+
+    /// Takes the connections of a pool that goes back to the door.
+    pub fn leave(&self, member: Member, door: &Rc<LocalSet>) {
+        let Some(stock) = &self.shared else { return };
+        for place in self.places.borrow().values().filter(|place| place.home.get() == Some(member)) {
+            self.give(place);
+            stock.borrow_mut().force(DOOR, 1);
+            place.home.set(Some(DOOR));
+            place.move_to(Some(door));
+            if let Some(waker) = place.waker.borrow().as_ref() {
+                waker.wake_by_ref();
+            }
+        }
+    }
+
+    /// A place for a new connection; none: there are too many already.
+    pub fn enter(self: &Rc<Clients>, socket: Socket) -> Option<(Rc<Place>, Ticket)> {
+        if self.shared.as_ref().is_some_and(|stock| !self.take(stock, DOOR)) {
+            return None;
+        }
         let place = Rc::new(Place {
             socket,
             stage: Cell::new(Stage::Head),
             since: Cell::new(Instant::now()),
             read: Cell::new(0),
             task: RefCell::default(),
+            home: Cell::new(self.shared.as_ref().map(|_| DOOR)),
+            moving: RefCell::default(),
+            waker: RefCell::default(),
         });
         let number = self.next.replace(self.next.get() + 1);
         self.places.borrow_mut().insert(number, place.clone());
-        (place, Ticket { clients: self.clone(), number })
+        Some((place, Ticket { clients: self.clone(), number }))
     }
 
     pub fn count(&self) -> usize {
--- a/crates/ingress/src/counter.rs
+++ b/crates/ingress/src/counter.rs
@@ -35,13 +35,14 @@
 }
 
 pub struct Counter {
-    pub address: SocketAddr,
     queue: mpsc::UnboundedSender<Call>,
     shared: Rc<Shared>,
 }
 
 struct Shared {
     clock: Clock,
+    /// What names begin with, and a colon: pools that share a counter must not meet there.
+    space: Option<Rc<str>>,
     /// After that long a call has been reported as never made and must not be written any more.
     timeout: Micros,
     messages: Messages,
@@ -57,11 +58,17 @@
 }
 
 impl Counter {
-    pub fn open(address: SocketAddr, timeout: Micros, clock: Clock, messages: Messages) -> Counter {
+    pub fn open(
+        address: SocketAddr,
+        space: Option<Rc<str>>,
+        timeout: Micros,
+        clock: Clock,
+        messages: Messages,
+    ) -> Counter {
         let (queue, calls) = mpsc::unbounded_channel();
-        let shared = Rc::new(Shared { clock, timeout, messages, held: Cell::new(0) });
+        let shared = Rc::new(Shared { clock, space, timeout, messages, held: Cell::new(0) });
         tokio::task::spawn_local(run(address, shared.clone(), calls));
-        Counter { address, queue, shared }
+        Counter { queue, shared }
     }
 
     /// Makes a call, and tells by then whether it may have been written; none if it can't be made.
@@ -138,7 +145,7 @@
                     shared.end(call.id, Outcome::ConnectFailed, 0.0);
                     continue;
                 }
-                encode(&call, &mut output);
+                encode(&call, shared.space.as_deref(), &mut output);
                 slots.push_back((call.id, now));
                 call.written.set(true);
             }
@@ -176,8 +183,11 @@
     }
 }
 
-fn encode(call: &Call, output: &mut Vec<u8>) {
-    let name = format!("{:016x}", call.name);
+fn encode(call: &Call, space: Option<&str>, output: &mut Vec<u8>) {
+    let name = match space {
+        Some(space) => format!("{space}:{:016x}", call.name),
+        None => format!("{:016x}", call.name),
+    };
     // The simulator's wire carries amounts as single floats; seven digits are all that totals keep.
     let amount = format!("{}", call.amount as f32);
     let life = format!("{}", (call.life / 1000).max(1));
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -1,11 +1,13 @@
 //! The one owner of the decision module: hands it events in order and carries out what it asks for.
 
 use super::backend::{self, Backend, Budget, Ended};
-use super::config::{Config, Names};
+use super::config::Names;
 use super::counter::Counter;
 use super::discovery::{Phase, Target, TargetList};
+use super::embedded::Link;
 use super::peers::Peers;
-use super::{Answer, ClientRequest, Clock, Forward, Message, Messages};
+use super::pool::Pool;
+use super::{Answer, ClientRequest, Clock, Forward, Message, Messages, Reply};
 use bytes::Bytes;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -14,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use violetyoke_config::Fields;
 use violetyoke_decision::interface::*;
 use violetyoke_decision::Gateway;
 
@@ -26,6 +29,24 @@
 /// Part of the settings' idle time after which a connection is not used again.
 const IDLE_PART: u64 = 3;
 
+/// What a driver begins with.
+pub struct Setup {
+    pub settings: Settings,
+    pub names: Names,
+    pub seed: u64,
+    pub budget: Rc<Budget>,
+    /// The list of backends as it was last held.
+    pub known: TargetList,
+    pub counter: Option<Link>,
+    pub peers: Option<Peers>,
+}
+
+/// The way to the counter, opened.
+enum Counting {
+    Remote(Counter),
+    Embedded(Link),
+}
+
 pub struct Driver {
     clock: Clock,
     gateway: Gateway,
@@ -34,9 +55,11 @@
     report_fields: Rc<[ReportField]>,
     counter_timeout: Micros,
     messages: Messages,
-    counter: Option<Counter>,
+    counter: Option<Counting>,
     peers: Option<Peers>,
-    ready: Rc<Cell<bool>>,
+    pool: Rc<Pool>,
+    /// No new requests come.
+    retiring: bool,
     requests: HashMap<RequestId, Open>,
     calls: HashMap<u64, Calling>,
     next_call: u64,
@@ -55,7 +78,8 @@
 
 /// A request taken and not yet answered.
 struct Open {
-    reply: oneshot::Sender<Answer>,
+    reply: oneshot::Sender<Reply>,
+    customer: CustomerId,
     forward: Rc<Forward>,
     deadline: Micros,
     attempts: u8,
@@ -92,46 +116,50 @@
 }
 
 impl Driver {
-    pub fn new(
-        config: &Config,
-        clock: Clock,
-        messages: Messages,
-        counter: Option<Counter>,
-        peers: Option<Peers>,
-        ready: Rc<Cell<bool>>,
-    ) -> Driver {
-        let settings = config.settings.clone();
+    pub fn new(setup: Setup, clock: Clock, messages: Messages, pool: Rc<Pool>) -> Driver {
+        let Setup { settings, names, seed, budget, known, counter, peers } = setup;
         let mut driver = Driver {
             clock,
-            names: config.names.clone(),
+            names,
             limits: settings.limits.clone(),
             report_fields: settings.report_fields.clone().into(),
             counter_timeout: settings.counter.map_or(0, |counter| counter.timeout),
-            gateway: Gateway::new(settings.clone(), config.seed),
+            keep_idle: settings.limits.idle_close / IDLE_PART,
+            gateway: Gateway::new(settings, seed),
             messages,
-            counter,
+            counter: None,
             peers,
-            ready,
+            pool,
+            retiring: false,
             requests: HashMap::new(),
             calls: HashMap::new(),
             next_call: 1,
             ids: HashMap::new(),
             backends: HashMap::new(),
             next_backend: 0,
-            budget: Budget::new(config.sockets * 5 / 16),
-            keep_idle: settings.limits.idle_close / IDLE_PART,
+            budget,
             timers: BinaryHeap::new(),
             timers_set: 0,
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let known = config.known.clone().unwrap_or_default();
+        driver.counter = counter.map(|link| driver.open(link));
         driver.targets(TargetList { cached: true, complete: true, ..known });
         driver.settle();
         driver.set(clock.now() + SWEEP, Timer::Sweep);
         driver
     }
 
+    fn open(&self, link: Link) -> Counting {
+        match link {
+            Link::Remote { address, space } => {
+                let (timeout, messages) = (self.counter_timeout, self.messages.clone());
+                Counting::Remote(Counter::open(address, space, timeout, self.clock, messages))
+            }
+            embedded => Counting::Embedded(embedded),
+        }
+    }
+
     pub async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
         let mut batch = Vec::with_capacity(BATCH);
         let mut wake = Box::pin(sleep_until(Instant::now()));
@@ -155,6 +183,10 @@
                 self.take(message);
                 self.settle();
             }
+            // Calls that give units back may still be on their way: they end with the pool's tasks.
+            if self.retiring && self.requests.is_empty() && self.pool.open() == 0 && self.calls.is_empty() {
+                return;
+            }
             let now = self.clock.now();
             // Timers that these events set wait for the next round.
             let due = self.timers_set;
@@ -212,16 +244,20 @@
             Message::Counted { call, outcome, total } => self.counted(call, outcome, total),
             Message::Targets(list) => self.targets(list),
             // The old one ends by itself once its calls are answered or its connection is closed.
-            Message::CounterMoved(address) => {
-                if self.counter.as_ref().is_some_and(|counter| counter.address != address) {
-                    let (timeout, messages) = (self.counter_timeout, self.messages.clone());
-                    self.counter = Some(Counter::open(address, timeout, self.clock, messages));
-                }
-            }
+            Message::CounterMoved(link) => self.counter = Some(self.open(link)),
+            Message::Reconfigure(changed) => self.reconfigure(changed.0, changed.1),
+            Message::Retire => self.retiring = true,
             Message::Peer { from, data } => self.events.push_back(Event::PeerMessage { from, data }),
         }
     }
 
+    fn reconfigure(&mut self, settings: Settings, names: Names) {
+        (self.names, self.limits) = (names, settings.limits.clone());
+        self.counter_timeout = settings.counter.map_or(0, |counter| counter.timeout);
+        self.keep_idle = self.keep_idle.min(settings.limits.idle_close / IDLE_PART);
+        self.gateway.reconfigure(self.clock.now(), settings);
+    }
+
     fn fire(&mut self, timer: Timer) {
         if self.is_stale(timer) {
             return;
@@ -287,6 +323,7 @@
         let deadline = request.arrived + request.budget;
         let open = Open {
             reply: request.reply,
+            customer: request.customer,
             forward: request.forward,
             deadline,
             attempts: 0,
@@ -313,7 +350,9 @@
     /// Gives the one final answer; whatever is still out for the request is withdrawn.
     fn finish(&mut self, request: RequestId, answer: Answer) {
         let Some(open) = self.requests.remove(&request) else { return };
-        let _ = open.reply.send(answer);
+        let tells = self.pool.fields.get() != Fields::default();
+        let standing = if tells { self.gateway.standing(open.customer) } else { None };
+        let _ = open.reply.send(Reply { answer, standing });
         self.withdraw(request, open.out);
     }
 
@@ -328,7 +367,8 @@
     fn last_call(&mut self, request: RequestId) {
         let Some(open) = self.requests.get(&request) else { return };
         let ran = open.may_have_run || open.out.as_ref().is_some_and(|out| out.sent.get());
-        eprintln!("defect: request {request} was not decided by its deadline (attempts {})", open.attempts);
+        let (pool, attempts) = (&self.pool.name, open.attempts);
+        eprintln!("defect: request {request} of pool {pool:?} was not decided in time (attempts {attempts})");
         self.events.push_back(Event::Abandoned { request });
         self.finish(request, if ran { Answer::Failed } else { Answer::Refused { retry_after: 0 } });
     }
@@ -441,8 +481,20 @@
     fn count(&mut self, count: u64, amount: f64, life: Micros) {
         let (call, now) = (self.next_call, self.clock.now());
         self.next_call += 1;
-        let counter = self.counter.as_ref();
-        if let Some(written) = counter.and_then(|counter| counter.call(call, now, count, amount, life)) {
+        let written = match &self.counter {
+            Some(Counting::Remote(counter)) => counter.call(call, now, count, amount, life),
+            Some(Counting::Embedded(Link::Embedded { counts, space })) => {
+                let total = counts.add(now, space, count, amount, life);
+                return self.events.push_back(Event::Counted {
+                    count,
+                    outcome: Outcome::Ok,
+                    total,
+                    waited: 0,
+                });
+            }
+            _ => None,
+        };
+        if let Some(written) = written {
             self.calls.insert(call, Calling { count, at: now, written });
             self.set(now + self.counter_timeout, Timer::Call(call));
         } else {
@@ -475,7 +527,7 @@
         for backend in self.backends.values().filter(|backend| !backend.accepting.get()) {
             backend.close_idle();
         }
-        self.ready.set(self.ready.get() || !self.backends.is_empty());
+        self.pool.ready.set(self.pool.ready.get() || !self.backends.is_empty());
         let kind = match (list.cached, list.complete) {
             (true, _) => ListKind::Cached,
             (false, true) => ListKind::Full,
--- /dev/null
+++ b/crates/ingress/src/embedded.rs
@@ -0,0 +1,81 @@
+//! Where a pool's quotas are counted: at a counter service, or in this process.
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use violetyoke_decision::interface::Micros;
+
+/// The way to a counter.
+#[derive(Clone)]
+pub enum Link {
+    /// By RESP2. Names begin with the space, where there is one, and a colon.
+    Remote {
+        address: SocketAddr,
+        space: Option<Rc<str>>,
+    },
+    Embedded {
+        counts: Rc<Counts>,
+        space: Rc<str>,
+    },
+}
+
+/// Longest life of a name, as at the counter service.
+const LONGEST_LIFE: Micros = 60_000_000;
+
+/// Named numbers that are forgotten when their life is over. All pools of a process share it, each in a space of
+/// its own, so that a pool that goes and comes again under its quota's name finds its numbers.
+#[derive(Default)]
+pub struct Counts {
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    spaces: HashMap<Rc<str>, u32>,
+    numbers: HashMap<(u32, u64), f64>,
+    ends: BinaryHeap<Reverse<(Micros, u32, u64)>>,
+}
+
+impl Counts {
+    /// Adds to a number and tells the total. A new one begins at 0 and lives for `life`.
+    pub fn add(&self, now: Micros, space: &Rc<str>, name: u64, amount: f64, life: Micros) -> f64 {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        while state.ends.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            if let Some(Reverse((_, space, name))) = state.ends.pop() {
+                state.numbers.remove(&(space, name));
+            }
+        }
+        let next = state.spaces.len() as u32;
+        let space = *state.spaces.entry(space.clone()).or_insert(next);
+        let ends = &mut state.ends;
+        let total = state.numbers.entry((space, name)).or_insert_with(|| {
+            ends.push(Reverse((now + life.clamp(1_000, LONGEST_LIFE), space, name)));
+            0.0
+        });
+        *total += amount;
+        *total
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_add_up_until_their_life_is_over_and_spaces_never_meet() {
+        let counts = Counts::default();
+        let (a, b): (Rc<str>, Rc<str>) = ("a".into(), "b".into());
+        assert_eq!(counts.add(1_000, &a, 7, 2.0, 5_000_000), 2.0);
+        assert_eq!(counts.add(2_000, &a, 7, 1.5, 90_000_000), 3.5);
+        assert_eq!(counts.add(2_000, &b, 7, 1.0, 5_000_000), 1.0);
+        assert_eq!(counts.add(5_000_999, &a, 7, -0.5, 5_000_000), 3.0);
+        assert_eq!(counts.state.borrow().numbers.len(), 2);
+        // Later calls do not make a life longer.
+        assert_eq!(counts.add(5_001_000, &a, 7, 1.0, 5_000_000), 1.0);
+        assert_eq!(counts.add(5_003_000, &b, 8, 1.0, 5_000_000), 1.0);
+        assert_eq!(counts.state.borrow().numbers.len(), 2);
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/front.rs
@@ -0,0 +1,100 @@
+//! To which pool a request goes. The table is replaced as a whole; a request that has been matched keeps the
+//! pool that it was matched to.
+
+use crate::pool::Pool;
+use crate::request::{bad, Rejection};
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::{StatusCode, Uri};
+use std::cell::RefCell;
+use std::rc::Rc;
+use violetyoke_routes::{target, Bad, Table};
+
+/// The table in force.
+pub struct Front {
+    routing: RefCell<Rc<Routing>>,
+}
+
+pub enum Routing {
+    /// Everything goes to one pool, as it came.
+    One(Rc<Pool>),
+    Table {
+        table: Table,
+        routes: Vec<Route>,
+    },
+}
+
+pub struct Route {
+    pub pool: Rc<Pool>,
+    /// Class of requests that state none.
+    pub class: Option<String>,
+}
+
+pub struct Matched {
+    pub pool: Rc<Pool>,
+    /// What goes on to the node.
+    pub uri: Uri,
+    pub class: Option<u16>,
+}
+
+impl Front {
+    pub fn new(routing: Routing) -> Front {
+        Front { routing: RefCell::new(Rc::new(routing)) }
+    }
+
+    pub fn replace(&self, routing: Routing) {
+        *self.routing.borrow_mut() = Rc::new(routing);
+    }
+
+    /// Whether errors are told in words: the platform's clients want none.
+    pub fn talks(&self) -> bool {
+        matches!(**self.routing.borrow(), Routing::Table { .. })
+    }
+
+    /// Whether every pool knows its nodes.
+    pub fn ready(&self) -> bool {
+        match &**self.routing.borrow() {
+            Routing::One(pool) => pool.ready.get(),
+            Routing::Table { routes, .. } => routes.iter().all(|route| route.pool.ready.get()),
+        }
+    }
+
+    pub fn find(&self, head: &Parts) -> Result<Matched, Rejection> {
+        let routing = self.routing.borrow();
+        let (table, routes) = match &**routing {
+            Routing::One(pool) => {
+                let origin = head.uri.path_and_query().ok_or(bad("path: missing"))?;
+                return Ok(Matched { pool: pool.clone(), uri: Uri::from(origin.clone()), class: None });
+            }
+            Routing::Table { table, routes } => (table, routes),
+        };
+        let origin = head.uri.path_and_query().ok_or(bad("path: must begin with /"))?;
+        let absolute = head.uri.authority().map(|authority| authority.as_str());
+        let hosts = head.headers.get_all(HOST).iter().map(|value| value.as_bytes());
+        let target = target(absolute, hosts, origin.path()).map_err(why)?;
+        let class = head.headers.get(crate::request::REQ_KIND).and_then(|class| class.to_str().ok());
+        let number = table.find(&target.host, &target.path, head.method.as_str(), class);
+        const NONE: Rejection = Rejection { code: StatusCode::NOT_FOUND, why: "path: no route" };
+        let route = number.and_then(|number| routes.get(number)).ok_or(NONE)?;
+        let uri = match origin.query() {
+            _ if target.path == origin.path() => Uri::from(origin.clone()),
+            Some(query) => {
+                Uri::try_from(format!("{}?{query}", target.path)).map_err(|_| why(Bad::Encoding))?
+            }
+            None => Uri::try_from(target.path).map_err(|_| why(Bad::Encoding))?,
+        };
+        let class = route.class.as_ref().and_then(|class| route.pool.rules().class(class));
+        Ok(Matched { pool: route.pool.clone(), uri, class })
+    }
+}
+
+fn why(reason: Bad) -> Rejection {
+    bad(match reason {
+        Bad::Host => "host: there must be one Host field",
+        Bad::HostName => "host: not a host name",
+        Bad::TwoHosts => "host: the target and the Host field differ",
+        Bad::Form => "path: must begin with /",
+        Bad::Encoding => "path: an encoding that servers read differently",
+        Bad::Dots => "path: leads above the root or hides dots",
+    })
+}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -1,5 +1,7 @@
-//! The real ingress: sockets round the decision module. Nothing is decided here; the driver carries out
-//! the module's actions and the other files turn one kind of socket each into its events.
+//! The real ingress: sockets round the decision module. Nothing is decided here; a driver for each pool
+//! carries out its module's actions and the other files turn one kind of socket each into its events.
+//!
+//! [`platform`] is one pool in the form that the platform expects, [`service`] several of them in one process.
 
 mod backend;
 mod clients;
@@ -7,23 +9,30 @@
 mod counter;
 mod discovery;
 mod driver;
+mod embedded;
+mod fields;
+mod front;
 mod peers;
+pub mod platform;
+mod pool;
 mod request;
+mod roaming;
 mod server;
+pub mod service;
+mod sets;
 mod socket;
 
 use bytes::Bytes;
-use config::Config;
 use discovery::TargetList;
+use embedded::Link;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
-use std::io;
-use std::net::SocketAddr;
+use pool::Held;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot};
-use violetyoke_decision::interface::{Event, Micros, Outcome, Report, RequestId};
+use violetyoke_decision::interface::{CustomerId, Event, Micros, Outcome, Report, RequestId, Settings};
+use violetyoke_decision::view::Standing;
 
 /// The largest body that either side may send.
 const LARGEST_BODY: usize = 64 * 1024;
@@ -52,31 +61,38 @@
 }
 
 /// A client's request, checked and with its body whole.
-pub struct ClientRequest {
+pub(crate) struct ClientRequest {
     pub id: RequestId,
     pub arrived: Micros,
     pub budget: Micros,
     pub class: u16,
     pub plan: u16,
-    pub customer: u64,
+    pub customer: CustomerId,
     pub units: f64,
     pub spread: f64,
     pub first: f64,
     pub repeat: bool,
     pub forward: Rc<Forward>,
-    pub reply: oneshot::Sender<Answer>,
+    pub reply: oneshot::Sender<Reply>,
 }
 
 /// What goes on to a backend unchanged.
-pub struct Forward {
+pub(crate) struct Forward {
     pub method: Method,
     pub uri: Uri,
     pub wire_id: HeaderValue,
     pub body: Bytes,
+    /// Its body's part of the pool's bytes.
+    pub _held: Option<Held>,
 }
 
-/// The one final answer to a client.
-pub enum Answer {
+/// The one final answer to a client, and its quota where the pool tells of that.
+pub(crate) struct Reply {
+    pub answer: Answer,
+    pub standing: Option<Standing>,
+}
+
+pub(crate) enum Answer {
     Served(Bytes),
     /// Trying again is harmless, after that long (0: nothing is said of it).
     Refused {
@@ -86,7 +102,7 @@
 }
 
 /// What the sockets report to the driver.
-pub enum Message {
+pub(crate) enum Message {
     Request(ClientRequest),
     Abandoned(RequestId),
     AttemptEnded {
@@ -103,61 +119,16 @@
         total: f64,
     },
     Targets(TargetList),
-    /// The counter is at this address from now on.
-    CounterMoved(SocketAddr),
+    /// The counter is there from now on.
+    CounterMoved(Link),
     Peer {
         from: u32,
         data: Vec<u8>,
     },
+    /// Classes and plans have changed, at the numbers they had.
+    Reconfigure(Box<(Settings, config::Names)>),
+    /// No new requests come: end when all that are open are over.
+    Retire,
 }
 
-pub type Messages = mpsc::UnboundedSender<Message>;
-
-/// Serves until told to end; returns once everything taken has been answered.
-pub async fn serve(config: Config) -> io::Result<()> {
-    // Before anything is ready: a signal that finds no handler ends the program.
-    let terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    let clock = Clock::start();
-    let (messages, inbox) = mpsc::unbounded_channel();
-    let listener = server::listen(config.listen)?;
-    let peers = match config.peer_listen {
-        Some(address) if config.settings.limits.peer_messages => {
-            Some(peers::Peers::open(address, &config, messages.clone())?)
-        }
-        _ => None,
-    };
-    let counter = config.counter.zip(config.settings.counter);
-    let counter = counter
-        .map(|(address, counter)| counter::Counter::open(address, counter.timeout, clock, messages.clone()));
-    let mut watch = tokio::task::spawn_local(discovery::watch(config.discovery, messages.clone()));
-    let moved = messages.clone();
-    tokio::task::spawn_local(async move {
-        while reload.recv().await.is_some() {
-            match config::reload() {
-                Ok(addresses) => {
-                    eprintln!("SIGHUP: discovery {}, counter {:?}", addresses.discovery, addresses.counter);
-                    // A new watch begins with the whole list, so nothing told meanwhile is missed.
-                    watch.abort();
-                    watch = tokio::task::spawn_local(discovery::watch(addresses.discovery, moved.clone()));
-                    if let Some(address) = addresses.counter {
-                        let _ = moved.send(Message::CounterMoved(address));
-                    }
-                }
-                Err(error) => eprintln!("SIGHUP: the configuration in force stays: {error}"),
-            }
-        }
-    });
-    let shared = server::Shared::new(&config, clock, messages.clone());
-    let driver = driver::Driver::new(&config, clock, messages, counter, peers, shared.ready.clone());
-    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let driver = tokio::task::spawn_local(driver.run(inbox));
-    // A task of its own: the runtime polls the outermost future with every wake, whatever that was for.
-    let service =
-        tokio::task::spawn_local(server::serve(listener, shared, terminate, Duration::from_micros(longest)));
-    tokio::select! {
-        end = service => end.map_err(io::Error::other)?,
-        // Without the module nothing can be served: the platform had better start anew.
-        _ = driver => Err(io::Error::other("the decision module has failed")),
-    }
-}
+pub(crate) type Messages = mpsc::UnboundedSender<Message>;
--- /dev/null
+++ b/crates/ingress/src/pool.rs
@@ -0,0 +1,219 @@
+//! One pool as the server sees it: what its requests are checked against, and the way to its driver.
+
+use crate::request::Rules;
+use crate::{Message, Messages};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::HeaderValue;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::task::LocalSet;
+use violetyoke_config::Fields;
+use violetyoke_decision::interface::RequestId;
+use violetyoke_shares::{Member, Stock};
+
+/// Something there is only so much of, shared by all pools.
+pub type Shared = Rc<RefCell<Stock>>;
+
+pub struct Pool {
+    pub name: String,
+    /// Its number among those that share the process.
+    pub member: Member,
+    rules: RefCell<Rc<Rules>>,
+    messages: Messages,
+    next_id: Cell<RequestId>,
+    /// Ids of the requests that are open, as clients sent them.
+    wire_ids: RefCell<HashSet<HeaderValue>>,
+    /// Whether its driver has a list of nodes.
+    pub ready: Cell<bool>,
+    open: Cell<u32>,
+    most_open: Cell<u32>,
+    pub fields: Cell<Fields>,
+    bytes: Option<Shared>,
+    /// Where its tasks take their turns, and its connections' tasks too; none: where they are.
+    pub set: Option<Rc<LocalSet>>,
+    retired: Cell<bool>,
+}
+
+impl Pool {
+    /// The only pool of a process: it shares nothing, and the platform bounds what it may use.
+    pub fn alone(rules: Rules, messages: Messages) -> Rc<Pool> {
+        Rc::new(Pool::new(String::new(), 0, rules, messages, u32::MAX, None, None))
+    }
+
+    pub fn new(
+        name: String,
+        member: Member,
+        rules: Rules,
+        messages: Messages,
+        most_open: u32,
+        bytes: Option<Shared>,
+        set: Option<Rc<LocalSet>>,
+    ) -> Pool {
+        Pool {
+            name,
+            member,
+            rules: RefCell::new(Rc::new(rules)),
+            messages,
+            next_id: Cell::new(1),
+            wire_ids: RefCell::default(),
+            ready: Cell::new(false),
+            open: Cell::new(0),
+            most_open: Cell::new(most_open),
+            fields: Cell::default(),
+            bytes,
+            set,
+            retired: Cell::new(false),
+        }
+    }
+
+    pub fn rules(&self) -> Rc<Rules> {
+        self.rules.borrow().clone()
+    }
+
+    pub fn change(&self, rules: Rules, most_open: u32) {
+        *self.rules.borrow_mut() = Rc::new(rules);
+        self.most_open.set(most_open);
+    }
+
+    /// What it takes no more requests from then on; those that it has are answered.
+    pub fn retire(&self) {
+        self.retired.set(true);
+        self.send(Message::Retire);
+    }
+
+    pub fn messages(&self) -> Messages {
+        self.messages.clone()
+    }
+
+    /// Tells the driver; false if that is no more.
+    pub fn send(&self, message: Message) -> bool {
+        self.messages.send(message).is_ok()
+    }
+
+    /// A place for one more request, for as long as it is open. Bounds the driver's inbox too: a request has
+    /// one thing to tell at a time.
+    pub fn enter(self: &Rc<Pool>) -> Option<Entry> {
+        if self.open.get() >= self.most_open.get() {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Entry { pool: self.clone() })
+    }
+
+    pub fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// A number for the driver, and the client's own id, which no other open request may have: the same id
+    /// twice is one request twice, and the second copy could run beside the first.
+    pub fn name_request(self: &Rc<Pool>, wire_id: &HeaderValue) -> Option<Named> {
+        self.wire_ids.borrow_mut().insert(wire_id.clone()).then(|| {
+            let id = self.next_id.get();
+            self.next_id.set(id.wrapping_add(1));
+            Named { pool: self.clone(), id, wire_id: wire_id.clone(), over: false }
+        })
+    }
+
+    /// Bytes of a body that is about to be read; none: there is no room for it.
+    pub fn hold(&self, amount: u64) -> Option<Held> {
+        let Some(bytes) = &self.bytes else { return Some(Held { stock: None, member: 0, amount: 0 }) };
+        let fits = bytes.borrow_mut().take(self.member, amount);
+        fits.then(|| Held { stock: Some(bytes.clone()), member: self.member, amount })
+    }
+
+    /// Bytes of an answer that is there already: it is passed on, and what comes next finds less room.
+    pub fn hold_anyway(&self, amount: u64) -> Held {
+        if let Some(bytes) = &self.bytes {
+            bytes.borrow_mut().force(self.member, amount);
+        }
+        Held { stock: self.bytes.clone(), member: self.member, amount }
+    }
+}
+
+/// The place of an open request.
+pub struct Entry {
+    pool: Rc<Pool>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.pool.open.set(self.pool.open.get() - 1);
+        if self.pool.retired.get() {
+            self.pool.send(Message::Retire);
+        }
+    }
+}
+
+/// The names of an open request. Dropped before it is over, its client has gone away.
+pub struct Named {
+    pool: Rc<Pool>,
+    pub id: RequestId,
+    wire_id: HeaderValue,
+    pub over: bool,
+}
+
+impl Drop for Named {
+    fn drop(&mut self) {
+        self.pool.wire_ids.borrow_mut().remove(&self.wire_id);
+        if !self.over {
+            self.pool.send(Message::Abandoned(self.id));
+        }
+    }
+}
+
+/// Bytes that are held, given back when dropped.
+pub struct Held {
+    stock: Option<Shared>,
+    member: Member,
+    amount: u64,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(stock) = &self.stock {
+            stock.borrow_mut().give(self.member, self.amount);
+        }
+    }
+}
+
+/// A whole body on its way to a client, and its part of the pool's bytes until it has been written.
+#[derive(Default)]
+pub struct Whole {
+    bytes: Option<Bytes>,
+    held: Option<Held>,
+}
+
+impl Whole {
+    pub fn new(bytes: Bytes, held: Option<Held>) -> Whole {
+        Whole { bytes: Some(bytes).filter(|bytes| !bytes.is_empty()), held }
+    }
+}
+
+impl Body for Whole {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = self.bytes.take();
+        if frame.is_none() {
+            self.held = None;
+        }
+        Poll::Ready(frame.map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+    }
+}
--- a/crates/ingress/src/request.rs
+++ b/crates/ingress/src/request.rs
@@ -2,7 +2,6 @@
 //! module or a backend hears of it.
 
 use super::backend::{REQ_DEADLINE, REQ_ID};
-use super::config::{Config, Names};
 use super::LARGEST_BODY;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -10,60 +9,103 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, COOKIE, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
 use std::time::Duration;
 use tokio::time::timeout;
-use violetyoke_decision::interface::{Effect, Micros};
+use violetyoke_decision::interface::{Effect, Micros, Settings};
 
-const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
+pub const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 const TIER: HeaderName = HeaderName::from_static("x-tier");
 const TERMS: HeaderName = HeaderName::from_static("x-call-terms");
 const RETRY: HeaderName = HeaderName::from_static("req-retry");
+const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 
 /// How long a request's body may take to come: the client is owed an answer within 3 s.
 const BODY_TIME: Duration = Duration::from_millis(2400);
 /// Longest time a client may say it waits.
 const LONGEST_BUDGET: Micros = 600_000_000;
+/// Longest name of an account.
+const LONGEST_ACCOUNT: usize = 128;
+
+/// Why a request is turned down, in words that name the field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    pub code: StatusCode,
+    pub why: &'static str,
+}
+
+pub const fn bad(why: &'static str) -> Rejection {
+    Rejection { code: StatusCode::BAD_REQUEST, why }
+}
 
 /// What a request is checked against.
+#[derive(Clone, Debug)]
 pub struct Rules {
-    names: Names,
+    /// Classes and plans by their numbers; an empty name is one that is no longer to be had.
+    pub classes: Vec<String>,
+    pub plans: Vec<String>,
     effects: Vec<Effect>,
+    deadlines: Vec<Micros>,
     largest: f64,
     ingresses: f64,
+    form: Form,
+}
+
+/// Which fields a request must have.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Form {
+    /// All of them, and its path and method follow from its class.
+    Platform,
+    /// None but an account: what is not said has a usual value.
+    Open { plan: Option<u16>, class: Option<u16> },
 }
 
 impl Rules {
-    pub fn new(config: &Config) -> Rules {
-        let settings = &config.settings;
+    pub fn new(settings: &Settings, classes: Vec<String>, plans: Vec<String>, form: Form) -> Rules {
         Rules {
-            names: config.names.clone(),
+            classes,
+            plans,
             effects: settings.classes.iter().map(|class| class.effect).collect(),
+            deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             largest: settings.largest_request,
             ingresses: f64::from(settings.gateways),
+            form,
         }
     }
+
+    pub fn class(&self, name: &str) -> Option<u16> {
+        place(&self.classes, name)
+    }
 }
 
 /// The body, whole and no longer than allowed; its length must have been stated.
-pub async fn whole(head: &Parts, body: Incoming) -> Result<Bytes, StatusCode> {
+pub async fn whole(rules: &Rules, head: &Parts, body: Incoming) -> Result<Bytes, Rejection> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    const TOO_LARGE: Rejection = Rejection { code: StatusCode::PAYLOAD_TOO_LARGE, why: "body: over 64 KiB" };
+    const TOO_SLOW: Rejection =
+        Rejection { code: StatusCode::REQUEST_TIMEOUT, why: "body: did not come in time" };
+    let may_have_one = match rules.form {
+        Form::Platform => head.method == Method::POST,
+        Form::Open { .. } => head.method != Method::GET,
+    };
     match body.size_hint().exact() {
-        Some(length) if length > LARGEST_BODY as u64 => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Some(_) if head.method == Method::POST => {}
-        _ => return Err(StatusCode::BAD_REQUEST),
+        Some(length) if length > LARGEST_BODY as u64 => return Err(TOO_LARGE),
+        Some(_) if may_have_one => {}
+        _ => return Err(bad("body: not allowed, or of no stated length")),
     }
     match timeout(BODY_TIME, Limited::new(body, LARGEST_BODY).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+        Ok(Err(_)) => Err(bad("body: broken off")),
+        Err(_) => Err(TOO_SLOW),
     }
 }
 
 pub struct Terms {
-    pub uri: hyper::Uri,
-    pub wire_id: HeaderValue,
+    /// None: the client gave it none.
+    pub wire_id: Option<HeaderValue>,
     pub class: u16,
     pub plan: u16,
     pub customer: u64,
@@ -74,74 +116,132 @@
     pub repeat: bool,
 }
 
-/// What the head says; the status to answer with if it does not say it well.
-pub fn check(rules: &Rules, head: &Parts) -> Result<Terms, StatusCode> {
-    const BAD: StatusCode = StatusCode::BAD_REQUEST;
+/// What the head says; why it is turned down if it does not say it well. `class` is what the route makes of a
+/// request that states none.
+pub fn check(rules: &Rules, head: &Parts, class: Option<u16>) -> Result<Terms, Rejection> {
     // Beside a length it may hide a second request in the body: hyper follows one of the two, whoever stood
     // before this ingress perhaps the other. No client of ours has a use for it alone either.
     if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err(BAD);
+        return Err(bad("transfer-encoding: not taken"));
     }
-    let kind = only(&head.headers, &REQ_KIND).ok_or(BAD)?;
-    let class = place(&rules.names.classes, kind).ok_or(StatusCode::NOT_FOUND)?;
-    let segment = head.uri.path().trim_start_matches('/').split('/').next();
-    if segment != Some(kind) {
-        return Err(StatusCode::NOT_FOUND);
+    let headers = &head.headers;
+    let (usual_plan, usual_class, open) = match rules.form {
+        Form::Platform => (None, None, false),
+        Form::Open { plan, class: usual } => (plan, class.or(usual), true),
+    };
+    let class = match field(headers, &REQ_KIND, "req-kind: doubled or not text")? {
+        Some(kind) => rules
+            .class(kind)
+            .ok_or(Rejection { code: StatusCode::NOT_FOUND, why: "req-kind: no such class" })?,
+        None => usual_class.ok_or(bad("req-kind: missing"))?,
+    };
+    if !open {
+        let segment = head.uri.path().trim_start_matches('/').split('/').next();
+        if segment != Some(rules.classes[usize::from(class)].as_str()) {
+            return Err(Rejection { code: StatusCode::NOT_FOUND, why: "path: not of the class" });
+        }
+        let method = match rules.effects[usize::from(class)] {
+            Effect::Safe => Method::GET,
+            Effect::Keyed | Effect::Unsafe => Method::POST,
+        };
+        if head.method != method {
+            return Err(bad("method: not that of the class"));
+        }
+    } else if ![Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE].contains(&head.method)
+    {
+        let code = StatusCode::METHOD_NOT_ALLOWED;
+        return Err(Rejection { code, why: "method: GET, POST, PUT, PATCH and DELETE are taken" });
     }
-    let method = match rules.effects[usize::from(class)] {
-        Effect::Safe => Method::GET,
-        Effect::Keyed | Effect::Unsafe => Method::POST,
+    let plan = match field(headers, &TIER, "x-tier: doubled or not text")? {
+        Some(tier) => place(&rules.plans, tier).ok_or(bad("x-tier: no such plan"))?,
+        None => usual_plan.ok_or(bad("x-tier: missing"))?,
     };
-    if head.method != method {
-        return Err(BAD);
+    let wire_id = field(headers, &REQ_ID, "req-id: doubled or not text")?;
+    if wire_id
+        .is_some_and(|id| id.is_empty() || id.len() > 128 || !id.bytes().all(|byte| byte.is_ascii_graphic()))
+    {
+        return Err(bad("req-id: 1 to 128 printable characters"));
     }
-    let tier = only(&head.headers, &TIER).ok_or(BAD)?;
-    let id = only(&head.headers, &REQ_ID).ok_or(BAD)?;
-    if id.is_empty() || id.len() > 128 || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
-        return Err(BAD);
+    if wire_id.is_none() && !open {
+        return Err(bad("req-id: missing"));
     }
-    let terms = only(&head.headers, &TERMS).ok_or(BAD)?;
-    let term = |name: &str| {
+    let terms = field(headers, &TERMS, "x-call-terms: doubled or not text")?;
+    if terms.is_none() && !open {
+        return Err(bad("x-call-terms: missing"));
+    }
+    let terms = terms.unwrap_or_default();
+    let term = |name: &str, usual: f64| {
         let mut pairs = terms.split(',').filter_map(|pair| pair.trim().split_once('='));
-        let value = number(pairs.find(|(key, _)| *key == name)?.1);
+        let Some((_, text)) = pairs.find(|(key, _)| *key == name) else { return open.then_some(usual) };
         // Said twice, it is unclear which one holds.
-        value.filter(|_| pairs.all(|(key, _)| key != name))
+        number(text).filter(|_| pairs.all(|(key, _)| key != name))
+    };
+    let budget = match field(headers, &REQ_DEADLINE, "req-deadline: doubled or not text")? {
+        Some(text) => span(text).ok_or(bad("req-deadline: a number and m or u"))?,
+        None if open => rules.deadlines[usize::from(class)],
+        None => return Err(bad("req-deadline: missing")),
     };
-    let origin = head.uri.path_and_query().ok_or(BAD)?;
+    let whole = |value: &f64| value.fract() == 0.0;
     Ok(Terms {
-        uri: hyper::Uri::from(origin.clone()),
-        wire_id: head.headers.get(REQ_ID).cloned().ok_or(BAD)?,
+        wire_id: headers.get(REQ_ID).cloned(),
         class,
-        plan: place(&rules.names.plans, tier).ok_or(BAD)?,
-        customer: account(&head.headers).ok_or(BAD)?,
-        budget: only(&head.headers, &REQ_DEADLINE).and_then(span).ok_or(BAD)?,
-        units: term("units").filter(|units| *units > 0.0 && *units <= rules.largest).ok_or(BAD)?,
-        spread: term("spread")
-            .filter(|spread| spread.fract() == 0.0 && (1.0..=rules.ingresses).contains(spread))
-            .ok_or(BAD)?,
-        first: term("first").filter(|first| first.fract() == 0.0 && *first < rules.ingresses).ok_or(BAD)?,
-        repeat: head.headers.get(RETRY).is_some_and(|value| value == "1"),
+        plan,
+        customer: account(headers, open)?,
+        budget,
+        units: term("units", 1.0)
+            .filter(|units| *units > 0.0 && *units <= rules.largest)
+            .ok_or(bad("x-call-terms: units"))?,
+        spread: term("spread", rules.ingresses)
+            .filter(|spread| whole(spread) && (1.0..=rules.ingresses).contains(spread))
+            .ok_or(bad("x-call-terms: spread"))?,
+        first: term("first", 0.0)
+            .filter(|first| whole(first) && *first < rules.ingresses)
+            .ok_or(bad("x-call-terms: first"))?,
+        repeat: headers.get(RETRY).is_some_and(|value| value == "1"),
     })
 }
 
-/// A header's value, if it is there just once and is text.
-fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+/// A header's value: none if it is not there, an error if it is there twice or is no text.
+fn field<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+    why: &'static str,
+) -> Result<Option<&'a str>, Rejection> {
     let mut values = headers.get_all(name).iter();
-    let value = values.next()?.to_str().ok()?;
-    values.next().is_none().then_some(value)
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().map_err(|_| bad(why))?;
+    if values.next().is_some() {
+        return Err(bad(why));
+    }
+    Ok(Some(text))
 }
 
 fn place(names: &[String], name: &str) -> Option<u16> {
-    names.iter().position(|known| known == name).map(|place| place as u16)
+    names.iter().position(|known| known == name && !name.is_empty()).map(|place| place as u16)
 }
 
-/// The customer in the cookie `account`: 16 hex digits, below 2^33.
-fn account(headers: &HeaderMap) -> Option<u64> {
+/// The customer: in the cookie `account`, 16 hex digits below 2^33; in the open form else by any name in the
+/// field `X-Account`, as the 64 bits of its SipHash-1-3 (key 0). With `n` accounts, the chance that any two
+/// share a quota is below `n^2 / 2^65`.
+fn account(headers: &HeaderMap, open: bool) -> Result<u64, Rejection> {
+    const WHY: Rejection = bad("cookie account: 16 hex digits below 2^33");
     let cookies = headers.get_all(COOKIE).iter().filter_map(|value| value.to_str().ok());
     let mut pairs = cookies.flat_map(|text| text.split(';')).filter_map(|pair| pair.trim().split_once('='));
-    let text = pairs.find(|(name, _)| *name == "account")?.1;
-    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    u64::from_str_radix(text, 16).ok().filter(|number| digits && *number < 1 << 33)
+    if let Some((_, text)) = pairs.find(|(name, _)| *name == "account") {
+        let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        return u64::from_str_radix(text, 16).ok().filter(|number| digits && *number < 1 << 33).ok_or(WHY);
+    }
+    if !open {
+        return Err(WHY);
+    }
+    let name =
+        field(headers, &ACCOUNT, "x-account: doubled or not text")?.ok_or(bad("x-account: missing"))?;
+    if name.is_empty() || name.len() > LONGEST_ACCOUNT {
+        return Err(bad("x-account: 1 to 128 characters"));
+    }
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    Ok(hasher.finish())
 }
 
 /// A number and its unit: `m` milliseconds or `u` microseconds.
--- /dev/null
+++ b/crates/ingress/src/roaming.rs
@@ -0,0 +1,49 @@
+//! A connection's task that moves with its requests: it runs in the set of the pool whose request it carries, so
+//! that reading, parsing and writing for a pool are done in that pool's turns.
+
+use crate::clients::Place;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::task::LocalSet;
+
+pub type Work = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Polls its work wherever it is, and moves on when the place says so.
+pub struct Roaming {
+    work: Option<Work>,
+    place: Rc<Place>,
+}
+
+/// Starts a connection's work in a set.
+pub fn start(set: &LocalSet, work: Work, place: Rc<Place>) {
+    let task = set.spawn_local(Roaming { work: Some(work), place: place.clone() });
+    place.started(task.abort_handle());
+}
+
+impl Future for Roaming {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        // It may have been told to move while nothing was to do: the new set polls it, with its own waker.
+        if let Some(set) = self.place.to_move() {
+            if let Some(work) = self.work.take() {
+                start(&set, work, self.place.clone());
+            }
+            return Poll::Ready(());
+        }
+        self.place.keep_waker(cx.waker());
+        let Some(work) = self.work.as_mut() else { return Poll::Ready(()) };
+        if work.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        if let Some(set) = self.place.to_move() {
+            if let Some(work) = self.work.take() {
+                start(&set, work, self.place.clone());
+            }
+            return Poll::Ready(());
+        }
+        Poll::Pending
+    }
+}
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -1,20 +1,21 @@
 //! Clients: their connections, what a well-formed request is, and the end of service on SIGTERM.
 
-use super::clients::{Clients, Stage};
-use super::config::Config;
-use super::request::{check, whole, Rules};
+use super::clients::{Clients, Place, Stage};
+use super::fields;
+use super::front::{Front, Matched};
+use super::pool::{Pool, Whole};
+use super::request::{check, whole, Rejection};
+use super::roaming;
 use super::socket::Socket;
-use super::{Answer, ClientRequest, Clock, Forward, Message, Messages};
+use super::{Answer, ClientRequest, Clock, Forward, Message, Reply};
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -24,8 +25,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::Signal;
 use tokio::sync::{oneshot, watch};
+use tokio::task::LocalSet;
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
-use violetyoke_decision::interface::RequestId;
 
 /// How long new connections are still taken after SIGTERM.
 const LINGER: Duration = Duration::from_millis(700);
@@ -40,27 +41,18 @@
 
 /// What all client connections share.
 pub struct Shared {
-    rules: Rules,
+    pub front: Front,
     clock: Clock,
-    messages: Messages,
-    next_id: Cell<RequestId>,
-    /// Ids of the requests that are open, as clients sent them.
-    wire_ids: RefCell<HashSet<HeaderValue>>,
-    pub ready: Rc<Cell<bool>>,
-    clients: Rc<Clients>,
+    pub clients: Rc<Clients>,
+    /// Where connections are until they carry a request, if their tasks move.
+    door: Option<Rc<LocalSet>>,
+    /// Ids for requests whose clients gave them none.
+    next_name: Cell<u64>,
 }
 
 impl Shared {
-    pub fn new(config: &Config, clock: Clock, messages: Messages) -> Rc<Shared> {
-        Rc::new(Shared {
-            rules: Rules::new(config),
-            clock,
-            messages,
-            next_id: Cell::new(1),
-            wire_ids: RefCell::default(),
-            ready: Rc::default(),
-            clients: Clients::new(config.sockets),
-        })
+    pub fn new(front: Front, clock: Clock, clients: Rc<Clients>, door: Option<Rc<LocalSet>>) -> Shared {
+        Shared { front, clock, clients, door, next_name: Cell::new(clock.now()) }
     }
 }
 
@@ -130,9 +122,10 @@
 fn open(stream: TcpStream, shared: &Rc<Shared>, mut closing: watch::Receiver<()>, last: bool) {
     let socket = Socket::new(stream);
     let shared = shared.clone();
-    let (place, ticket) = shared.clients.enter(socket.clone());
-    let entry = place.clone();
-    let task = tokio::task::spawn_local(async move {
+    // Dropped, the connection is closed: there is nobody among those without a request who could make room.
+    let Some((place, ticket)) = shared.clients.enter(socket.clone()) else { return };
+    let (entry, door) = (place.clone(), shared.door.clone());
+    let work = async move {
         let _ticket = ticket;
         let turned_down = Cell::new(false);
         let broken = {
@@ -140,7 +133,7 @@
                 let (shared, place, turned_down) = (shared.clone(), &place, &turned_down);
                 async move {
                     place.enter(Stage::Open);
-                    let answer = answer(&shared, request).await;
+                    let answer = answer(&shared, place, request).await;
                     place.enter(Stage::Idle);
                     // A kept connection holds its place for 2 s at least, whether or not its client has more to
                     // ask: a table full of those that haven't keeps everybody else waiting. Guards against any
@@ -151,9 +144,9 @@
                     };
                     // A client that sent one bad request is not listened to any further: what follows may be
                     // the rest of it.
-                    Ok::<_, Infallible>(answer.unwrap_or_else(|code| {
+                    Ok::<_, Infallible>(answer.unwrap_or_else(|rejection| {
                         turned_down.set(true);
-                        close(status(code))
+                        close(turned_away(&shared, rejection))
                     }))
                 }
             });
@@ -183,34 +176,45 @@
                 _ = closing.changed() => {}
             }
         }
-    });
-    entry.started(task.abort_handle());
+    };
+    match door {
+        Some(door) => roaming::start(&door, Box::pin(work), entry),
+        None => entry.started(tokio::task::spawn_local(work).abort_handle()),
+    }
 }
 
-/// The answer to a request, or the status with which a bad one is turned down for good.
+/// The answer to a request, or why a bad one is turned down for good.
 async fn answer(
     shared: &Rc<Shared>,
+    place: &Place,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, StatusCode> {
+) -> Result<Response<Whole>, Rejection> {
     let arrived = shared.clock.now();
     let (head, body) = request.into_parts();
     if head.uri.path() == "/-/ready" && !head.headers.contains_key(TRANSFER_ENCODING) {
-        let ready = shared.ready.get();
+        let ready = shared.front.ready();
         return Ok(status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
     }
-    let terms = check(&shared.rules, &head)?;
-    let body = whole(&head, body).await?;
-    let wire_id = terms.wire_id.clone();
-    // The same id twice is one request twice: the second copy could run beside the first.
-    if !shared.wire_ids.borrow_mut().insert(wire_id.clone()) {
-        return Err(StatusCode::BAD_REQUEST);
+    let Matched { pool, uri, class } = shared.front.find(&head)?;
+    if !shared.clients.settle(place, &pool) {
+        return Ok(close(status(StatusCode::SERVICE_UNAVAILABLE)));
     }
-    let id = shared.next_id.get();
-    shared.next_id.set(id.wrapping_add(1));
+    let rules = pool.rules();
+    let terms = check(&rules, &head, class)?;
+    // Held until the answer is there: a table that is replaced meanwhile changes nothing for this request.
+    let Some(_entry) = pool.enter() else { return Ok(status(StatusCode::SERVICE_UNAVAILABLE)) };
+    let Some(held) = pool.hold(body.size_hint().lower()) else {
+        return Ok(close(status(StatusCode::SERVICE_UNAVAILABLE)));
+    };
+    let body = whole(&rules, &head, body).await?;
+    let wire_id = terms.wire_id.unwrap_or_else(|| own_name(shared));
+    let Some(mut named) = pool.name_request(&wire_id) else {
+        return Err(Rejection { code: StatusCode::BAD_REQUEST, why: "req-id: that of an open request" });
+    };
     let (reply, answered) = oneshot::channel();
-    let forward = Rc::new(Forward { method: head.method, uri: terms.uri, wire_id: terms.wire_id, body });
+    let forward = Rc::new(Forward { method: head.method, uri, wire_id, body, _held: Some(held) });
     let request = ClientRequest {
-        id,
+        id: named.id,
         arrived,
         budget: terms.budget,
         class: terms.class,
@@ -223,15 +227,27 @@
         forward,
         reply,
     };
-    // Dropped unanswered when the client closes its connection.
-    let mut waiting = Waiting { shared, id, wire_id, over: false };
-    if shared.messages.send(Message::Request(request)).is_err() {
+    if !pool.send(Message::Request(request)) {
+        named.over = true;
         return Ok(status(StatusCode::INTERNAL_SERVER_ERROR));
     }
-    let answer = answered.await.unwrap_or(Answer::Failed);
-    waiting.over = true;
-    Ok(match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
+    let reply = answered.await.unwrap_or(Reply { answer: Answer::Failed, standing: None });
+    named.over = true;
+    Ok(written(&pool, reply))
+}
+
+/// An id of this ingress's own, for a client that gave none.
+fn own_name(shared: &Shared) -> HeaderValue {
+    let name = shared.next_name.replace(shared.next_name.get() + 1);
+    HeaderValue::from_str(&format!("v{name:016x}")).unwrap_or(HeaderValue::from_static("v"))
+}
+
+fn written(pool: &Pool, reply: Reply) -> Response<Whole> {
+    let mut response = match reply.answer {
+        Answer::Served(body) => {
+            let held = pool.hold_anyway(body.len() as u64);
+            Response::new(Whole::new(body, Some(held)))
+        }
         Answer::Failed => status(StatusCode::BAD_GATEWAY),
         Answer::Refused { retry_after: 0 } => status(StatusCode::SERVICE_UNAVAILABLE),
         // The module names a time to come back only where the quota refills by then.
@@ -243,32 +259,29 @@
             }
             response
         }
-    })
-}
-
-struct Waiting<'a> {
-    shared: &'a Shared,
-    id: RequestId,
-    wire_id: HeaderValue,
-    over: bool,
+    };
+    if let Some(standing) = &reply.standing {
+        fields::write(response.headers_mut(), pool.fields.get(), standing);
+    }
+    response
 }
 
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.shared.wire_ids.borrow_mut().remove(&self.wire_id);
-        if !self.over {
-            let _ = self.shared.messages.send(Message::Abandoned(self.id));
-        }
+/// Why a request is turned down: in words too, where clients are not the platform's.
+fn turned_away(shared: &Shared, rejection: Rejection) -> Response<Whole> {
+    let mut response = status(rejection.code);
+    if shared.front.talks() {
+        *response.body_mut() = Whole::new(Bytes::from(format!("{}\n", rejection.why)), None);
     }
+    response
 }
 
-fn status(code: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn status(code: StatusCode) -> Response<Whole> {
+    let mut response = Response::new(Whole::default());
     *response.status_mut() = code;
     response
 }
 
-fn close(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn close(mut response: Response<Whole>) -> Response<Whole> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- /dev/null
+++ b/crates/ingress/src/service.rs
@@ -0,0 +1,386 @@
+//! Several pools in one process, by a configuration file of our own: their start, their change by a reload, and
+//! their end.
+
+use crate::backend::Budget;
+use crate::clients::{Clients, DOOR};
+use crate::config::Names;
+use crate::discovery::{self, Phase, Target, TargetList};
+use crate::driver::{Driver, Setup};
+use crate::embedded::{Counts, Link};
+use crate::front::{Front, Route, Routing};
+use crate::pool::{Pool, Shared};
+use crate::request::{Form, Rules};
+use crate::sets::{Running, Sets};
+use crate::{server, Clock, Message};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{AbortHandle, LocalSet};
+use tokio::time::{interval, MissedTickBehavior};
+use violetyoke_config::{self as file, Nodes};
+use violetyoke_decision::interface::{self as words, Plan};
+use violetyoke_shares::{Member, Stock};
+
+/// How often the file is looked at, where that is switched on.
+const LOOK: Duration = Duration::from_millis(500);
+/// Descriptors kept for connections that are yet to say what they want: one part in so many of all.
+const DOOR_PART: u64 = 8;
+/// Weight of the door among the pools: it accepts, and reads each connection's first head.
+const DOOR_WEIGHT: u64 = 2;
+/// For how long after SIGTERM answers are waited for, beyond the longest deadline of any class.
+const END_SLACK: Duration = Duration::from_millis(500);
+
+/// Reads the file; an error is one line for each thing that is wrong with it.
+pub fn read(path: &Path) -> Result<file::Service, String> {
+    let name = path.display();
+    let text = fs::read_to_string(path).map_err(|error| format!("{name}: {error}\n"))?;
+    file::parse(&text).map_err(|errors| errors.of_file(&name.to_string()))
+}
+
+/// Serves until told to end. SIGHUP reads the file again.
+pub async fn serve(path: PathBuf, config: file::Service) -> io::Result<()> {
+    let terminate = signal(SignalKind::terminate())?;
+    let reload = signal(SignalKind::hangup())?;
+    let listener = server::listen(config.listen)?;
+    let address = listener.local_addr()?;
+    let (sets, over) = (Rc::new(Sets::default()), Rc::new(Cell::new(false)));
+    let door = sets.add(DOOR, DOOR_WEIGHT, Rc::new(Notify::new()));
+    let mut pools = Pools::new(&config, sets.clone(), door.clone());
+    let routing = pools.apply(&config).map_err(io::Error::other)?;
+    let clients = Clients::shared(pools.descriptors.clone());
+    let shared = Rc::new(server::Shared::new(Front::new(routing), pools.clock, clients, Some(door.clone())));
+    let longest = config.pools.iter().flat_map(|pool| &pool.classes).map(|class| class.class.deadline).max();
+    let longest = Duration::from_micros(longest.unwrap_or(0)) + END_SLACK;
+    door.spawn_local(watch(path, config, pools, shared.clone(), reload));
+    let result = Rc::new(RefCell::new(Ok(())));
+    let (ended, told) = (result.clone(), over.clone());
+    door.spawn_local(async move {
+        *ended.borrow_mut() = server::serve(listener, shared, terminate, longest).await;
+        told.set(true);
+    });
+    eprintln!("violetyoke: serving on {address}");
+    Running::new(sets, over).await;
+    result.replace(Ok(()))
+}
+
+/// Reads the file again when told to or when it has changed. A bad file changes nothing.
+async fn watch(
+    path: PathBuf,
+    mut config: file::Service,
+    mut pools: Pools,
+    shared: Rc<server::Shared>,
+    mut reload: tokio::signal::unix::Signal,
+) {
+    let changed = || fs::metadata(&path).and_then(|data| data.modified()).ok();
+    let mut seen: Option<SystemTime> = changed();
+    let mut look = interval(LOOK);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            told = reload.recv() => if told.is_none() { return },
+            _ = look.tick() => {
+                if !config.watch_file || changed() == seen {
+                    continue;
+                }
+            }
+        }
+        seen = changed();
+        let new = match read(&path) {
+            Ok(new) if new.listen != config.listen => {
+                Err(format!("{}: service.listen: cannot change while running\n", path.display()))
+            }
+            read => read,
+        };
+        match new.and_then(|new| pools.apply(&new).map(|routing| (new, routing))) {
+            Ok((new, routing)) => {
+                shared.front.replace(routing);
+                pools.retire(&new, &shared.clients);
+                config = new;
+                eprintln!("violetyoke: {} is in force", path.display());
+            }
+            Err(error) => eprint!("violetyoke: the configuration in force stays\n{error}"),
+        }
+    }
+}
+
+/// The pools that run, and what they share.
+struct Pools {
+    clock: Clock,
+    sets: Rc<Sets>,
+    door: Rc<LocalSet>,
+    descriptors: Shared,
+    bytes: Shared,
+    counts: Rc<Counts>,
+    running: BTreeMap<String, Run>,
+    next: Member,
+}
+
+/// One pool as it runs.
+struct Run {
+    pool: Rc<Pool>,
+    config: file::Pool,
+    /// Classes and plans at the numbers that the module knows them by.
+    slots: Slots,
+    watch: Option<AbortHandle>,
+    revision: u64,
+}
+
+/// Numbers are never given to anything else: requests that are open go by them.
+#[derive(Clone, Default)]
+struct Slots {
+    classes: Vec<(String, words::Class)>,
+    plans: Vec<(String, Plan)>,
+}
+
+impl Slots {
+    /// Finds places for a pool's classes and plans. A class that would have other effects than the one of its
+    /// name before is another class: what is open ends by the rules that it came under.
+    fn take(&mut self, config: &file::Pool) {
+        for class in &config.classes {
+            let alike = |old: &words::Class| {
+                (old.effect, old.group, old.repeat_window)
+                    == (class.class.effect, class.class.group, class.class.repeat_window)
+            };
+            match self.classes.iter_mut().find(|(name, old)| *name == class.name && alike(old)) {
+                Some(slot) => slot.1 = class.class.clone(),
+                None => self.classes.push((class.name.clone(), class.class.clone())),
+            }
+        }
+        for (name, plan) in &config.plans {
+            match self.plans.iter_mut().find(|(known, _)| known == name) {
+                Some(slot) => slot.1 = plan.clone(),
+                None => self.plans.push((name.clone(), plan.clone())),
+            }
+        }
+    }
+
+    /// The names by which requests find them; what the file no longer has is not to be found.
+    fn names(&self, config: &file::Pool) -> (Vec<String>, Vec<String>) {
+        let class = |(name, class): &(String, words::Class)| {
+            let there = config.classes.iter().any(|new| new.name == *name && new.class == *class);
+            if there {
+                name.clone()
+            } else {
+                String::new()
+            }
+        };
+        let plan = |(name, _): &(String, Plan)| {
+            let there = config.plans.iter().any(|(new, _)| new == name);
+            if there {
+                name.clone()
+            } else {
+                String::new()
+            }
+        };
+        (self.classes.iter().map(class).collect(), self.plans.iter().map(plan).collect())
+    }
+
+    fn settings(&self, config: &file::Pool) -> words::Settings {
+        let classes = self.classes.iter().map(|(_, class)| class.clone()).collect();
+        config.settings(classes, self.plans.iter().map(|(_, plan)| plan.clone()).collect())
+    }
+
+    fn rules(&self, config: &file::Pool) -> Rules {
+        let (classes, plans) = self.names(config);
+        let place = |names: &[String], name: &Option<String>| {
+            let name = name.as_ref()?;
+            names.iter().position(|known| known == name).map(|place| place as u16)
+        };
+        let plan = place(&plans, &config.default_plan);
+        let class = place(&classes, &config.default_class);
+        Rules::new(&self.settings(config), classes, plans, Form::Open { plan, class })
+    }
+}
+
+impl Pools {
+    fn new(config: &file::Service, sets: Rc<Sets>, door: Rc<LocalSet>) -> Pools {
+        let stock = |total| Rc::new(RefCell::new(Stock::new(total)));
+        Pools {
+            clock: Clock::start(),
+            sets,
+            door,
+            descriptors: stock(config.descriptors),
+            bytes: stock(config.buffered_bytes),
+            counts: Rc::default(),
+            running: BTreeMap::new(),
+            next: DOOR + 1,
+        }
+    }
+
+    /// Brings the pools to what a checked file says, and gives the routes to them. Pools that the file no
+    /// longer has run on until [`Pools::retire`].
+    fn apply(&mut self, config: &file::Service) -> Result<Routing, String> {
+        let table = config.table().map_err(|errors| errors.to_string())?;
+        let door = config.descriptors / DOOR_PART;
+        self.descriptors.borrow_mut().resize(config.descriptors);
+        self.descriptors.borrow_mut().set(DOOR, door.min(self.spare(config)), config.descriptors);
+        self.bytes.borrow_mut().resize(config.buffered_bytes);
+        let mut pools = Vec::new();
+        for pool in &config.pools {
+            match self.running.remove(&pool.name) {
+                // Counted under another name, its customers' use would be lost from sight: another pool.
+                Some(run) if run.config.quota != pool.quota => {
+                    let fresh = self.start(config, pool);
+                    self.running.insert(format!("{} (replaced {})", pool.name, run.pool.member), run);
+                    pools.push(fresh.pool.clone());
+                    self.running.insert(pool.name.clone(), fresh);
+                }
+                Some(mut run) => {
+                    self.change(config, &mut run, pool);
+                    pools.push(run.pool.clone());
+                    self.running.insert(pool.name.clone(), run);
+                }
+                None => {
+                    let run = self.start(config, pool);
+                    pools.push(run.pool.clone());
+                    self.running.insert(pool.name.clone(), run);
+                }
+            }
+        }
+        let route = |route: &file::Route| Route {
+            pool: pools[route.pool].clone(),
+            class: route.default_class.clone(),
+        };
+        Ok(Routing::Table { table, routes: config.routes.iter().map(route).collect() })
+    }
+
+    /// Descriptors that are guaranteed to no pool.
+    fn spare(&self, config: &file::Service) -> u64 {
+        config.descriptors - config.pools.iter().map(|pool| pool.descriptors).sum::<u64>()
+    }
+
+    fn share(&self, config: &file::Service, member: Member, pool: &file::Pool) {
+        self.descriptors.borrow_mut().set(member, pool.descriptors, config.descriptors);
+        self.bytes.borrow_mut().set(member, pool.buffered_bytes, config.buffered_bytes);
+    }
+
+    fn link(&self, pool: &file::Pool) -> Link {
+        let space: Rc<str> = pool.quota.as_str().into();
+        match pool.counter {
+            Some(address) => Link::Remote { address, space: Some(space) },
+            None => Link::Embedded { counts: self.counts.clone(), space },
+        }
+    }
+
+    fn start(&mut self, config: &file::Service, file: &file::Pool) -> Run {
+        let member = self.next;
+        self.next += 1;
+        self.share(config, member, file);
+        let end = Rc::new(Notify::new());
+        let set =
+            if config.turns { self.sets.add(member, file.weight, end.clone()) } else { self.door.clone() };
+        let mut slots = Slots::default();
+        slots.take(file);
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let own = config.turns.then(|| set.clone());
+        let bytes = Some(self.bytes.clone());
+        let pool = Pool::new(
+            file.name.clone(),
+            member,
+            slots.rules(file),
+            messages.clone(),
+            file.open_requests,
+            bytes,
+            own,
+        );
+        pool.fields.set(file.fields);
+        let pool = Rc::new(pool);
+        let setup = Setup {
+            settings: slots.settings(file),
+            names: names(file),
+            seed: self.clock.now() ^ (member as u64) << 48,
+            budget: Budget::new(self.descriptors.clone(), member),
+            known: list(&file.nodes, 1),
+            counter: Some(self.link(file)),
+            peers: None,
+        };
+        let (clock, driven) = (self.clock, pool.clone());
+        set.spawn_local(async move {
+            // Made here, where the tasks that it starts are the pool's.
+            Driver::new(setup, clock, messages, driven).run(inbox).await;
+            end.notify_one();
+        });
+        let mut run = Run { pool, config: file.clone(), slots, watch: None, revision: 1 };
+        watch_nodes(&mut run, &set);
+        run
+    }
+
+    fn change(&self, config: &file::Service, run: &mut Run, file: &file::Pool) {
+        self.share(config, run.pool.member, file);
+        if run.config == *file {
+            return;
+        }
+        self.sets.weigh(run.pool.member, file.weight);
+        run.slots.take(file);
+        run.pool.change(run.slots.rules(file), file.open_requests);
+        run.pool.fields.set(file.fields);
+        let settings = run.slots.settings(file);
+        run.pool.send(Message::Reconfigure(Box::new((settings, names(file)))));
+        if run.config.counter != file.counter {
+            run.pool.send(Message::CounterMoved(self.link(file)));
+        }
+        let moved = run.config.nodes != file.nodes;
+        run.config = file.clone();
+        if moved {
+            run.revision += 1;
+            let set = run.pool.set.clone().unwrap_or_else(|| self.door.clone());
+            watch_nodes(run, &set);
+        }
+    }
+
+    /// Ends the pools that the file no longer has, once nothing of theirs is open.
+    fn retire(&mut self, config: &file::Service, clients: &Clients) {
+        let gone: Vec<String> = self.running.keys().cloned().collect();
+        for name in gone.into_iter().filter(|name| !config.pools.iter().any(|pool| pool.name == *name)) {
+            let Some(run) = self.running.remove(&name) else { continue };
+            if let Some(watch) = run.watch {
+                watch.abort();
+            }
+            clients.leave(run.pool.member, &self.door);
+            self.descriptors.borrow_mut().retire(run.pool.member);
+            self.bytes.borrow_mut().retire(run.pool.member);
+            run.pool.retire();
+        }
+    }
+}
+
+/// Tells the driver of a static list, or has a discovery watched from now on.
+fn watch_nodes(run: &mut Run, set: &LocalSet) {
+    if let Some(watch) = run.watch.take() {
+        watch.abort();
+    }
+    match &run.config.nodes {
+        Nodes::Discovery(address) => {
+            let messages = run.pool.messages();
+            run.watch = Some(set.spawn_local(discovery::watch(*address, messages)).abort_handle());
+        }
+        nodes => {
+            run.pool.send(Message::Targets(list(nodes, run.revision)));
+        }
+    }
+}
+
+fn names(pool: &file::Pool) -> Names {
+    Names { zones: pool.zones.clone(), ..Names::default() }
+}
+
+fn list(nodes: &Nodes, revision: u64) -> TargetList {
+    let Nodes::Static(nodes) = nodes else { return TargetList::default() };
+    let target = |node: &file::Node| Target {
+        id: node.id.clone(),
+        host_port: node.address,
+        locality: node.zone.clone(),
+        flavor: String::new(),
+        cell: 0,
+        phase: if node.draining { Phase::Terminating } else { Phase::InService },
+        size: node.size,
+        up_since_ms: 0,
+    };
+    TargetList { revision, complete: true, members: nodes.iter().map(target).collect(), cached: false }
+}
--- /dev/null
+++ b/crates/violetyoke/tests/common/mod.rs
@@ -0,0 +1,215 @@
+//! The program as a process, its clients, and the platform's settings. What stands round it comes from
+//! `violetyoke-standin`. Everything is on loopback; waits are on conditions, with a limit after which a test
+//! fails.
+#![allow(dead_code)] // Each file of tests uses its own part.
+
+use serde_json::{json, Value};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+pub use violetyoke_standin::counter::{Counter, Mode};
+pub use violetyoke_standin::discovery::{member, Discovery};
+pub use violetyoke_standin::http::{read_http, Http};
+pub use violetyoke_standin::scripted::{ok, raw, Backend, Reply, NTH};
+
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// Waits until the condition holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LIMIT, "waited too long until {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Settings of one ingress among `balancers`: a safe and an unsafe class, a plan with room and a narrow one.
+pub fn settings(index: u16, balancers: u16) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "aim-us": 750_000, "deadline-us": 2_000_000, "value": 2.0,
+               "group": "all", "window-us": 5_000_000, "late-value": 0.0, "streaming": false})
+    };
+    let plan = |name: &str, rate: f64, burst: f64| {
+        json!({"name": name, "quota-rate": rate, "peak-units": burst, "worth-factor": 1.0, "open": 0,
+               "ceiling-rate": 0.0, "ceiling-burst": 0.0, "cap-slack": 0.0, "extra-worth": 0.0,
+               "overrun-cost": 1.0})
+    };
+    json!({
+        "areas": ["hall-a", "hall-b"], "balancers": balancers, "self-index": index, "zone": 0,
+        "bounds": {"attempts-cap": 4, "cancelling": true, "connect-timeout-us": 250_000,
+                   "idle-close-us": 30_000_000, "max-open": 20_000, "max-retry-after-us": 2_000_000,
+                   "peer-messages": false, "probing": true, "retry-after": true, "second-copies": false,
+                   "streams-per-conn": 100},
+        "categories": [class("avail-read", "idempotent"), class("booking-post", "at_most_once")],
+        "clients": {"marks-retry": true},
+        "family-info": {"count-fee": 0.02, "counter-timeout-us": 50_000, "has-counter": true, "largest": 6,
+                        "peer-intake": 40.0},
+        "granularity-us": 4000, "kinds": ["std-2c"], "registry-mode": "push",
+        "report": {"fields": ["outstanding"], "via": "piggyback"},
+        "safety": {"answer-slack-us": 16_000, "cold-share": 0.17, "cold-us": 17_000_000,
+                   "drain-grace-us": 250_000, "fall-multiple": 3.0, "fall-us": 1_000_000},
+        "tariffs": [plan("wide", 50.0, 500.0), plan("narrow", 1.0, 6.0)],
+        "weights": "rough"
+    })
+}
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A running ingress; killed when dropped.
+pub struct Ingress {
+    pub address: SocketAddr,
+    pub child: Child,
+    config: PathBuf,
+}
+
+/// An address that no other test listens on.
+fn free_address() -> SocketAddr {
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let process = std::process::id();
+    let host = format!("127.{}.{}.{}", 1 + process % 250, process / 250 % 250, 1 + number % 250);
+    TcpListener::bind((host.as_str(), 0)).unwrap().local_addr().unwrap()
+}
+
+impl Ingress {
+    pub fn start(counter: &Counter, discovery: &Discovery) -> Ingress {
+        Ingress::start_with(counter, discovery, |_| {})
+    }
+
+    pub fn start_with(counter: &Counter, discovery: &Discovery, adjust: impl FnOnce(&mut Value)) -> Ingress {
+        let mut ingress = Ingress::spawn(counter, discovery, adjust);
+        let address = ingress.address;
+        until("the ingress is ready", || {
+            assert!(ingress.child.try_wait().unwrap().is_none(), "the ingress ended");
+            Client::try_open(address).and_then(|mut client| client.try_call(READY)).map(|http| http.status())
+                == Some(200)
+        });
+        ingress
+    }
+
+    /// Starts one without waiting until it is ready.
+    pub fn spawn(counter: &Counter, discovery: &Discovery, adjust: impl FnOnce(&mut Value)) -> Ingress {
+        let address = free_address();
+        let mut config = json!({
+            "name": "n0", "listen": address.to_string(), "discovery": discovery.address.to_string(),
+            "counter": counter.address.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 0, "complete": true, "members": []},
+            "settings": settings(0, 2)
+        });
+        adjust(&mut config);
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("violetyoke-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_violetyoke"))
+            .env("EDGE_CONFIG", &path)
+            .env_remove("EDGE_LISTEN")
+            .env("EDGE_DISCOVERY", discovery.address.to_string())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        Ingress { address, child, config: path }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::try_open(self.address).expect("the ingress takes connections")
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Replaces the configuration's file and sends SIGHUP.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn config(&self) -> Value {
+        serde_json::from_slice(&std::fs::read(&self.config).unwrap()).unwrap()
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the ingress ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Ingress {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
+/// One client connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn try_open(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Some(Client { stream, reader })
+    }
+
+    pub fn send(&mut self, text: impl AsRef<[u8]>) {
+        self.stream.write_all(text.as_ref()).unwrap();
+    }
+
+    pub fn answer(&mut self) -> Option<Http> {
+        read_http(&mut self.reader)
+    }
+
+    pub fn try_call(&mut self, text: impl AsRef<[u8]>) -> Option<Http> {
+        self.stream.write_all(text.as_ref()).ok()?;
+        self.answer()
+    }
+
+    pub fn call(&mut self, text: impl AsRef<[u8]>) -> Http {
+        self.send(text);
+        self.answer().expect("a whole answer")
+    }
+
+    /// Whether the peer has ended the connection, with nothing more to read.
+    pub fn closed(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0; 1]), Ok(0) | Err(_))
+    }
+}
+
+/// A well-formed request head for customer 7 of `tier`; each call has an id of its own.
+pub fn head(method: &str, class: &str, tier: &str, deadline: &str) -> String {
+    let id = NEXT.fetch_add(1, Ordering::SeqCst);
+    format!(
+        "{method} /{class}/x?room=4%201&q=a HTTP/1.1\r\nHost: app.svc\r\nReq-Id: 9b1f03aa{id:08x}\r\n\
+         Req-Kind: {class}\r\nX-Tier: {tier}\r\nCookie: account=0000000000000007\r\nReq-Deadline: {deadline}\r\n\
+         X-Call-Terms: units=2,spread=2,first=0\r\n"
+    )
+}
+
+pub fn read_request() -> String {
+    head("GET", "avail-read", "wide", "1500m") + "\r\n"
+}
+
+pub fn booking(body: &str) -> String {
+    head("POST", "booking-post", "wide", "1000m") + &format!("Content-Length: {}\r\n\r\n{body}", body.len())
+}
--- a/crates/violetyoke/tests/platform.rs
+++ b/crates/violetyoke/tests/platform.rs
@@ -1,9 +1,8 @@
 //! The real program on loopback sockets, with fakes for all that stands round it.
 
-#[path = "common/fakes.rs"]
-mod fakes;
+mod common;
 
-use fakes::*;
+use common::*;
 use serde_json::json;
 use std::collections::HashSet;
 use std::net::{Shutdown, UdpSocket};
@@ -38,7 +37,7 @@
     assert!(request.contains(&format!("Req-Id: {}\r\n", seen[0].headers["req-id"])));
     let left: u64 = seen[0].headers["req-deadline"].strip_suffix('u').unwrap().parse().unwrap();
     assert!(left > 0 && left < 1_000_000, "{left}");
-    let amounts: Vec<_> = counter.calls.lock().unwrap().iter().map(|(_, amount)| *amount).collect();
+    let amounts: Vec<_> = counter.calls().iter().map(|(_, amount)| *amount).collect();
     assert_eq!(amounts, [2.0]);
     // The connections on both sides carry the next request.
     assert_eq!(client.call(read_request()).status(), 200);
@@ -57,7 +56,7 @@
         Ingress::start_with(&counter, &discovery, |config| config["settings"]["self-index"] = json!(1));
     // A window's end may fall between two requests, but hardly twice in a row.
     let alike = (0..3).any(|_| {
-        counter.calls.lock().unwrap().clear();
+        counter.forget_calls();
         assert_eq!(first.client().call(read_request()).status(), 200);
         assert_eq!(second.client().call(read_request()).status(), 200);
         counter.names().into_iter().collect::<HashSet<_>>().len() == 1
@@ -492,9 +491,9 @@
         counter.set(Mode::Answer);
         // It is asked again once it is back; a connection that owes answers is replaced.
         until("the counter answers again", || {
-            counter.calls.lock().unwrap().clear();
+            counter.forget_calls();
             assert_eq!(client.call(read_request()).status(), 200);
-            !counter.calls.lock().unwrap().is_empty()
+            !counter.calls().is_empty()
         });
     }
 }
@@ -511,7 +510,7 @@
     counter.set(Mode::Answer);
     until("several more calls were made", || {
         assert_eq!(client.call(read_request()).status(), 200);
-        counter.calls.lock().unwrap().len() >= 8
+        counter.calls().len() >= 8
     });
     // An answer out of place would have broken the connection.
     assert_eq!(counter.connections(), 1);
@@ -717,9 +716,9 @@
     let asked = |counter: &Counter, body: &[u8]| {
         until("the new list is in force", || ingress.client().call(read_request()).body == body);
         until("the new counter is asked", || {
-            counter.calls.lock().unwrap().clear();
+            counter.forget_calls();
             assert_eq!(ingress.client().call(read_request()).body, body);
-            !counter.calls.lock().unwrap().is_empty()
+            !counter.calls().is_empty()
         });
     };
     ingress.reload(&second.to_string());
@@ -756,11 +755,11 @@
     assert!(start.elapsed() < Duration::from_millis(400), "{:?}", start.elapsed());
     counter.set(Mode::Answer);
     // Nor does it make the counter pass for a slow one, which is asked more rarely.
-    counter.calls.lock().unwrap().clear();
+    counter.forget_calls();
     for _ in 0..8 {
         assert_eq!(client.call(read_request()).status(), 200);
     }
-    assert_eq!((counter.connections(), counter.calls.lock().unwrap().len()), (2, 8));
+    assert_eq!((counter.connections(), counter.calls().len()), (2, 8));
 }
 
 #[test]
