--- a/crates/decision/src/counter.rs
+++ b/crates/decision/src/counter.rs
@@ -63,9 +63,8 @@
     /// The same estimate from what is known: last totals, and own units since then, scaled to all where they
     /// tell of them. A customer known to ask beyond its quota is let in by chance, for its covered share.
     pub(crate) fn decide_alone(&mut self, id: RequestId) -> bool {
-        let Some(open) = self.requests.open.get(&id).filter(|open| open.stage == Stage::Asking) else {
-            return false;
-        };
+        let open = self.requests.open.get(&id).filter(|open| open.stage == Stage::Asking);
+        let Some(open) = open else { return false };
         let (of, units) = (open.request.customer, open.request.units);
         let spare = self.spare(of);
         let customer = &self.quota.customers[&of];
--- a/crates/decision/src/plans.rs
+++ b/crates/decision/src/plans.rs
@@ -8,9 +8,8 @@
     /// windows change, its customers' use is carried into the first new one: nobody gets a quota anew by it.
     pub fn reconfigure(&mut self, now: Micros, settings: Settings) {
         self.now = self.now.max(now);
-        let customers: Vec<CustomerId> = self.quota.customers.keys().copied().collect();
         let mut carried = Vec::new();
-        for of in customers {
+        for of in self.quota.customers.keys().copied().collect::<Vec<_>>() {
             self.advance(of);
             let customer = &self.quota.customers[&of];
             let (old, new) = (&self.settings.plans[customer.plan], &settings.plans[customer.plan]);
@@ -22,16 +21,18 @@
         self.settings = settings;
         for (of, stands) in carried {
             let length = self.length_of(&self.settings.plans[self.quota.customers[&of].plan]);
-            // What is still on its way to the old windows is not seen in the new ones.
-            let calls = self.quota.calls.values().flatten().filter(|call| call.customer == of);
-            let on_its_way: f64 = calls.map(|call| call.amount.max(0.0)).sum();
+            // Calls of undecided requests are on their way to the old windows, and not seen yet.
+            let calls = self.quota.calls.values().flatten();
+            let own = calls.filter(|call| call.customer == of && call.request.is_some());
+            let on_its_way: f64 = own.map(|call| call.amount).sum();
             let customer = self.quota.customers.get_mut(&of).expect("just read");
             customer.window = self.now / length as u64;
+            customer.carried = customer.window;
             (customer.total, customer.own, customer.unseen, customer.before) = (0.0, 0.0, 0.0, 0.0);
+            // Known here, as word of others is, and not put on the counter: a plan that changes back within a
+            // window finds its old names there, and what they show is taken off.
+            (customer.heard, customer.owed) = (stands + on_its_way, 0.0);
             (customer.before_known, customer.before_asked) = (true, true);
-            // All of it is known here; each gateway puts its own part on the counter, and what the others'
-            // parts show there is taken off what is known.
-            (customer.heard, customer.owed) = (stands + on_its_way, stands * customer.share + on_its_way);
         }
     }
 }
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -48,6 +48,8 @@
     /// Own units sent on that are still to be added.
     pub(crate) owed: f64,
     pub(crate) before: f64,
+    /// The window that use was carried into at changed settings, which the counter does not show.
+    pub(crate) carried: u64,
     pub(crate) before_known: bool,
     pub(crate) before_asked: bool,
     /// Share of its requests that go beyond the quota; when one last asked, and when peers were last told.
@@ -177,8 +179,7 @@
             let next = self.quota.customers.range(self.quota.looked_at..).next();
             let Some((of, customer)) = next else { return self.quota.looked_at = 0 };
             let plan = &self.settings.plans[customer.plan];
-            let length = self.length_of(plan);
-            let silent = (self.now - customer.seen) as f64 > FORGET_AFTER * length;
+            let silent = (self.now - customer.seen) as f64 > FORGET_AFTER * self.length_of(plan);
             let (of, over) = (*of, customer.open == 0 && customer.out == 0 && silent);
             self.quota.looked_at = of.saturating_add(1);
             if over {
@@ -295,6 +296,8 @@
                 }
             }
             Outcome::Ok if read && !customer.before_known => {
+                // What was carried into a window is not in its total.
+                let total = total.max(if customer.carried == call.window { customer.before } else { total });
                 came = total - customer.before;
                 (customer.before, customer.before_known) = (total, true);
             }
--- a/crates/decision/tests/plans.rs
+++ b/crates/decision/tests/plans.rs
@@ -97,7 +97,7 @@
     }
     // Five seconds of five units, ten at once, and the estimate's error of a unit or two.
     assert!(most[0] >= 30 && most[0] <= 37, "{most:?}");
-    assert!(most[1] <= most[0] + 2, "{most:?}");
+    assert!(most[1] <= most[0] + 2 && most[1] + 6 >= most[0], "{most:?}");
 }
 
 #[test]
--- a/crates/ingress/src/service.rs
+++ b/crates/ingress/src/service.rs
@@ -301,9 +301,12 @@
             peers: None,
         };
         let (clock, driven) = (self.clock, pool.clone());
+        let (descriptors, bytes) = (self.descriptors.clone(), self.bytes.clone());
         set.spawn_local(async move {
             // Made here, where the tasks that it starts are the pool's.
             Driver::new(setup, clock, messages, driven).run(inbox).await;
+            descriptors.borrow_mut().retire(member);
+            bytes.borrow_mut().retire(member);
             end.notify_one();
         });
         let mut run = Run { pool, config: file.clone(), slots, watch: None, revision: 1 };
@@ -343,8 +346,9 @@
                 watch.abort();
             }
             clients.leave(run.pool.member, &self.door);
-            self.descriptors.borrow_mut().retire(run.pool.member);
-            self.bytes.borrow_mut().retire(run.pool.member);
+            // Nothing is guaranteed to it any more, but what is open still needs a connection to a node.
+            self.descriptors.borrow_mut().set(run.pool.member, 0, config.descriptors);
+            self.bytes.borrow_mut().set(run.pool.member, 0, config.buffered_bytes);
             run.pool.retire();
         }
     }
--- a/crates/violetyoke/tests/common/mod.rs
+++ b/crates/violetyoke/tests/common/mod.rs
@@ -1,14 +1,15 @@
 //! The program as a process, its clients, and the platform's settings. What stands round it comes from
 //! `violetyoke-standin`. Everything is on loopback; waits are on conditions, with a limit after which a test
 //! fails.
-#![allow(dead_code)] // Each file of tests uses its own part.
+#![allow(dead_code, unused_imports)] // Each file of tests uses its own part.
 
 use serde_json::{json, Value};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 pub use violetyoke_standin::counter::{Counter, Mode};
@@ -176,6 +177,11 @@
         self.stream.write_all(text.as_ref()).unwrap();
     }
 
+    /// Sends where the peer may have closed already.
+    pub fn try_send(&mut self, text: impl AsRef<[u8]>) -> Option<()> {
+        self.stream.write_all(text.as_ref()).ok()
+    }
+
     pub fn answer(&mut self) -> Option<Http> {
         read_http(&mut self.reader)
     }
@@ -213,3 +219,91 @@
 pub fn booking(body: &str) -> String {
     head("POST", "booking-post", "wide", "1000m") + &format!("Content-Length: {}\r\n\r\n{body}", body.len())
 }
+
+/// The program serving a file of our own; killed when dropped.
+pub struct Service {
+    pub address: SocketAddr,
+    pub child: Child,
+    pub file: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
+    reloads: usize,
+}
+
+impl Service {
+    /// Starts it on a file whose `LISTEN` stands for any free address.
+    pub fn start(text: &str) -> Service {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let file = std::env::temp_dir().join(format!("violetyoke-{}-{number}.toml", std::process::id()));
+        std::fs::write(&file, text.replace("LISTEN", "127.0.0.1:0")).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_violetyoke"))
+            .arg("serve")
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (lines, stderr) = (log.clone(), child.stderr.take().unwrap());
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                eprintln!("{line}");
+                lines.lock().unwrap().push(line);
+            }
+        });
+        let mut service = Service { address: ([127, 0, 0, 1], 0).into(), child, file, log, reloads: 0 };
+        until("the service listens", || {
+            assert!(service.child.try_wait().unwrap().is_none(), "the service ended");
+            let line = service.log().into_iter().find_map(|line| {
+                line.strip_prefix("violetyoke: serving on ").map(|address| address.parse().unwrap())
+            });
+            line.map(|address| service.address = address).is_some()
+        });
+        service
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
+    fn told(&self, what: &str) -> usize {
+        self.log().iter().filter(|line| line.contains(what)).count()
+    }
+
+    /// Replaces the file, sends SIGHUP, and waits until it is in force.
+    pub fn reload(&mut self, text: &str) {
+        std::fs::write(&self.file, text.replace("LISTEN", "127.0.0.1:0")).unwrap();
+        self.signal("-HUP");
+        self.reloads += 1;
+        until("the file is in force", || self.told("is in force") >= self.reloads);
+    }
+
+    /// Replaces the file, sends SIGHUP, and waits until it is refused.
+    pub fn reload_refused(&mut self, text: &str) {
+        let before = self.told("the configuration in force stays");
+        std::fs::write(&self.file, text.replace("LISTEN", "127.0.0.1:0")).unwrap();
+        self.signal("-HUP");
+        until("the file is refused", || self.told("the configuration in force stays") > before);
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub fn client(&self) -> Client {
+        Client::try_open(self.address).expect("the service takes connections")
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A request in the open form: what is not said has its usual value.
+pub fn open_request(method: &str, host: &str, path: &str, account: &str, body: &str) -> String {
+    let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Account: {account}\r\n{length}\r\n{body}")
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,1 +1,71 @@
-fn main() {}
+//! `cargo xtask prove NAME` runs a subsystem's proof: it prints its figures as `key=value` and exits 1 when one
+//! falls short. `cargo xtask measure NAME` prints figures that have no verdict.
+
+mod figures;
+mod load;
+mod measure;
+mod process;
+mod prove_routes;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use figures::Figures;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Runs a proof.
+    Prove {
+        name: Proof,
+        /// The long form; CI runs the short one.
+        #[arg(long)]
+        long: bool,
+        /// Takes the defence out: the proof is to fail.
+        #[arg(long)]
+        without_defence: bool,
+    },
+    /// Prints figures.
+    Measure {
+        name: Measure,
+        /// The commit that the platform's form is compared with.
+        #[arg(long, default_value = "b4af54e")]
+        base: String,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Proof {
+    /// One pool's rush and the failure of all its nodes leave another pool's service and quotas whole.
+    Routes,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Measure {
+    /// Memory of a service of 1, 10 and 100 pools.
+    Pools,
+    /// CPU a request and memory of the platform's form, beside an earlier commit's.
+    Platform,
+}
+
+fn main() -> ExitCode {
+    let result = match Cli::parse().what {
+        What::Prove { name: Proof::Routes, long, without_defence } => {
+            prove_routes::run(long, !without_defence)
+        }
+        What::Measure { name: Measure::Pools, .. } => measure::pools(),
+        What::Measure { name: Measure::Platform, base } => measure::platform(&base),
+    };
+    match result.map(Figures::verdict) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("xtask: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/process.rs
@@ -0,0 +1,125 @@
+//! The program under measurement: built, started, and read from outside.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+/// The root of the repository.
+pub fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+/// Builds the program in its released form.
+pub fn build() -> Result<PathBuf> {
+    build_in(&root(), "violetyoke")
+}
+
+fn build_in(root: &Path, package: &str) -> Result<PathBuf> {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let status = Command::new(cargo)
+        .args(["build", "--quiet", "--release", "--locked", "--package", package, "--bin", "violetyoke"])
+        .current_dir(root)
+        .env_remove("CARGO_TARGET_DIR")
+        .status()?;
+    if !status.success() {
+        return Err(format!("the build in {} failed", root.display()).into());
+    }
+    Ok(root.join("target/release/violetyoke"))
+}
+
+/// Builds an earlier commit's program, in a work tree of its own below `target`.
+pub fn build_commit(commit: &str) -> Result<PathBuf> {
+    let tree = root().join("target/base").join(commit);
+    if !tree.join("Cargo.toml").exists() {
+        let archive = Command::new("git").args(["archive", commit]).current_dir(root()).output()?;
+        if !archive.status.success() {
+            return Err(format!("git archive {commit}: {}", String::from_utf8_lossy(&archive.stderr)).into());
+        }
+        fs::create_dir_all(&tree)?;
+        let mut tar = Command::new("tar").arg("-x").current_dir(&tree).stdin(Stdio::piped()).spawn()?;
+        std::io::Write::write_all(tar.stdin.as_mut().ok_or("tar takes no input")?, &archive.stdout)?;
+        drop(tar.stdin.take());
+        tar.wait()?;
+        // A workspace of its own, although it stands below another.
+        let manifest = fs::read_to_string(tree.join("Cargo.toml"))?;
+        if !manifest.contains("[workspace]") {
+            fs::write(tree.join("Cargo.toml"), manifest + "\n[workspace]\n")?;
+        }
+    }
+    let old = fs::read_to_string(tree.join("Cargo.toml"))?.contains("name = \"nettlehub\"");
+    build_in(&tree, if old { "nettlehub" } else { "violetyoke" })
+}
+
+/// An address that nobody listens on just now.
+pub fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+/// A running program; killed when dropped.
+pub struct Program {
+    child: Child,
+    pub address: SocketAddr,
+    file: PathBuf,
+}
+
+impl Program {
+    /// Serves a file whose `LISTEN` stands for any free address.
+    pub fn serve(program: &Path, text: &str) -> Result<Program> {
+        let address = free_address()?;
+        let file = std::env::temp_dir().join(format!("violetyoke-xtask-{}.toml", address.port()));
+        fs::write(&file, text.replace("LISTEN", &address.to_string()))?;
+        let mut child = Command::new(program).arg("serve").arg(&file).stderr(Stdio::piped()).spawn()?;
+        let lines = BufReader::new(child.stderr.take().ok_or("no standard error")?).lines();
+        let mut lines = lines.map_while(std::result::Result::ok);
+        if !lines.any(|line| line.contains("serving on")) {
+            let _ = child.kill();
+            return Err("the program ended before it served".into());
+        }
+        std::thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
+        Ok(Program { child, address, file })
+    }
+
+    /// The platform's form, with a configuration in its words.
+    pub fn platform(program: &Path, config: serde_json::Value) -> Result<Program> {
+        let address: SocketAddr = config["listen"].as_str().unwrap_or_default().parse()?;
+        let file = std::env::temp_dir().join(format!("violetyoke-xtask-{}.json", address.port()));
+        fs::write(&file, config.to_string())?;
+        let child = Command::new(program).env("EDGE_CONFIG", &file).stderr(Stdio::null()).spawn()?;
+        let program = Program { child, address, file };
+        let end = Instant::now() + Duration::from_secs(10);
+        while !crate::load::ready(address) {
+            if Instant::now() > end {
+                return Err("the program did not get ready".into());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Ok(program)
+    }
+
+    /// Memory held now, in KiB.
+    pub fn resident(&self) -> Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        Ok(line.and_then(|line| line.trim().strip_suffix(" kB")).ok_or("no VmRSS")?.trim().parse()?)
+    }
+
+    /// CPU time used so far, by the program and for it by the kernel, in microseconds.
+    pub fn cpu(&self) -> Result<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))?;
+        let nanoseconds: f64 = stat.split(' ').next().ok_or("no schedstat")?.parse()?;
+        Ok(nanoseconds / 1e3)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
