--- a/xtask/src/prove_routes.rs
+++ b/xtask/src/prove_routes.rs
@@ -16,10 +16,11 @@
 const BURST: f64 = 10.0;
 /// Time within which a booking is wanted, in milliseconds.
 const AIM: f64 = 500.0;
-/// The flood: threads, connections of each, and fields of each request, which cost the ingress more than its
-/// client: the ingress has to be what is short, not the one that floods it.
-const THREADS: usize = 2;
-const CONNECTIONS: usize = 200;
+/// The flood, one thread for each account: one within its quota, whose requests wait for nodes, and two far past
+/// it, which are refused at once and come again at once. Connections of each, and fields of each request, which
+/// cost the ingress more than its client: the ingress has to be what is short, not the one that floods it.
+const FLOODS: [(&str, &str); 3] = [("rush", "wide"), ("past-1", "narrow"), ("past-2", "narrow")];
+const CONNECTIONS: usize = 150;
 const FIELDS: usize = 60;
 
 pub fn run(long: bool, defence: bool) -> Result<Figures> {
@@ -48,7 +49,7 @@
 name = "availability"
 nodes = [{}]
 class = [{{ name = "avail-read", effect = "safe", aim_ms = 750, deadline_ms = 2000 }}]
-plan = [{{ name = "wide", rate = 1000000, burst = 1000000 }}]
+plan = [{{ name = "wide", rate = 1000000, burst = 1000000 }}, {{ name = "narrow", rate = 1, burst = 1 }}]
 [[pool]]
 name = "reservations"
 nodes = [{}]
@@ -73,16 +74,18 @@
     let began = Instant::now();
     let (quiet, _) = bookings(address, began + phase, 1);
     let padding: String = (0..FIELDS).map(|number| format!("X-Padding-{number}: {number:032}\r\n")).collect();
-    let read = format!(
-        "GET /hotels/7 HTTP/1.1\r\nHost: avail.example.org\r\nX-Account: flood\r\nReq-Deadline: 2000m\r\n\
-         {padding}\r\n"
-    );
+    let read = |(account, tier): (&str, &str)| {
+        format!(
+            "GET /hotels/7 HTTP/1.1\r\nHost: avail.example.org\r\nX-Account: {account}\r\nX-Tier: {tier}\r\n\
+             Req-Deadline: 2000m\r\n{padding}\r\n"
+        )
+    };
     let mut phases = Vec::new();
     for (name, fault) in [("rush", Fault::None), ("hang", Fault::Hang)] {
         avail.iter().for_each(|node| node.fail(fault));
         let began = Instant::now();
         let floods: Vec<_> =
-            (0..THREADS).map(|_| flood(address, read.clone(), CONNECTIONS, began + phase)).collect();
+            FLOODS.into_iter().map(|one| flood(address, read(one), CONNECTIONS, began + phase)).collect();
         let (orderly, greedy) = bookings(address, began + phase, phases.len() + 2);
         let (mut sent, mut served) = (0, 0);
         for (seen, task) in floods {
