Keep the platform's program lean: commands live in violetyoke-service beside it

Change: violetyoke with arguments becomes violetyoke-service, which cargo run starts by itself. A class may only ask whether a request may proceed (Action::Admit, Event::Withdrawn to take it back). The stand-in node is tested by itself, which found that its resets were orderly closes. The crates of the rate limit service begin: the published messages, and what questions and claims of tries mean, free of I/O.

--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -237,6 +237,7 @@
         late_value: 0.0,
         value: section.number("value", 1.0, 1e-6..=1e6),
         streamed: false,
+        asks_only: false,
     };
     if class.deadline < class.aim {
         section.error("deadline_ms", "is before aim_ms");
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -9,7 +9,7 @@
 //!
 //! let class = Class {
 //!     aim: 500_000, aim_stretch: 0.0, deadline: 2_000_000, effect: Effect::Safe, group: Group::All,
-//!     repeat_window: 0, late_value: 0.0, value: 1.0, streamed: false,
+//!     repeat_window: 0, late_value: 0.0, value: 1.0, streamed: false, asks_only: false,
 //! };
 //! let plan = Plan { rate: 5.0, burst: 10.0, worth: 1.0, ..Plan::default() };
 //! let settings = Settings { gateways: 1, classes: vec![class], plans: vec![plan], ..Settings::default() };
@@ -84,6 +84,8 @@
     pub late_value: f64,
     pub value: f64,
     pub streamed: bool,
+    /// Requests of this class only ask whether they may proceed: they are sent nowhere.
+    pub asks_only: bool,
 }
 
 /// What happens when a request runs twice.
@@ -337,6 +339,10 @@
     Abandoned {
         request: RequestId,
     },
+    /// A request that was let in and sent nowhere is taken back: it counts nothing, and is closed.
+    Withdrawn {
+        request: RequestId,
+    },
     AttemptEnded(AttemptEnd),
     /// A connection has carried a request: how long it had been kept unused (none: it was new), and whether it
     /// broke before a byte of the answer.
@@ -396,6 +402,10 @@
         backend: BackendId,
         expires: Micros,
     },
+    /// A request that only asks may proceed. It stays open until it is abandoned or withdrawn.
+    Admit {
+        request: RequestId,
+    },
     /// Final answer: not served, and trying again is harmless.
     Refuse {
         request: RequestId,
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -20,13 +20,10 @@
 mod requests;
 pub mod view;
 
-use connections::Kept;
-use counter::CounterHealth;
-use fleet::Fleet;
 use interface::*;
-use peers::News;
-use quota::Quota;
-use requests::Requests;
+use {
+    connections::Kept, counter::CounterHealth, fleet::Fleet, peers::News, quota::Quota, requests::Requests,
+};
 
 /// One gateway: `handle` takes each event and appends what to do about it.
 #[derive(Default)]
@@ -59,6 +56,7 @@
             Event::Request(request) => self.arrive(request),
             Event::Timer { token } if self.requests.armed == Some(token) => self.requests.armed = None,
             Event::Abandoned { request } | Event::AnswerBegun { request, .. } => self.close(request),
+            Event::Withdrawn { request } => self.refuse(request, 0),
             Event::Carried { unused, broke } => self.carried(unused, broke),
             Event::AttemptEnded(end) => self.attempt_ended(end),
             Event::Counted { count, outcome, total, waited } => self.counted(count, outcome, total, waited),
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -107,8 +107,7 @@
         let quota = plan.rate > 0.0;
         self.forget();
         self.roll(&request);
-        let open = Open { arrived: self.now, request, ..Open::default() };
-        self.requests.open.insert(id, open);
+        self.requests.open.insert(id, Open { arrived: self.now, request, ..Open::default() });
         if !quota {
             self.admit(id);
         } else {
--- a/crates/decision/src/requests.rs
+++ b/crates/decision/src/requests.rs
@@ -69,6 +69,9 @@
         let cap = self.settings.plans[customer.plan].open_cap;
         if cap > 0.0 && f64::from(customer.out) / customer.part >= cap {
             self.refuse(id, 0);
+        } else if self.settings.classes[usize::from(self.requests.open[&id].request.class)].asks_only {
+            self.requests.open.get_mut(&id).expect("open").stage = Stage::Out;
+            self.actions.push(Action::Admit { request: id });
         } else {
             self.hold(id);
         }
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -19,6 +19,7 @@
         late_value: 0.0,
         value: 1.0,
         streamed: false,
+        asks_only: false,
     }
 }
 
--- a/crates/decision/tests/plans.rs
+++ b/crates/decision/tests/plans.rs
@@ -173,3 +173,36 @@
     step(&mut gateway, START + 500_000, Event::Request(Request { plan: 2, ..request(50, 2) }));
     assert_eq!(gateway.standing(2), None);
 }
+
+#[test]
+fn what_only_asks_is_counted_and_sent_nowhere_and_can_be_taken_back() {
+    let asking = Class { asks_only: true, ..class(Effect::Safe, Group::All) };
+    let settings = Settings { gateways: 1, ..settings() };
+    let classes = settings.classes.iter().cloned().chain([asking]).collect();
+    let mut gateway = gateway(Settings { classes, ..settings }, &[]);
+    let mut totals = Vec::new();
+    let ask = |gateway: &mut Gateway, totals: &mut Vec<(u64, f64)>, id, now| {
+        let event = Event::Request(Request { class: 3, spread: 1.0, units: 2.0, ..request(id, 1) });
+        let actions = step(gateway, now, event);
+        let actions = answer(gateway, now, totals, actions);
+        assert!(!actions.iter().any(|action| matches!(action, Action::Send { .. })));
+        actions.iter().any(|action| matches!(action, Action::Admit { request } if *request == id))
+    };
+    // There is no backend at all: five questions of two units are the burst of ten.
+    assert!((1..=5).all(|id| ask(&mut gateway, &mut totals, id, START)));
+    assert!(!ask(&mut gateway, &mut totals, 6, START));
+    let taken_back = step(&mut gateway, START + 1, Event::Withdrawn { request: 5 });
+    let taken_back = answer(&mut gateway, START + 1, &mut totals, taken_back);
+    let amounts = taken_back.iter().filter_map(|action| match action {
+        Action::Count { amount, .. } => Some(*amount),
+        _ => None,
+    });
+    assert_eq!(amounts.sum::<f64>(), -2.0, "{taken_back:?}");
+    step(&mut gateway, START + 1, Event::Abandoned { request: 4 });
+    // One more has room, as one was taken back; one that has been settled can't be.
+    assert!(step(&mut gateway, START + 2, Event::Withdrawn { request: 4 }).is_empty());
+    assert!(ask(&mut gateway, &mut totals, 7, START + 2));
+    assert!(!ask(&mut gateway, &mut totals, 8, START + 2));
+    // None of them is left to fall due.
+    assert!(step(&mut gateway, START + 10 * SECOND, Event::Timer { token: 0 }).is_empty());
+}
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -285,6 +285,7 @@
             Action::Send { request, backend, expires } => self.send(request, backend, expires),
             Action::Refuse { request, retry_after } => self.finish(request, Answer::Refused { retry_after }),
             Action::Fail { request } => self.finish(request, Answer::Failed),
+            Action::Admit { request } => self.finish(request, Answer::Admitted),
             Action::Cancel { request, attempt } => {
                 let open = self.requests.get_mut(&request);
                 let out = open.and_then(|open| open.out.take_if(|out| out.attempt == attempt));
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -100,6 +100,8 @@
         retry_after: Micros,
     },
     Failed,
+    /// It may proceed: one that only asked.
+    Admitted,
 }
 
 /// What the sockets report to the driver.
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -248,7 +248,7 @@
             let held = pool.hold_anyway(body.len() as u64);
             Response::new(Whole::new(body, Some(held)))
         }
-        Answer::Failed => status(StatusCode::BAD_GATEWAY),
+        Answer::Failed | Answer::Admitted => status(StatusCode::BAD_GATEWAY),
         Answer::Refused { retry_after: 0 } => status(StatusCode::SERVICE_UNAVAILABLE),
         // The module names a time to come back only where the quota refills by then.
         Answer::Refused { retry_after } => {
--- /dev/null
+++ b/crates/ratelimit-proto/src/lib.rs
@@ -0,0 +1,48 @@
+//! Envoy's rate limit service, v3, as published: packages, field numbers and enums are those of
+//! `envoy/service/ratelimit/v3/rls.proto` and of what it imports. Only what clients and servers of this service
+//! use is here; unknown fields are passed over, as protobuf has it.
+
+pub mod envoy {
+    pub mod config {
+        pub mod core {
+            pub mod v3 {
+                tonic::include_proto!("envoy.config.core.v3");
+            }
+        }
+    }
+    pub mod extensions {
+        pub mod common {
+            pub mod ratelimit {
+                pub mod v3 {
+                    tonic::include_proto!("envoy.extensions.common.ratelimit.v3");
+                }
+            }
+        }
+    }
+    pub mod service {
+        pub mod ratelimit {
+            pub mod v3 {
+                tonic::include_proto!("envoy.service.ratelimit.v3");
+            }
+        }
+    }
+    pub mod r#type {
+        pub mod v3 {
+            tonic::include_proto!("envoy.r#type.v3");
+        }
+    }
+}
+
+pub use envoy::config::core::v3::HeaderValue;
+pub use envoy::extensions::common::ratelimit::v3::{rate_limit_descriptor::Entry, RateLimitDescriptor};
+pub use envoy::service::ratelimit::v3::rate_limit_response::{
+    rate_limit::Unit, Code, DescriptorStatus, RateLimit,
+};
+pub use envoy::service::ratelimit::v3::rate_limit_service_client::RateLimitServiceClient;
+pub use envoy::service::ratelimit::v3::rate_limit_service_server::{
+    RateLimitService, RateLimitServiceServer,
+};
+pub use envoy::service::ratelimit::v3::{RateLimitRequest, RateLimitResponse};
+
+/// The definitions themselves, for server reflection.
+pub const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/ratelimit.bin"));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -192,6 +192,7 @@
         late_value: json.number(&["late-value"], 0.0)?,
         value: json.number(&["value"], 1.0)?,
         streamed: json.flag(&["streaming"], false)?,
+        asks_only: false,
     })
 }
 
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -319,6 +319,8 @@
         Action::Probe { backend } => record(records, 70, &[&backend.to_le_bytes()]),
         // The simulator keeps its own connections.
         Action::KeepIdle { .. } => {}
+        // It has no classes that only ask.
+        Action::Admit { .. } => {}
         Action::CloseIdle { backend } => record(records, 71, &[&backend.to_le_bytes()]),
         Action::Tell { to, data } => {
             let span = span(tail, data);
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -268,8 +268,7 @@
     }
 }
 
-/// Ends a connection so that its peer learns of a reset and not of an orderly close.
+/// Has a connection end so that its peer learns of a reset and not of an orderly close, once it is dropped.
 fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    let _ = stream.shutdown(std::net::Shutdown::Both);
 }
--- /dev/null
+++ b/crates/standin/tests/node.rs
@@ -0,0 +1,101 @@
+//! The node itself: its workers, its queue, its slow start and its faults.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+use violetyoke_standin::http::{read_http, Http};
+use violetyoke_standin::node::{Fault, Node, Shape};
+use violetyoke_standin::{any, listen};
+
+fn node(shape: Shape) -> Node {
+    Node::start(any(), "n", shape).unwrap()
+}
+
+fn send(address: SocketAddr, id: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    write!(stream, "GET /x HTTP/1.1\r\nHost: n\r\nReq-Id: r{id}\r\n\r\n").unwrap();
+    stream
+}
+
+fn answer(stream: TcpStream) -> Option<Http> {
+    read_http(&mut BufReader::new(stream))
+}
+
+fn call(address: SocketAddr, id: usize) -> Option<Http> {
+    answer(send(address, id))
+}
+
+fn until(mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(10), "waited too long");
+        thread::yield_now();
+    }
+}
+
+#[test]
+fn what_does_not_fit_in_workers_and_queue_is_declined() {
+    let shape = Shape { workers: 2, queue: 3, service: Duration::from_millis(200), ..Shape::default() };
+    let node = node(shape);
+    let streams: Vec<_> = (0..5).map(|id| send(node.address, id)).collect();
+    until(|| node.held().0 == 5);
+    let declined = call(node.address, 9).unwrap();
+    assert_eq!((declined.status(), declined.headers["srv-declined"].as_str()), (503, "1"));
+    assert!(streams.into_iter().all(|stream| answer(stream).unwrap().status() == 200));
+    assert_eq!((node.ran().len(), node.came().len(), node.held()), (5, 6, (0, 5)));
+}
+
+#[test]
+fn a_cold_node_is_slower_and_warms_up() {
+    let shape = Shape {
+        service: Duration::from_millis(20),
+        cold_share: 0.25,
+        cold_time: Duration::from_millis(400),
+        ..Shape::default()
+    };
+    let node = node(shape);
+    let time = || {
+        let began = Instant::now();
+        assert_eq!(call(node.address, 1).unwrap().status(), 200);
+        began.elapsed()
+    };
+    // At a quarter to a half of its speed.
+    assert!(time() >= Duration::from_millis(40));
+    until(|| time() < Duration::from_millis(35));
+    node.restart();
+    assert!(time() >= Duration::from_millis(40));
+}
+
+#[test]
+fn each_fault_is_what_it_is_called_and_ends() {
+    let node = node(Shape::default());
+    node.fail(Fault::Decline);
+    assert_eq!(call(node.address, 1).unwrap().headers["srv-declined"], "1");
+    node.fail(Fault::Error);
+    assert_eq!(call(node.address, 2).unwrap().status(), 500);
+    node.fail(Fault::Spoil);
+    assert!(call(node.address, 3).is_none_or(|answer| answer.status() == 0));
+    for fault in [Fault::Reset, Fault::Closed] {
+        node.fail(fault);
+        let mut stream = send(node.address, 4);
+        assert!(stream.read(&mut [0; 1]).is_err(), "{fault:?} ends in a reset, not in an orderly close");
+    }
+    node.fail(Fault::Hang);
+    let mut stream = send(node.address, 5);
+    until(|| node.came().last().is_some_and(|id| id == "r5"));
+    stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let silent = stream.read(&mut [0; 1]).unwrap_err();
+    assert!([std::io::ErrorKind::WouldBlock, std::io::ErrorKind::TimedOut].contains(&silent.kind()));
+    node.fail(Fault::None);
+    assert_eq!(call(node.address, 6).unwrap().status(), 200);
+    // Declined, spoilt, reset and hung requests were not worked on.
+    assert_eq!(node.ran(), ["r2", "r6"]);
+}
+
+#[test]
+fn only_loopback_addresses_are_listened_on() {
+    assert!(listen("0.0.0.0:0".parse().unwrap()).is_err());
+    assert!(listen("127.0.0.1:0".parse().unwrap()).is_ok());
+}
--- a/crates/violetyoke/tests/commands.rs
+++ b/crates/violetyoke/tests/commands.rs
@@ -42,6 +42,13 @@
     assert_eq!(run(&["check", "/nonexistent.toml"]).status.code(), Some(2));
 }
 
+#[test]
+fn the_service_can_be_called_by_its_own_name() {
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_violetyoke-service")).args(["check", &example()]).output().unwrap();
+    assert!(output.status.success());
+}
+
 #[test]
 fn without_arguments_it_is_the_platforms_and_help_says_what_there_is() {
     let output = run(&[]);
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -45,7 +45,7 @@
     let programs = [("base", build_commit(base)?), ("now", build()?)];
     let mut figures = Figures::default();
     let mut results: [Vec<(f64, u64)>; 2] = Default::default();
-    for _ in 0..5 {
+    for _ in 0..9 {
         for (which, (_, program)) in programs.iter().enumerate() {
             results[which].push(one_round(program)?);
         }
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -22,7 +22,7 @@
 fn build_in(root: &Path, package: &str) -> Result<PathBuf> {
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
     let status = Command::new(cargo)
-        .args(["build", "--quiet", "--release", "--locked", "--package", package, "--bin", "violetyoke"])
+        .args(["build", "--quiet", "--release", "--locked", "--package", package, "--bins"])
         .current_dir(root)
         .env_remove("CARGO_TARGET_DIR")
         .status()?;
