Answer the gRPC rate limit service, from the same counts and through the same module

Need: booking sites' own gateways ask whether an account may proceed; they are to get the answer that an HTTP request would get.

Its connections and questions are tasks of a set with a weight. Domains and descriptors map to pool, account, plan and try in the configuration; several descriptors are all or nothing: what was let in is taken back. A named try (a descriptor, or the field X-Try over HTTP) is claimed by an add on the pool's counter and counted once; what is lost counts again.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod error;
 mod pool;
+mod ratelimit;
 mod section;
 mod service;
 
 pub use error::Errors;
 pub use pool::{Class, Fields, Node, Nodes, Pool};
+pub use ratelimit::RateLimit;
 pub use service::{parse, Route, Service};
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -3,12 +3,12 @@
 
 use crate::error::Errors;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
 use std::ops::RangeBounds;
 use std::rc::Rc;
 use std::str::FromStr;
-use toml::de::{DeTable, DeValue};
+use toml::de::{DeString, DeTable, DeValue};
 use toml::Spanned;
 
 /// The text, for line numbers, and what was found wrong with it.
@@ -170,6 +170,23 @@
         list.iter().filter_map(word).collect()
     }
 
+    /// A table of texts under any keys.
+    pub(crate) fn texts(&self, key: &'static str) -> BTreeMap<String, String> {
+        let Some(value) = self.value(key) else { return BTreeMap::new() };
+        let DeValue::Table(table) = value.get_ref() else {
+            self.error(key, "must be a table of texts");
+            return BTreeMap::new();
+        };
+        let text = |(name, value): (&Spanned<DeString<'_>>, &Spanned<DeValue<'_>>)| match value.get_ref() {
+            DeValue::String(text) => Some((name.get_ref().to_string(), text.to_string())),
+            _ => {
+                self.error(key, "must be a table of texts");
+                None
+            }
+        };
+        table.iter().filter_map(text).collect()
+    }
+
     /// A table in this one; an empty one if it is not there.
     pub(crate) fn section(&self, key: &'static str) -> Section<'a> {
         let prefix = format!("{}{key}.", self.prefix);
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -2,6 +2,7 @@
 
 use crate::error::Errors;
 use crate::pool::Pool;
+use crate::ratelimit::RateLimit;
 use crate::section::{Reading, Section};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +22,8 @@
     pub watch_file: bool,
     pub pools: Vec<Pool>,
     pub routes: Vec<Route>,
+    /// The gRPC rate limit service, where it is switched on.
+    pub ratelimit: Option<RateLimit>,
 }
 
 /// A route to a pool.
@@ -122,6 +125,15 @@
         }
     }
     sections.into_iter().for_each(Section::finish);
+    let ratelimit = root.has("ratelimit").then(|| {
+        let section = root.section("ratelimit");
+        let read = RateLimit::read(&section, &pools);
+        if read.listen == listen && read.listen.port() != 0 {
+            section.error("listen", "is the service's own address");
+        }
+        section.finish();
+        read
+    });
     let read = Service {
         listen,
         descriptors,
@@ -130,6 +142,7 @@
         watch_file: service.flag("watch_file", false),
         pools,
         routes,
+        ratelimit,
     };
     service.finish();
     read
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -19,11 +19,14 @@
 use violetyoke_config::Fields;
 use violetyoke_decision::interface::*;
 use violetyoke_decision::Gateway;
+use violetyoke_ratelimit::claim;
 
 /// Messages taken up in one go.
 const BATCH: usize = 256;
 /// Before a request's deadline: by then the driver answers if the module has not.
 const LAST_CALL: Micros = 2_000;
+/// How long a try's claim is known: the longest that a counter keeps a name.
+const CLAIM_LIFE: Micros = 60_000_000;
 /// How often idle connections are looked through.
 const SWEEP: Micros = 1_000_000;
 /// Part of the settings' idle time after which a connection is not used again.
@@ -80,7 +83,9 @@
 struct Open {
     reply: oneshot::Sender<Reply>,
     customer: CustomerId,
-    forward: Rc<Forward>,
+    /// None: it only asks.
+    forward: Option<Rc<Forward>>,
+    claim: Option<u64>,
     deadline: Micros,
     attempts: u8,
     may_have_run: bool,
@@ -100,6 +105,8 @@
 /// A call to the counter that has not ended.
 struct Calling {
     count: u64,
+    /// A try's claim, and who waits for its total; else it is the module's.
+    claim: Option<Option<oneshot::Sender<Option<f64>>>>,
     at: Micros,
     /// Whether it may have been written: one that was not has added nothing.
     written: Rc<Cell<bool>>,
@@ -232,8 +239,9 @@
         match message {
             Message::Request(request) => self.request(request),
             Message::Abandoned(request) => {
+                // One that was let in is no longer held here, but the module waits for word of it.
+                self.events.push_back(Event::Abandoned { request });
                 if let Some(open) = self.requests.remove(&request) {
-                    self.events.push_back(Event::Abandoned { request });
                     self.withdraw(request, open.out);
                 }
             }
@@ -247,6 +255,8 @@
             Message::CounterMoved(link) => self.counter = Some(self.open(link)),
             Message::Reconfigure(changed) => self.reconfigure(changed.0, changed.1),
             Message::Retire => self.retiring = true,
+            Message::Withdrawn(request) => self.events.push_back(Event::Withdrawn { request }),
+            Message::Claim { claim, amount, reply } => self.claim(claim, amount, reply),
             Message::Peer { from, data } => self.events.push_back(Event::PeerMessage { from, data }),
         }
     }
@@ -283,9 +293,19 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, backend, expires } => self.send(request, backend, expires),
-            Action::Refuse { request, retry_after } => self.finish(request, Answer::Refused { retry_after }),
+            Action::Refuse { request, retry_after } => {
+                // Beyond its quota: whoever asks about this try again is told so. Want of a backend is no such word.
+                let unsent = self.requests.get(&request).is_some_and(|open| open.attempts == 0);
+                if unsent && retry_after > 0 {
+                    self.decided(request, false);
+                }
+                self.finish(request, Answer::Refused { retry_after })
+            }
             Action::Fail { request } => self.finish(request, Answer::Failed),
-            Action::Admit { request } => self.finish(request, Answer::Admitted),
+            Action::Admit { request } => {
+                self.decided(request, true);
+                self.finish(request, Answer::Admitted)
+            }
             Action::Cancel { request, attempt } => {
                 let open = self.requests.get_mut(&request);
                 let out = open.and_then(|open| open.out.take_if(|out| out.attempt == attempt));
@@ -325,6 +345,7 @@
         let open = Open {
             reply: request.reply,
             customer: request.customer,
+            claim: request.claim,
             forward: request.forward,
             deadline,
             attempts: 0,
@@ -333,7 +354,8 @@
         };
         self.requests.insert(request.id, open);
         self.set(deadline.saturating_sub(LAST_CALL), Timer::Deadline(request.id));
-        let write = self.requests[&request.id].forward.method != hyper::Method::GET;
+        let forward = self.requests[&request.id].forward.as_ref();
+        let write = forward.is_some_and(|forward| forward.method != hyper::Method::GET);
         self.events.push_back(Event::Request(Request {
             id: request.id,
             class: request.class,
@@ -351,7 +373,7 @@
     /// Gives the one final answer; whatever is still out for the request is withdrawn.
     fn finish(&mut self, request: RequestId, answer: Answer) {
         let Some(open) = self.requests.remove(&request) else { return };
-        let tells = self.pool.fields.get() != Fields::default();
+        let tells = open.forward.is_none() || self.pool.fields.get() != Fields::default();
         let standing = if tells { self.gateway.standing(open.customer) } else { None };
         let _ = open.reply.send(Reply { answer, standing });
         self.withdraw(request, open.out);
@@ -399,9 +421,9 @@
                 report: Report::new(),
             })
         };
-        if !allowed {
+        let Some(forward) = open.forward.clone().filter(|_| allowed) else {
             return self.events.push_back(end(Outcome::Moot));
-        }
+        };
         let Some(backend) = backend else {
             return self.events.push_back(end(Outcome::Withheld));
         };
@@ -409,7 +431,7 @@
         let (sent, messages, clock) = (Rc::new(Cell::new(false)), self.messages.clone(), self.clock);
         let work = backend::attempt(
             backend,
-            open.forward.clone(),
+            forward,
             expires - now,
             sent.clone(),
             self.report_fields.clone(),
@@ -420,6 +442,7 @@
             let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body, carried });
         });
         open.out = Some(Out { attempt, backend: to, at: now, sent, task });
+        self.decided(request, true);
         self.set(expires, Timer::Expire(request, attempt));
         self.set(now + self.limits.connect_timeout, Timer::Connect(request, attempt));
     }
@@ -496,7 +519,7 @@
             _ => None,
         };
         if let Some(written) = written {
-            self.calls.insert(call, Calling { count, at: now, written });
+            self.calls.insert(call, Calling { count, claim: None, at: now, written });
             self.set(now + self.counter_timeout, Timer::Call(call));
         } else {
             self.events.push_back(Event::Counted {
@@ -508,9 +531,44 @@
         }
     }
 
+    /// Adds to a try's claim. Where that can't be done nobody learns of it: the try is fresh to whoever asks.
+    fn claim(&mut self, claim: u64, amount: f64, reply: Option<oneshot::Sender<Option<f64>>>) {
+        let (call, now) = (self.next_call, self.clock.now());
+        let written = match &self.counter {
+            Some(Counting::Remote(counter)) => counter.call(call, now, claim, amount, CLAIM_LIFE),
+            Some(Counting::Embedded(Link::Embedded { counts, space })) => {
+                let total = counts.add(now, space, claim, amount, CLAIM_LIFE);
+                if let Some(reply) = reply {
+                    let _ = reply.send(Some(total));
+                }
+                return;
+            }
+            _ => None,
+        };
+        if let Some(written) = written {
+            self.next_call += 1;
+            self.calls.insert(call, Calling { count: claim, claim: Some(reply), at: now, written });
+            self.set(now + self.counter_timeout, Timer::Call(call));
+        }
+    }
+
+    /// The outcome of a try that this request claimed, told once.
+    fn decided(&mut self, request: RequestId, let_in: bool) {
+        let claim = self.requests.get_mut(&request).and_then(|open| open.claim.take());
+        if let Some(claim) = claim {
+            self.claim(claim, claim::outcome(let_in), None);
+        }
+    }
+
     fn counted(&mut self, call: u64, outcome: Outcome, total: f64) {
         // A late answer to a call that was given up already says nothing more.
-        let Some(Calling { count, at, .. }) = self.calls.remove(&call) else { return };
+        let Some(Calling { count, claim, at, .. }) = self.calls.remove(&call) else { return };
+        if let Some(claim) = claim {
+            if let Some(reply) = claim {
+                let _ = reply.send((outcome == Outcome::Ok).then_some(total));
+            }
+            return;
+        }
         let waited = self.clock.now().saturating_sub(at);
         self.events.push_back(Event::Counted { count, outcome, total, waited });
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 pub mod platform;
 mod pool;
+mod questions;
 mod request;
 mod roaming;
 mod server;
@@ -73,7 +74,10 @@
     pub spread: f64,
     pub first: f64,
     pub repeat: bool,
-    pub forward: Rc<Forward>,
+    /// None: it only asks.
+    pub forward: Option<Rc<Forward>>,
+    /// The number of its try's claim, if it is for this request to tell the outcome.
+    pub claim: Option<u64>,
     pub reply: oneshot::Sender<Reply>,
 }
 
@@ -130,6 +134,14 @@
     },
     /// Classes and plans have changed, at the numbers they had.
     Reconfigure(Box<(Settings, config::Names)>),
+    /// One that was let in and sent nowhere is taken back.
+    Withdrawn(RequestId),
+    /// To be added to a try's claim; who asks gets the total, or none if it is not to be had in time.
+    Claim {
+        claim: u64,
+        amount: f64,
+        reply: Option<oneshot::Sender<Option<f64>>>,
+    },
     /// No new requests come: end when all that are open are over.
     Retire,
 }
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -12,8 +12,10 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use tokio::sync::oneshot;
 use violetyoke_config::Fields;
 use violetyoke_decision::interface::RequestId;
+use violetyoke_ratelimit::claim::{self, Standing};
 use violetyoke_shares::{Member, Stock};
 
 /// Something there is only so much of, shared by all pools.
@@ -109,12 +111,25 @@
         self.open.get()
     }
 
+    /// A number for the driver, of a request that has no name.
+    pub fn number(&self) -> RequestId {
+        let id = self.next_id.get();
+        self.next_id.set(id.wrapping_add(1));
+        id
+    }
+
+    /// Claims a try. Not known in time, it is fresh: counted again rather than not at all.
+    pub async fn claim(&self, claim: u64) -> Standing {
+        let (reply, answered) = oneshot::channel();
+        self.send(Message::Claim { claim, amount: claim::CLAIM, reply: Some(reply) });
+        claim::read(answered.await.unwrap_or(None))
+    }
+
     /// A number for the driver, and the client's own id, which no other open request may have: the same id
     /// twice is one request twice, and the second copy could run beside the first.
     pub fn name_request(self: &Rc<Pool>, wire_id: &HeaderValue) -> Option<Named> {
         self.wire_ids.borrow_mut().insert(wire_id.clone()).then(|| {
-            let id = self.next_id.get();
-            self.next_id.set(id.wrapping_add(1));
+            let id = self.number();
             Named { pool: self.clone(), id, wire_id: wire_id.clone(), over: false }
         })
     }
--- a/crates/ingress/src/request.rs
+++ b/crates/ingress/src/request.rs
@@ -19,6 +19,7 @@
 const TIER: HeaderName = HeaderName::from_static("x-tier");
 const TERMS: HeaderName = HeaderName::from_static("x-call-terms");
 const RETRY: HeaderName = HeaderName::from_static("req-retry");
+const TRY: HeaderName = HeaderName::from_static("x-try");
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 
 /// How long a request's body may take to come: the client is owed an answer within 3 s.
@@ -50,6 +51,9 @@
     largest: f64,
     ingresses: f64,
     form: Form,
+    /// The class of what only asks, and the plan of what has been counted already, where the pool has them.
+    asks: Option<u16>,
+    free: Option<u16>,
 }
 
 /// Which fields a request must have.
@@ -71,9 +75,43 @@
             largest: settings.largest_request,
             ingresses: f64::from(settings.gateways),
             form,
+            asks: settings.classes.iter().position(|class| class.asks_only).map(|place| place as u16),
+            free: None,
         }
     }
 
+    /// With the plan of what has been counted already.
+    pub fn with_free(self, free: u16) -> Rules {
+        Rules { free: Some(free), ..self }
+    }
+
+    pub fn plan(&self, name: &str) -> Option<u16> {
+        place(&self.plans, name)
+    }
+
+    pub fn usual_plan(&self) -> Option<u16> {
+        match self.form {
+            Form::Platform => None,
+            Form::Open { plan, .. } => plan,
+        }
+    }
+
+    pub fn asks(&self) -> Option<u16> {
+        self.asks
+    }
+
+    pub fn free(&self) -> Option<u16> {
+        self.free
+    }
+
+    pub fn largest(&self) -> f64 {
+        self.largest
+    }
+
+    pub fn ingresses(&self) -> f64 {
+        self.ingresses
+    }
+
     pub fn class(&self, name: &str) -> Option<u16> {
         place(&self.classes, name)
     }
@@ -114,6 +152,8 @@
     pub spread: f64,
     pub first: f64,
     pub repeat: bool,
+    /// The try's name, where the client gives it one.
+    pub named: Option<String>,
 }
 
 /// What the head says; why it is turned down if it does not say it well. `class` is what the route makes of a
@@ -182,6 +222,10 @@
         None => return Err(bad("req-deadline: missing")),
     };
     let whole = |value: &f64| value.fract() == 0.0;
+    let named = if open { field(headers, &TRY, "x-try: doubled or not text")? } else { None };
+    if named.is_some_and(|name| name.is_empty() || name.len() > LONGEST_ACCOUNT) {
+        return Err(bad("x-try: 1 to 128 characters"));
+    }
     Ok(Terms {
         wire_id: headers.get(REQ_ID).cloned(),
         class,
@@ -198,6 +242,7 @@
             .filter(|first| whole(first) && *first < rules.ingresses)
             .ok_or(bad("x-call-terms: first"))?,
         repeat: headers.get(RETRY).is_some_and(|value| value == "1"),
+        named: named.map(String::from),
     })
 }
 
@@ -236,12 +281,24 @@
     }
     let name =
         field(headers, &ACCOUNT, "x-account: doubled or not text")?.ok_or(bad("x-account: missing"))?;
-    if name.is_empty() || name.len() > LONGEST_ACCOUNT {
-        return Err(bad("x-account: 1 to 128 characters"));
-    }
-    let mut hasher = SipHasher13::new();
+    account_of(name).ok_or(bad("x-account: 1 to 128 characters"))
+}
+
+/// The customer that stands for an account's name; none for what is no name.
+pub fn account_of(name: &str) -> Option<u64> {
+    let good = (1..=LONGEST_ACCOUNT).contains(&name.len());
+    good.then(|| hash(&SipHasher13::new(), name))
+}
+
+/// The number that a try's claim has on the counter: apart from accounts by its key.
+pub fn claim_of(name: &str) -> u64 {
+    hash(&SipHasher13::new_with_keys(1, 0), name)
+}
+
+fn hash(hasher: &SipHasher13, name: &str) -> u64 {
+    let mut hasher = *hasher;
     hasher.write(name.as_bytes());
-    Ok(hasher.finish())
+    hasher.finish()
 }
 
 /// A number and its unit: `m` milliseconds or `u` microseconds.
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -4,7 +4,7 @@
 use super::fields;
 use super::front::{Front, Matched};
 use super::pool::{Pool, Whole};
-use super::request::{check, whole, Rejection};
+use super::request::{check, claim_of, whole, Rejection};
 use super::roaming;
 use super::socket::Socket;
 use super::tasks::{self, Set};
@@ -27,6 +27,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
+use violetyoke_ratelimit::claim::Standing;
 
 /// How long new connections are still taken after SIGTERM.
 const LINGER: Duration = Duration::from_millis(700);
@@ -39,6 +40,9 @@
 /// What is read and forgotten of a request that was turned down, at most.
 const MOST_DRAINED: u64 = 80 * 1024 * 1024;
 
+/// Tells an account's requests that were counted elsewhere from those that are counted here.
+const COUNTED: u64 = 1 << 63;
+
 /// What all client connections share.
 pub struct Shared {
     pub front: Front,
@@ -211,20 +215,36 @@
     let Some(mut named) = pool.name_request(&wire_id) else {
         return Err(Rejection { code: StatusCode::BAD_REQUEST, why: "req-id: that of an open request" });
     };
+    let (mut plan, mut customer, mut claim) = (terms.plan, terms.customer, None);
+    if let Some(name) = &terms.named {
+        let number = claim_of(name);
+        match pool.claim(number).await {
+            Standing::Fresh => claim = Some(number),
+            // It goes on, under a name of its own that has no quota.
+            Standing::Counted => {
+                (plan, customer) = (rules.free().unwrap_or(plan), customer ^ COUNTED);
+            }
+            Standing::Refused => {
+                named.over = true;
+                return Ok(status(StatusCode::TOO_MANY_REQUESTS));
+            }
+        }
+    }
     let (reply, answered) = oneshot::channel();
-    let forward = Rc::new(Forward { method: head.method, uri, wire_id, body, _held: Some(held) });
+    let forward = Some(Rc::new(Forward { method: head.method, uri, wire_id, body, _held: Some(held) }));
     let request = ClientRequest {
         id: named.id,
         arrived,
         budget: terms.budget,
         class: terms.class,
-        plan: terms.plan,
-        customer: terms.customer,
+        plan,
+        customer,
         units: terms.units,
         spread: terms.spread,
         first: terms.first,
         repeat: terms.repeat,
         forward,
+        claim,
         reply,
     };
     if !pool.send(Message::Request(request)) {
--- a/crates/ingress/src/service.rs
+++ b/crates/ingress/src/service.rs
@@ -9,6 +9,7 @@
 use crate::embedded::{Counts, Link};
 use crate::front::{Front, Route, Routing};
 use crate::pool::{Pool, Shared};
+use crate::questions::{Asking, Questions};
 use crate::request::{Form, Rules};
 use crate::sets::{Running, Sets};
 use crate::tasks::{Handle, Set};
@@ -28,6 +29,8 @@
 use violetyoke_decision::interface::{self as words, Plan};
 use violetyoke_shares::{Member, Stock};
 
+/// The rate limit service's number among those that share the process.
+const ASKING: Member = DOOR + 1;
 /// How often the file is looked at, where that is switched on.
 const LOOK: Duration = Duration::from_millis(500);
 /// Descriptors kept for connections that are yet to say what they want: one part in so many of all.
@@ -54,17 +57,42 @@
     let door = sets.add(DOOR, DOOR_WEIGHT);
     let running = Running::new(sets.clone(), over.clone());
     let mut pools = Pools::new(&config, sets.clone(), door.clone());
-    let routing = pools.apply(&config).map_err(io::Error::other)?;
+    let (routing, asking) = pools.apply(&config).map_err(io::Error::other)?;
+    let questions =
+        asking.map(|asking| Questions::new(asking, pools.clock, pools.descriptors.clone(), ASKING));
     let clients = Clients::shared(pools.descriptors.clone());
     let shared = Rc::new(server::Shared::new(Front::new(routing), pools.clock, clients, Some(door.clone())));
     let longest = config.pools.iter().flat_map(|pool| &pool.classes).map(|class| class.class.deadline).max();
     let longest = Duration::from_micros(longest.unwrap_or(0)) + END_SLACK;
-    sets.spawn(&door, watch(path, config, pools, shared.clone(), reload));
+    let asked = match &questions {
+        Some(questions) => Some((questions.clone(), questions.listen()?, signal(SignalKind::terminate())?)),
+        None => None,
+    };
+    let weight = config.ratelimit.as_ref().map_or(1, |ratelimit| ratelimit.weight);
+    sets.spawn(&door, watch(path, config, pools, shared.clone(), questions, reload));
     let result = Rc::new(RefCell::new(Ok(())));
+    // Both have to have answered what they took.
+    let left = Rc::new(Cell::new(1 + usize::from(asked.is_some())));
+    let end =
+        |ended: io::Result<()>, result: &RefCell<io::Result<()>>, left: &Cell<usize>, told: &Cell<bool>| {
+            if ended.is_err() {
+                *result.borrow_mut() = ended;
+            }
+            left.set(left.get() - 1);
+            told.set(left.get() == 0);
+        };
+    if let Some((questions, listener, terminate)) = asked {
+        let set = sets.add(ASKING, weight);
+        let (result, left, over, asked) =
+            (result.clone(), left.clone(), over.clone(), listener.local_addr()?);
+        sets.spawn(&set, async move {
+            end(questions.serve(listener, terminate, longest).await, &result, &left, &over);
+        });
+        eprintln!("violetyoke: answering rate limit questions on {asked}");
+    }
     let (ended, told) = (result.clone(), over.clone());
     sets.spawn(&door, async move {
-        *ended.borrow_mut() = server::serve(listener, shared, terminate, longest).await;
-        told.set(true);
+        end(server::serve(listener, shared, terminate, longest).await, &ended, &left, &told);
     });
     eprintln!("violetyoke: serving on {address}");
     // It looks at the runtime itself after each slice; tokio's own bound on what one task does is for others.
@@ -78,6 +106,7 @@
     mut config: file::Service,
     mut pools: Pools,
     shared: Rc<server::Shared>,
+    questions: Option<Rc<Questions>>,
     mut reload: tokio::signal::unix::Signal,
 ) {
     let changed = || fs::metadata(&path).and_then(|data| data.modified()).ok();
@@ -98,11 +127,21 @@
             Ok(new) if new.listen != config.listen => {
                 Err(format!("{}: service.listen: cannot change while running\n", path.display()))
             }
+            Ok(new)
+                if new.ratelimit.as_ref().map(|new| new.listen)
+                    != config.ratelimit.as_ref().map(|old| old.listen) =>
+            {
+                Err(format!("{}: ratelimit.listen: cannot change while running\n", path.display()))
+            }
             read => read,
         };
         match new.and_then(|new| pools.apply(&new).map(|routing| (new, routing))) {
-            Ok((new, routing)) => {
+            Ok((new, (routing, asking))) => {
                 shared.front.replace(routing);
+                if let (Some(questions), Some(asking)) = (&questions, asking) {
+                    sets_weight(&pools, &asking);
+                    questions.replace(asking);
+                }
                 pools.retire(&new, &shared.clients);
                 config = new;
                 eprintln!("violetyoke: {} is in force", path.display());
@@ -112,6 +151,10 @@
     }
 }
 
+fn sets_weight(pools: &Pools, asking: &Asking) {
+    pools.sets.weigh(ASKING, asking.file.weight);
+}
+
 /// The pools that run, and what they share.
 struct Pools {
     clock: Clock,
@@ -134,6 +177,11 @@
     revision: u64,
 }
 
+/// What a pool has beside the file's classes and plans: a class for what only asks, and a plan without a quota for
+/// what has been counted elsewhere. Their names are none that a file can have.
+const ASKS: &str = "?asks";
+const FREE: &str = "?free";
+
 /// Numbers are never given to anything else: requests that are open go by them.
 #[derive(Clone, Default)]
 struct Slots {
@@ -155,6 +203,13 @@
                 None => self.classes.push((class.name.clone(), class.class.clone())),
             }
         }
+        if !self.classes.iter().any(|(name, _)| name == ASKS) {
+            // As long as the first class's: what is learned of times is not to be moved by it.
+            let like = config.classes[0].class.clone();
+            let class = words::Class { effect: words::Effect::Safe, asks_only: true, ..like };
+            self.classes.push((ASKS.to_string(), class));
+            self.plans.push((FREE.to_string(), Plan { worth: 1.0, ..Plan::default() }));
+        }
         for (name, plan) in &config.plans {
             match self.plans.iter_mut().find(|(known, _)| known == name) {
                 Some(slot) => slot.1 = plan.clone(),
@@ -197,7 +252,8 @@
         };
         let plan = place(&plans, &config.default_plan);
         let class = place(&classes, &config.default_class);
-        Rules::new(&self.settings(config), classes, plans, Form::Open { plan, class })
+        let free = self.plans.iter().position(|(name, _)| name == FREE).unwrap_or(0);
+        Rules::new(&self.settings(config), classes, plans, Form::Open { plan, class }).with_free(free as u16)
     }
 }
 
@@ -212,13 +268,13 @@
             bytes: stock(config.buffered_bytes),
             counts: Rc::default(),
             running: BTreeMap::new(),
-            next: DOOR + 1,
+            next: ASKING + 1,
         }
     }
 
     /// Brings the pools to what a checked file says, and gives the routes to them. Pools that the file no
     /// longer has run on until [`Pools::retire`].
-    fn apply(&mut self, config: &file::Service) -> Result<Routing, String> {
+    fn apply(&mut self, config: &file::Service) -> Result<(Routing, Option<Asking>), String> {
         let table = config.table().map_err(|errors| errors.to_string())?;
         let door = config.descriptors / DOOR_PART;
         self.descriptors.borrow_mut().resize(config.descriptors);
@@ -250,7 +306,9 @@
             pool: pools[route.pool].clone(),
             class: route.default_class.clone(),
         };
-        Ok(Routing::Table { table, routes: config.routes.iter().map(route).collect() })
+        let routes = config.routes.iter().map(route).collect();
+        let asking = config.ratelimit.clone().map(|file| Asking { file, pools });
+        Ok((Routing::Table { table, routes }, asking))
     }
 
     /// Descriptors that are guaranteed to no pool.
--- /dev/null
+++ b/crates/ratelimit-proto/src/channel.rs
@@ -0,0 +1,73 @@
+//! One HTTP/2 connection as a client's transport. It is not opened anew and sends nothing twice: what becomes of
+//! a question whose connection broke is for its asker to decide.
+
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper::http::{Request, Response, Uri};
+use hyper::rt::{Executor, Read, Write};
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tonic::body::Body;
+use tonic::codegen::Service;
+
+/// Sends requests on one connection; clones share it.
+#[derive(Clone)]
+pub struct Channel {
+    sender: SendRequest<Body>,
+    authority: Uri,
+}
+
+impl Channel {
+    /// Begins with HTTP/2 on a connection that is open. The future has to be run for as long as the channel is
+    /// used; `executor` runs what the connection starts besides.
+    pub async fn open<T, E>(
+        io: T,
+        executor: E,
+        authority: Uri,
+    ) -> hyper::Result<(Channel, http2::Connection<T, Body, E>)>
+    where
+        T: Read + Write + Unpin,
+        E: hyper::rt::bounds::Http2ClientConnExec<Body, T> + Unpin + Clone,
+    {
+        let (sender, connection) = http2::handshake(executor, io).await?;
+        Ok((Channel { sender, authority }, connection))
+    }
+
+    /// Whether the connection has ended, or takes no more requests.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Service<Request<Body>> for Channel {
+    type Response = Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>>>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<hyper::Result<()>> {
+        self.sender.poll_ready(cx)
+    }
+
+    fn call(&mut self, request: Request<Body>) -> Self::Future {
+        let (mut head, body) = request.into_parts();
+        let mut parts = self.authority.clone().into_parts();
+        parts.path_and_query = head.uri.path_and_query().cloned();
+        if let Ok(uri) = Uri::from_parts(parts) {
+            head.uri = uri;
+        }
+        Box::pin(self.sender.send_request(Request::from_parts(head, body)))
+    }
+}
+
+/// Runs a connection's tasks on the runtime's local set.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LocalExecutor;
+
+impl<F: Future + 'static> Executor<F> for LocalExecutor {
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(async move {
+            let _ = future.await;
+        });
+    }
+}
--- a/crates/ratelimit-proto/src/lib.rs
+++ b/crates/ratelimit-proto/src/lib.rs
@@ -2,6 +2,8 @@
 //! `envoy/service/ratelimit/v3/rls.proto` and of what it imports. Only what clients and servers of this service
 //! use is here; unknown fields are passed over, as protobuf has it.
 
+mod channel;
+
 pub mod envoy {
     pub mod config {
         pub mod core {
@@ -33,6 +35,7 @@
     }
 }
 
+pub use channel::{Channel, LocalExecutor};
 pub use envoy::config::core::v3::HeaderValue;
 pub use envoy::extensions::common::ratelimit::v3::{rate_limit_descriptor::Entry, RateLimitDescriptor};
 pub use envoy::service::ratelimit::v3::rate_limit_response::{
--- a/crates/ratelimit/src/mapping.rs
+++ b/crates/ratelimit/src/mapping.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Knows nothing.
+    pub fn empty(unknown_domain: Unknown) -> Mapping {
+        Mapping { domains: BTreeMap::new(), unknown_domain }
+    }
+
     pub fn domain(&self, name: &str) -> Result<&Domain, Unknown> {
         self.domains.get(name).ok_or(self.unknown_domain)
     }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -42,12 +42,14 @@
 
 /// The platform's form beside an earlier commit's: rounds in turn, CPU for each request and memory at the end.
 pub fn platform(base: &str) -> Result<Figures> {
-    let programs = [("base", build_commit(base)?), ("now", build()?)];
+    let programs = [build_commit(base)?, build()?];
     let mut figures = Figures::default();
     let mut results: [Vec<(f64, u64)>; 2] = Default::default();
-    for _ in 0..9 {
-        for (which, (_, program)) in programs.iter().enumerate() {
-            results[which].push(one_round(program)?);
+    for round in 0..8 {
+        // Now the one first, now the other: whoever comes second may find the machine in another state.
+        for turn in 0..2 {
+            let which = (round + turn) % 2;
+            results[which].push(one_round(&programs[which])?);
         }
     }
     let median = |which: usize| {
