Word the faults of a target in one place

Need: the front told in the same words again what violetyoke-routes has.

Change: Bad::text.

Result: the tests of routes and of the service pass.

--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -89,12 +89,5 @@
 }
 
 fn why(reason: Bad) -> Rejection {
-    bad(match reason {
-        Bad::Host => "host: there must be one Host field",
-        Bad::HostName => "host: not a host name",
-        Bad::TwoHosts => "host: the target and the Host field differ",
-        Bad::Form => "path: must begin with /",
-        Bad::Encoding => "path: an encoding that servers read differently",
-        Bad::Dots => "path: leads above the root or hides dots",
-    })
+    bad(reason.text())
 }
--- a/crates/routes/src/target.rs
+++ b/crates/routes/src/target.rs
@@ -39,16 +39,23 @@
     Dots,
 }
 
-impl fmt::Display for Bad {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Bad {
+    /// The field, and what is wrong with it.
+    pub fn text(self) -> &'static str {
+        match self {
             Bad::Host => "host: there must be one Host field",
             Bad::HostName => "host: not a host name",
             Bad::TwoHosts => "host: the target and the Host field differ",
             Bad::Form => "path: must begin with /",
             Bad::Encoding => "path: an encoding that servers read differently",
             Bad::Dots => "path: leads above the root or hides dots",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.text())
     }
 }
 
