Ask an outside rate limit server before a pool admits: budget, breaker, late answers

violetyoke-ratelimit has the decisions, without I/O: breaker (failures in a row, doubling pauses with seeded jitter, one trial), consult (a part of the request's time, places, what silence means, late answers). What the outside server counted for a request that was not let in is a credit for the next one about the same. The ingress has a gate before the module (named tries and the outside server), a trait object that the platform never makes; the question when a try's outcome is told moves from the driver into claim::told. The stand-in server (limiter) delays, falls silent, errs, miscounts, sends GOAWAY and breaks off.

A try whose ingress is killed at each point between claim and outcome now has a test (six cases), and so has a slow counter.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,12 +5,14 @@
 //! Times in the file are milliseconds and end in `_ms`; in [`Service`] they are microseconds, as everywhere in
 //! the decision module.
 
+mod consult;
 mod error;
 mod pool;
 mod ratelimit;
 mod section;
 mod service;
 
+pub use consult::Consult;
 pub use error::Errors;
 pub use pool::{Class, Fields, Node, Nodes, Pool};
 pub use ratelimit::RateLimit;
--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -1,5 +1,6 @@
 //! One pool: its nodes, classes, plans and limits.
 
+use crate::consult::Consult;
 use crate::section::Section;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -30,6 +31,8 @@
     pub descriptors: u64,
     pub buffered_bytes: u64,
     pub fields: Fields,
+    /// The outside rate limit server that is asked first, where there is one.
+    pub consult: Option<Consult>,
     /// All that does not follow from classes and plans.
     settings: Settings,
 }
@@ -116,8 +119,13 @@
             .or_else(|| only(classes.first().map_or("", |class| &class.name), classes.len()));
         let fields = section.words("limit_fields", &[("draft", true), ("legacy", false)]);
         let limits = section.section("limits");
+        let settings = settings(section, ingresses, index);
+        let consult = section.has("consult").then(|| {
+            let names: Vec<&str> = plans.iter().map(|(name, _)| name.as_str()).collect();
+            Consult::read(section.section("consult"), &names, settings.limits.longest_retry_hint)
+        });
         let pool = Pool {
-            settings: settings(section, ingresses, index),
+            settings,
             name,
             quota,
             weight: section.whole("weight", 1, 1..=1_000),
@@ -132,6 +140,7 @@
             descriptors: limits.whole("descriptors", 64, 4..=1_000_000),
             buffered_bytes: limits.whole("buffered_bytes", 1 << 20, 1 << 16..=1 << 40),
             fields: Fields { draft: fields.contains(&true), legacy: fields.contains(&false) },
+            consult,
         };
         limits.finish();
         pool
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -170,6 +170,23 @@
         list.iter().filter_map(word).collect()
     }
 
+    /// A list of any texts.
+    pub(crate) fn names(&self, key: &'static str) -> Vec<String> {
+        let Some(value) = self.value(key) else { return Vec::new() };
+        let DeValue::Array(list) = value.get_ref() else {
+            self.error(key, "must be a list of texts");
+            return Vec::new();
+        };
+        let text = |value: &Spanned<DeValue>| match value.get_ref() {
+            DeValue::String(text) => Some(text.to_string()),
+            _ => {
+                self.error(key, "must be a list of texts");
+                None
+            }
+        };
+        list.iter().filter_map(text).collect()
+    }
+
     /// A table of texts under any keys.
     pub(crate) fn texts(&self, key: &'static str) -> BTreeMap<String, String> {
         let Some(value) = self.value(key) else { return BTreeMap::new() };
--- a/crates/config/tests/errors.rs
+++ b/crates/config/tests/errors.rs
@@ -148,3 +148,30 @@
     assert_eq!(keys, ["pool", "route", "service.listen"]);
     assert!(errors.of_file("x.toml").starts_with("x.toml:1: pool: "));
 }
+
+#[test]
+fn an_outside_server_is_checked_with_its_pool() {
+    let with = |consult: &str| {
+        let table = format!("[pool.consult]\n{consult}\n[[pool.class]]\nname = \"booking-post\"");
+        errors(&[("[[pool.class]]\nname = \"booking-post\"", &table)])
+    };
+    let good = "address = \"127.0.0.1:8090\"\ndomain = \"rooms\"\nwhen_silent = \"refuse\"";
+    assert_eq!(with(good), Vec::<String>::new());
+    let told = |consult: &str, what: &str| {
+        let errors = with(consult);
+        assert!(errors.len() == 1 && errors[0].contains(what), "{errors:?}");
+    };
+    told(
+        &good.replace("refuse", "guess"),
+        "pool[1].consult.when_silent: \"guess\" is none of own_quota, refuse",
+    );
+    told(&good.replace("when_silent = \"refuse\"", ""), "pool[1].consult.when_silent: is missing");
+    told(&format!("{good}\nplans = [\"gold\"]"), "pool[1].consult.plans: \"gold\" is not a plan");
+    told(&format!("{good}\nplan_key = \"account\""), "the key \"account\" would stand twice");
+    told(&format!("{good}\nbudget_part = 0.9"), "pool[1].consult.budget_part: 0.9 is out of range");
+    told(
+        &format!("{good}\nbreaker = {{ pause_ms = 500, longest_pause_ms = 100 }}"),
+        "pool[1].consult.breaker.longest_pause_ms: is below pause_ms",
+    );
+    told(&format!("{good}\nbudgets_ms = 5"), "did you mean budget_ms?");
+}
--- /dev/null
+++ b/crates/ingress/src/consult.rs
@@ -0,0 +1,305 @@
+//! Questions to an outside rate limit server, on one HTTP/2 connection. Whether to ask, what silence means and
+//! what becomes of a late answer is decided in `violetyoke-ratelimit::consult`, free of I/O.
+
+use crate::gate::About;
+use crate::pool::Shared;
+use crate::tasks::{self, Local, Set};
+use crate::Clock;
+use hyper_util::rt::TokioIo;
+use siphasher::sip::SipHasher13;
+use std::cell::RefCell;
+use std::hash::Hasher;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Mutex};
+use tokio::time::{sleep_until, timeout, timeout_at};
+use tonic::Request;
+use violetyoke_config::Consult;
+use violetyoke_decision::interface::Micros;
+use violetyoke_ratelimit::consult::{Ask, Outside, Said, Word};
+use violetyoke_ratelimit_proto as proto;
+use violetyoke_ratelimit_proto::{never_processed, Channel};
+use violetyoke_shares::Member;
+
+type Client = proto::RateLimitServiceClient<Channel>;
+
+const CONNECT: Duration = Duration::from_millis(250);
+/// Bytes of an answer; a longer one is none.
+const LARGEST_ANSWER: usize = 64 * 1024;
+
+/// One pool's outside server.
+pub struct Consulting {
+    file: RefCell<Rc<Consult>>,
+    outside: RefCell<Outside>,
+    /// The connection in use, and what asks on it.
+    link: RefCell<Option<(Channel, Client)>>,
+    /// Held by the one that opens a connection.
+    opening: Mutex<()>,
+    clock: Clock,
+    descriptors: Shared,
+    member: Member,
+    /// Where its tasks take their turns.
+    set: Rc<Set>,
+    pool: String,
+}
+
+impl Consulting {
+    pub fn new(
+        file: Consult,
+        clock: Clock,
+        descriptors: Shared,
+        member: Member,
+        set: Rc<Set>,
+        pool: String,
+    ) -> Rc<Consulting> {
+        let outside = Outside::new(file.settings, clock.now() ^ (member as u64) << 40);
+        Rc::new(Consulting {
+            file: RefCell::new(Rc::new(file)),
+            outside: RefCell::new(outside),
+            link: RefCell::default(),
+            opening: Mutex::default(),
+            clock,
+            descriptors,
+            member,
+            set,
+            pool,
+        })
+    }
+
+    /// Whether the same server stands in the new file: what is known of it then stays.
+    pub fn is_at(&self, file: &Consult) -> bool {
+        self.file.borrow().address == file.address
+    }
+
+    pub fn change(&self, file: Consult) {
+        self.outside.borrow_mut().change(file.settings);
+        *self.file.borrow_mut() = Rc::new(file);
+    }
+
+    pub fn asks_about(&self, plan: &str) -> bool {
+        let file = self.file.borrow();
+        file.plans.is_empty() || file.plans.iter().any(|known| known == plan)
+    }
+
+    /// Asks, and returns by the time that the answer counts until, whatever the server does.
+    pub async fn ask(self: &Rc<Consulting>, about: &About) -> (Word, Option<Asked>) {
+        let deadline = about.arrived.saturating_add(about.budget);
+        let ask = self.outside.borrow_mut().ask(self.clock.now(), deadline, key_of(about));
+        let (number, until) = match ask {
+            Ask::Counted { number } => return (Word::GoOn, Some(Asked::new(self, number))),
+            Ask::Silent(word) => return (word, None),
+            Ask::Question { number, until } => (number, until),
+        };
+        // Dropped while it waits, its client has gone.
+        let mut asked = Asked::new(self, number);
+        asked.left = true;
+        let (tell, mut told) = oneshot::channel();
+        let request = self.question(about);
+        tasks::spawn_in(&self.set, self.clone().carry(number, until, request, tell));
+        let end = self.clock.instant(until).into();
+        let word = match timeout_at(end, &mut told).await {
+            Ok(Ok(word)) => Some(word),
+            _ => self.give_up(number).or_else(|| told.try_recv().ok()),
+        };
+        asked.left = false;
+        // No word at all: its task has ended without one, as when the process ends.
+        (word.unwrap_or(Word::Refuse { retry_after: 0 }), Some(asked))
+    }
+
+    fn give_up(&self, number: u64) -> Option<Word> {
+        let word = self.watched(|outside, now| outside.give_up(now, number));
+        if word.is_some() && self.outside.borrow().is_shut() {
+            // A connection that nothing comes on may be why: the next trial begins with a new one.
+            self.link.take();
+        }
+        word
+    }
+
+    /// Carries a question out and its answer back, in time or late.
+    async fn carry(
+        self: Rc<Consulting>,
+        number: u64,
+        until: Micros,
+        request: proto::RateLimitRequest,
+        tell: oneshot::Sender<Word>,
+    ) {
+        let late = self.outside.borrow().late();
+        let end = self.clock.instant(until.saturating_add(late)).into();
+        let said = tokio::select! {
+            biased;
+            said = self.call(request, until) => said,
+            () = sleep_until(end) => {
+                // Given up on before, but for a clock that jumped.
+                let _ = self.give_up(number);
+                return self.outside.borrow_mut().lost(number);
+            }
+        };
+        if let Some(word) = self.watched(|outside, now| outside.answered(now, number, said)) {
+            let _ = tell.send(word);
+        }
+    }
+
+    async fn call(&self, request: proto::RateLimitRequest, until: Micros) -> Said {
+        // Once more where the server says that it has not looked at it: its connection was ending.
+        for _ in 0..2 {
+            let Ok(mut client) = self.client().await else { return Said::Nothing };
+            let left = until.saturating_sub(self.clock.now()).max(1);
+            let mut question = Request::new(request.clone());
+            question.set_timeout(Duration::from_micros(left));
+            match client.should_rate_limit(question).await {
+                Ok(response) => return said(response.get_ref()),
+                Err(status) if never_processed(&status) => drop(self.link.take()),
+                Err(_) => return Said::Nothing,
+            }
+        }
+        Said::Nothing
+    }
+
+    /// The connection, opened if there is none that takes questions.
+    async fn client(&self) -> io::Result<Client> {
+        if let Some(client) = self.usable() {
+            return Ok(client);
+        }
+        let _opening = self.opening.lock().await;
+        if let Some(client) = self.usable() {
+            return Ok(client);
+        }
+        if !self.descriptors.borrow_mut().take(self.member, 1) {
+            return Err(io::ErrorKind::QuotaExceeded.into());
+        }
+        let place = Place { descriptors: self.descriptors.clone(), member: self.member };
+        let address = self.file.borrow().address;
+        let stream = timeout(CONNECT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let uri = format!("http://{address}").parse().map_err(io::Error::other)?;
+        let opened = Channel::open(TokioIo::new(stream), Local, uri).await;
+        let (channel, connection) = opened.map_err(io::Error::other)?;
+        tasks::spawn_in(&self.set, async move {
+            let _place = place;
+            // Its end is seen on the channel.
+            let _ = connection.await;
+        });
+        let client = Client::new(channel.clone()).max_decoding_message_size(LARGEST_ANSWER);
+        *self.link.borrow_mut() = Some((channel, client.clone()));
+        Ok(client)
+    }
+
+    fn usable(&self) -> Option<Client> {
+        let link = self.link.borrow();
+        link.as_ref().filter(|(channel, _)| !channel.is_closed()).map(|(_, client)| client.clone())
+    }
+
+    /// Tells the state something, and the log where it opens or closes by that.
+    fn watched<T>(&self, tell: impl FnOnce(&mut Outside, Micros) -> T) -> T {
+        let mut outside = self.outside.borrow_mut();
+        let before = outside.is_shut();
+        let result = tell(&mut outside, self.clock.now());
+        let pool = &self.pool;
+        match (before, outside.is_shut()) {
+            (false, true) => eprintln!("violetyoke: pool {pool:?}: the outside rate limit server is silent"),
+            (true, false) => eprintln!(
+                "violetyoke: pool {pool:?}: the outside rate limit server answers again ({:?})",
+                outside.tally
+            ),
+            _ => {}
+        }
+        result
+    }
+
+    fn question(&self, about: &About) -> proto::RateLimitRequest {
+        let file = self.file.borrow();
+        let entry = |key: &str, value: &str| proto::Entry { key: key.to_string(), value: value.to_string() };
+        let mut entries: Vec<_> = file.with.iter().map(|(key, value)| entry(key, value)).collect();
+        entries.push(entry(&file.account_key, &about.account));
+        let said = [
+            (&file.plan_key, Some(&about.plan)),
+            (&file.class_key, about.class.as_ref()),
+            (&file.try_key, about.named.as_ref()),
+        ];
+        for (key, value) in said {
+            if let (Some(key), Some(value)) = (key, value) {
+                entries.push(entry(key, value));
+            }
+        }
+        proto::RateLimitRequest {
+            domain: file.domain.clone(),
+            descriptors: vec![proto::RateLimitDescriptor { entries, ..Default::default() }],
+            // The protocol has whole units: a part of one counts as one.
+            hits_addend: about.units.ceil().clamp(1.0, f64::from(u32::MAX)) as u32,
+        }
+    }
+}
+
+/// What a question is about, but for its try: units counted for one serve another about the same.
+fn key_of(about: &About) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(2, 0);
+    for text in [about.account.as_str(), &about.plan, about.class.as_deref().unwrap_or_default()] {
+        hasher.write_u64(text.len() as u64);
+        hasher.write(text.as_bytes());
+    }
+    hasher.write_u64(about.units.to_bits());
+    hasher.finish()
+}
+
+/// Reads an answer. A code that is neither of the two is no answer; a time that is none is not passed on.
+fn said(response: &proto::RateLimitResponse) -> Said {
+    match response.overall_code() {
+        proto::Code::Ok => Said::Ok,
+        proto::Code::OverLimit => {
+            let over = |status: &&proto::DescriptorStatus| status.code() == proto::Code::OverLimit;
+            let times = response.statuses.iter().filter(over).filter_map(|status| {
+                let time = status.duration_until_reset.as_ref()?;
+                let seconds = u64::try_from(time.seconds).ok()?;
+                let rest = u64::try_from(time.nanos).ok()? / 1_000;
+                seconds.checked_mul(1_000_000)?.checked_add(rest)
+            });
+            Said::Over { reset: times.max() }
+        }
+        proto::Code::Unknown => Said::Nothing,
+    }
+}
+
+/// A question that has been asked, until its request's end is known.
+pub struct Asked {
+    consulting: Rc<Consulting>,
+    number: u64,
+    left: bool,
+}
+
+impl Asked {
+    fn new(consulting: &Rc<Consulting>, number: u64) -> Asked {
+        Asked { consulting: consulting.clone(), number, left: false }
+    }
+
+    pub fn ended(self, let_in: bool) {
+        let now = self.consulting.clock.now();
+        self.consulting.outside.borrow_mut().ended(now, self.number, let_in);
+    }
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        let now = self.consulting.clock.now();
+        let mut outside = self.consulting.outside.borrow_mut();
+        if self.left {
+            outside.left(now, self.number);
+        } else {
+            // Nobody knows what became of it: it may have been let in. After `ended` this says nothing more.
+            outside.ended(now, self.number, true);
+        }
+    }
+}
+
+/// The connection's descriptor, given back when its task ends.
+struct Place {
+    descriptors: Shared,
+    member: Member,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.descriptors.borrow_mut().give(self.member, 1);
+    }
+}
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -19,7 +19,7 @@
 use violetyoke_config::Fields;
 use violetyoke_decision::interface::*;
 use violetyoke_decision::Gateway;
-use violetyoke_ratelimit::claim;
+use violetyoke_ratelimit::claim::{self, Decided};
 
 /// Messages taken up in one go.
 const BATCH: usize = 256;
@@ -294,16 +294,13 @@
         match action {
             Action::Send { request, backend, expires } => self.send(request, backend, expires),
             Action::Refuse { request, retry_after } => {
-                // Beyond its quota: whoever asks about this try again is told so. Want of a backend is no such word.
-                let unsent = self.requests.get(&request).is_some_and(|open| open.attempts == 0);
-                if unsent && retry_after > 0 {
-                    self.decided(request, false);
-                }
+                let sent_before = self.requests.get(&request).is_some_and(|open| open.attempts > 0);
+                self.decided(request, Decided::Refused { sent_before, retry_after });
                 self.finish(request, Answer::Refused { retry_after })
             }
             Action::Fail { request } => self.finish(request, Answer::Failed),
             Action::Admit { request } => {
-                self.decided(request, true);
+                self.decided(request, Decided::Passes);
                 self.finish(request, Answer::Admitted)
             }
             Action::Cancel { request, attempt } => {
@@ -442,7 +439,7 @@
             let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body, carried });
         });
         open.out = Some(Out { attempt, backend: to, at: now, sent, task });
-        self.decided(request, true);
+        self.decided(request, Decided::Passes);
         self.set(expires, Timer::Expire(request, attempt));
         self.set(now + self.limits.connect_timeout, Timer::Connect(request, attempt));
     }
@@ -553,9 +550,9 @@
     }
 
     /// The outcome of a try that this request claimed, told once.
-    fn decided(&mut self, request: RequestId, let_in: bool) {
+    fn decided(&mut self, request: RequestId, decided: Decided) {
         let claim = self.requests.get_mut(&request).and_then(|open| open.claim.take());
-        if let Some(claim) = claim {
+        if let (Some(claim), Some(let_in)) = (claim, claim::told(decided)) {
             self.claim(claim, claim::outcome(let_in), None);
         }
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,12 +6,14 @@
 mod backend;
 mod clients;
 pub mod config;
+mod consult;
 mod counter;
 mod discovery;
 mod driver;
 mod embedded;
 mod fields;
 mod front;
+mod gate;
 mod peers;
 pub mod platform;
 mod pool;
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -1,5 +1,6 @@
 //! One pool as the server sees it: what its requests are checked against, and the way to its driver.
 
+use crate::gate::Gate;
 use crate::request::Rules;
 use crate::tasks::Set;
 use crate::{Message, Messages};
@@ -12,10 +13,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::sync::oneshot;
 use violetyoke_config::Fields;
 use violetyoke_decision::interface::RequestId;
-use violetyoke_ratelimit::claim::{self, Standing, Way};
 use violetyoke_shares::{Member, Stock};
 
 /// Something there is only so much of, shared by all pools.
@@ -39,6 +38,7 @@
     /// Where its tasks take their turns, and its connections' tasks too; none: where they are.
     pub set: Option<Rc<Set>>,
     retired: Cell<bool>,
+    gate: RefCell<Option<Rc<dyn Gate>>>,
 }
 
 impl Pool {
@@ -70,6 +70,7 @@
             bytes,
             set,
             retired: Cell::new(false),
+            gate: RefCell::default(),
         }
     }
 
@@ -82,6 +83,20 @@
         self.most_open.set(most_open);
     }
 
+    /// What is found out before its module is asked.
+    pub fn set_gate(&self, gate: Rc<dyn Gate>) {
+        *self.gate.borrow_mut() = Some(gate);
+    }
+
+    /// Its gate, where that has anything to find out about such a request.
+    pub fn gate(&self, named: bool, plan: impl FnOnce() -> u16) -> Option<Rc<dyn Gate>> {
+        let gate = self.gate.borrow();
+        let gate = gate.as_ref()?;
+        let rules = self.rules();
+        let plan = rules.plans.get(usize::from(plan())).map_or("", String::as_str);
+        gate.wants(named, plan).then(|| gate.clone())
+    }
+
     /// What it takes no more requests from then on; those that it has are answered.
     pub fn retire(&self) {
         self.retired.set(true);
@@ -118,13 +133,6 @@
         id
     }
 
-    /// Claims a try. Not known in time, it is fresh: counted again rather than not at all.
-    pub async fn claim(&self, way: Way, claim: u64) -> Standing {
-        let (reply, answered) = oneshot::channel();
-        self.send(Message::Claim { claim, amount: claim::add(way), reply: Some(reply) });
-        claim::read(way, answered.await.unwrap_or(None))
-    }
-
     /// A number for the driver, and the client's own id, which no other open request may have: the same id
     /// twice is one request twice, and the second copy could run beside the first.
     pub fn name_request(self: &Rc<Pool>, wire_id: &HeaderValue) -> Option<Named> {
--- a/crates/ingress/src/questions.rs
+++ b/crates/ingress/src/questions.rs
@@ -2,19 +2,18 @@
 //! question is about and what becomes of several descriptors is decided in `violetyoke-ratelimit`, free of I/O.
 
 use crate::fields;
+use crate::gate::{About, Gated, Pass};
 use crate::pool::{Pool, Shared};
-use crate::request::{account_of, claim_of};
+use crate::request::account_of;
 use crate::server::listen;
 use crate::socket::Socket;
-use crate::tasks;
+use crate::tasks::{self, Local};
 use crate::{Answer, ClientRequest, Clock, Message, Reply};
 use futures_util::future::join_all;
-use hyper::rt::Executor;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -28,7 +27,7 @@
 use violetyoke_config::RateLimit as File;
 use violetyoke_decision::interface::Micros;
 use violetyoke_decision::view::Standing;
-use violetyoke_ratelimit::claim::{self, Standing as Claimed, Way};
+use violetyoke_ratelimit::claim::{self, Way};
 use violetyoke_ratelimit::{questions, verdict, Asked, Bounds, Question, Unknown};
 use violetyoke_ratelimit_proto as proto;
 use violetyoke_shares::Member;
@@ -236,18 +235,6 @@
     }
 }
 
-/// Streams run as tasks of the service's own set.
-#[derive(Clone, Copy)]
-struct Local;
-
-impl<F: Future + 'static> Executor<F> for Local {
-    fn execute(&self, future: F) {
-        tasks::spawn(async move {
-            let _ = future.await;
-        });
-    }
-}
-
 fn routes(handed: mpsc::Sender<Handed>, message_bytes: usize) -> io::Result<Routes> {
     let service =
         proto::RateLimitServiceServer::new(Service { handed }).max_decoding_message_size(message_bytes);
@@ -323,6 +310,7 @@
     units: f64,
     spread: f64,
     named: Option<String>,
+    account: String,
 }
 
 impl Ready {
@@ -341,16 +329,32 @@
             account_of(&question.account).ok_or_else(|| wrong("the account is empty or too long"))?;
         let class = rules.asks().ok_or_else(|| Status::internal("the pool takes no questions"))?;
         let (units, spread, named) = (question.units, rules.ingresses(), question.named);
-        Ok(Ready { pool: pool.clone(), class, plan, customer, units, spread, named })
+        let (pool, account) = (pool.clone(), question.account);
+        Ok(Ready { pool, class, plan, customer, units, spread, named, account })
     }
 
     async fn ask(self, arrived: Micros, budget: Micros) -> Answered {
-        let claim = self.named.as_deref().map(|name| claim_of(self.customer, self.units, name));
-        if let Some(claim) = claim {
-            match self.pool.claim(Way::Question, claim).await {
-                Claimed::Counted => return Answered::known(true),
-                Claimed::Refused => return Answered::known(false),
-                Claimed::Fresh => {}
+        let mut pass = None;
+        if let Some(gate) = self.pool.gate(self.named.is_some(), || self.plan) {
+            let about = About {
+                way: Way::Question,
+                customer: self.customer,
+                units: self.units,
+                named: self.named,
+                account: self.account,
+                plan: self.pool.rules().plans[usize::from(self.plan)].clone(),
+                class: None,
+                arrived,
+                budget,
+            };
+            match gate.ask(about).await {
+                Gated::Pass(passed) if passed.counted => return Answered::known(true),
+                Gated::Pass(passed) => pass = Some(passed),
+                Gated::Refused { retry_after } | Gated::Silent { retry_after } => {
+                    let mut refused = Answered::known(false);
+                    refused.retry_after = retry_after;
+                    return refused;
+                }
             }
         }
         let Some(_entry) = self.pool.enter() else { return Answered::known(false) };
@@ -368,18 +372,21 @@
             first: 0.0,
             repeat: false,
             forward: None,
-            claim,
+            claim: pass.as_ref().and_then(|pass| pass.claim),
             reply,
         }));
         // Dropped here, its stream has been reset: what was asked ends with it.
         let mut asked = Answered::known(false);
-        (asked.pool, asked.id, asked.open, asked.claim) = (Some(self.pool.clone()), id, sent, claim);
+        (asked.pool, asked.id, asked.open, asked.pass) = (Some(self.pool.clone()), id, sent, pass);
         let reply = answered.await.unwrap_or(Reply { answer: Answer::Failed, standing: None });
         (asked.let_in, asked.standing) = (matches!(reply.answer, Answer::Admitted), reply.standing);
         asked.open = asked.let_in;
         if let Answer::Refused { retry_after } = reply.answer {
             asked.retry_after = retry_after;
         }
+        if let Some(pass) = asked.pass.as_mut().filter(|_| !asked.let_in) {
+            pass.ended(false);
+        }
         asked
     }
 }
@@ -393,21 +400,24 @@
     id: u32,
     /// The module holds it open.
     open: bool,
-    claim: Option<u64>,
+    pass: Option<Pass>,
 }
 
 impl Answered {
     fn known(let_in: bool) -> Answered {
-        Answered { let_in, standing: None, retry_after: 0, pool: None, id: 0, open: false, claim: None }
+        Answered { let_in, standing: None, retry_after: 0, pool: None, id: 0, open: false, pass: None }
     }
 
     /// Another descriptor is over: this one's units are taken back.
     fn give_back(&mut self) {
         if let Some(pool) = self.pool.as_ref().filter(|_| self.open) {
             pool.send(Message::Withdrawn(self.id));
-            if let Some(claim) = self.claim {
-                // Its try stands as if nobody had decided it.
-                pool.send(Message::Claim { claim, amount: -claim::LET_IN, reply: None });
+            if let Some(pass) = &mut self.pass {
+                pass.ended(false);
+                if let Some(claim) = pass.claim {
+                    // Its try stands as if nobody had decided it.
+                    pool.send(Message::Claim { claim, amount: -claim::LET_IN, reply: None });
+                }
             }
             self.open = false;
         }
@@ -428,6 +438,7 @@
             unit: proto::Unit::Second.into(),
         });
         let reset = self.standing.map(|standing| standing.until_full.max(self.retry_after));
+        let reset = reset.or((self.retry_after > 0).then_some(self.retry_after));
         proto::DescriptorStatus {
             code: code.into(),
             current_limit: limit,
--- a/crates/ingress/src/request.rs
+++ b/crates/ingress/src/request.rs
@@ -284,6 +284,15 @@
     account_of(name).ok_or(bad("x-account: 1 to 128 characters"))
 }
 
+/// An account as its client says it: for those who have to tell others of it.
+pub fn account_text(headers: &HeaderMap) -> String {
+    let cookies = headers.get_all(COOKIE).iter().filter_map(|value| value.to_str().ok());
+    let mut pairs = cookies.flat_map(|text| text.split(';')).filter_map(|pair| pair.trim().split_once('='));
+    let named = || headers.get(ACCOUNT).and_then(|value| value.to_str().ok());
+    let cookie = pairs.find(|(name, _)| *name == "account").map(|(_, text)| text);
+    cookie.or_else(named).unwrap_or_default().to_string()
+}
+
 /// The customer that stands for an account's name; none for what is no name.
 pub fn account_of(name: &str) -> Option<u64> {
     let good = (1..=LONGEST_ACCOUNT).contains(&name.len());
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -3,8 +3,9 @@
 use super::clients::{Clients, Place, Stage};
 use super::fields;
 use super::front::{Front, Matched};
+use super::gate::{About, Gated};
 use super::pool::{Pool, Whole};
-use super::request::{check, claim_of, whole, Rejection};
+use super::request::{account_text, check, whole, Rejection};
 use super::roaming;
 use super::socket::Socket;
 use super::tasks::{self, Set};
@@ -27,7 +28,8 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
-use violetyoke_ratelimit::claim::{Standing, Way};
+use violetyoke_decision::interface::Micros;
+use violetyoke_ratelimit::claim::Way;
 
 /// How long new connections are still taken after SIGTERM.
 const LINGER: Duration = Duration::from_millis(700);
@@ -215,18 +217,34 @@
     let Some(mut named) = pool.name_request(&wire_id) else {
         return Err(Rejection { code: StatusCode::BAD_REQUEST, why: "req-id: that of an open request" });
     };
-    let (mut plan, mut customer, mut claim) = (terms.plan, terms.customer, None);
-    if let Some(name) = &terms.named {
-        let number = claim_of(customer, terms.units, name);
-        match pool.claim(Way::Request, number).await {
-            Standing::Fresh => claim = Some(number),
-            // It goes on, under a name of its own that has no quota.
-            Standing::Counted => {
-                (plan, customer) = (rules.free().unwrap_or(plan), customer ^ COUNTED);
+    let (mut plan, mut customer, mut pass) = (terms.plan, terms.customer, None);
+    if let Some(gate) = pool.gate(terms.named.is_some(), || plan) {
+        let about = About {
+            way: Way::Request,
+            customer,
+            units: terms.units,
+            named: terms.named,
+            account: account_text(&head.headers),
+            plan: rules.plans[usize::from(plan)].clone(),
+            class: Some(rules.classes[usize::from(terms.class)].clone()),
+            arrived,
+            budget: terms.budget,
+        };
+        match gate.ask(about).await {
+            Gated::Pass(passed) => {
+                if passed.counted {
+                    // It goes on, under a name of its own that has no quota.
+                    (plan, customer) = (rules.free().unwrap_or(plan), customer ^ COUNTED);
+                }
+                pass = Some(passed);
+            }
+            Gated::Refused { retry_after } => {
+                named.over = true;
+                return Ok(turned_back(StatusCode::TOO_MANY_REQUESTS, retry_after));
             }
-            Standing::Refused => {
+            Gated::Silent { retry_after } => {
                 named.over = true;
-                return Ok(status(StatusCode::TOO_MANY_REQUESTS));
+                return Ok(turned_back(StatusCode::SERVICE_UNAVAILABLE, retry_after));
             }
         }
     }
@@ -244,7 +262,7 @@
         first: terms.first,
         repeat: terms.repeat,
         forward,
-        claim,
+        claim: pass.as_ref().and_then(|pass| pass.claim),
         reply,
     };
     if !pool.send(Message::Request(request)) {
@@ -253,6 +271,10 @@
     }
     let reply = answered.await.unwrap_or(Reply { answer: Answer::Failed, standing: None });
     named.over = true;
+    if let Some(pass) = &mut pass {
+        // Refused, it has run nowhere.
+        pass.ended(!matches!(reply.answer, Answer::Refused { .. }));
+    }
     Ok(written(&pool, reply))
 }
 
@@ -271,14 +293,7 @@
         Answer::Failed | Answer::Admitted => status(StatusCode::BAD_GATEWAY),
         Answer::Refused { retry_after: 0 } => status(StatusCode::SERVICE_UNAVAILABLE),
         // The module names a time to come back only where the quota refills by then.
-        Answer::Refused { retry_after } => {
-            let mut response = status(StatusCode::TOO_MANY_REQUESTS);
-            let seconds = format!("{:.3}", (retry_after as f64 / 1e3).ceil() / 1e3);
-            if let Ok(value) = HeaderValue::from_str(&seconds) {
-                response.headers_mut().insert(RETRY_AFTER, value);
-            }
-            response
-        }
+        Answer::Refused { retry_after } => turned_back(StatusCode::TOO_MANY_REQUESTS, retry_after),
     };
     if let Some(standing) = &reply.standing {
         fields::write(response.headers_mut(), pool.fields.get(), standing);
@@ -286,6 +301,18 @@
     response
 }
 
+/// A refusal, with the time after which to come back where one is known.
+fn turned_back(code: StatusCode, retry_after: Micros) -> Response<Whole> {
+    let mut response = status(code);
+    if retry_after > 0 {
+        let seconds = format!("{:.3}", (retry_after as f64 / 1e3).ceil() / 1e3);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
 /// Why a request is turned down: in words too, where clients are not the platform's.
 fn turned_away(shared: &Shared, rejection: Rejection) -> Response<Whole> {
     let mut response = status(rejection.code);
--- a/crates/ingress/src/service.rs
+++ b/crates/ingress/src/service.rs
@@ -4,10 +4,12 @@
 use crate::backend::Budget;
 use crate::clients::{Clients, DOOR};
 use crate::config::Names;
+use crate::consult::Consulting;
 use crate::discovery::{self, Phase, Target, TargetList};
 use crate::driver::{Driver, Setup};
 use crate::embedded::{Counts, Link};
 use crate::front::{Front, Route, Routing};
+use crate::gate::Checks;
 use crate::pool::{Pool, Shared};
 use crate::questions::{Asking, Questions};
 use crate::request::{Form, Rules};
@@ -173,6 +175,7 @@
     config: file::Pool,
     /// Classes and plans at the numbers that the module knows them by.
     slots: Slots,
+    checks: Rc<Checks>,
     watch: Option<Handle>,
     revision: u64,
 }
@@ -372,11 +375,30 @@
                 sets.remove(member);
             }
         });
-        let mut run = Run { pool, config: file.clone(), slots, watch: None, revision: 1 };
+        let checks = Rc::new(Checks::new(pool.messages()));
+        pool.set_gate(checks.clone());
+        let mut run = Run { pool, config: file.clone(), slots, checks, watch: None, revision: 1 };
+        self.consult(&run, file);
         watch_nodes(&mut run, &self.sets, &set);
         run
     }
 
+    /// Whom the pool asks from now on before it admits. What is known of a server stays where it still is.
+    fn consult(&self, run: &Run, file: &file::Pool) {
+        let old = run.checks.consulting();
+        run.checks.consult(file.consult.clone().map(|consult| match old {
+            Some(old) if old.is_at(&consult) => {
+                old.change(consult);
+                old
+            }
+            _ => {
+                let set = run.pool.set.clone().unwrap_or_else(|| self.door.clone());
+                let (descriptors, name) = (self.descriptors.clone(), file.name.clone());
+                Consulting::new(consult, self.clock, descriptors, run.pool.member, set, name)
+            }
+        }));
+    }
+
     fn change(&self, config: &file::Service, run: &mut Run, file: &file::Pool) {
         self.share(config, run.pool.member, file);
         if run.config == *file {
@@ -391,6 +413,7 @@
         if run.config.counter != file.counter {
             run.pool.send(Message::CounterMoved(self.link(file)));
         }
+        self.consult(run, file);
         let moved = run.config.nodes != file.nodes;
         run.config = file.clone();
         if moved {
--- a/crates/ingress/src/tasks.rs
+++ b/crates/ingress/src/tasks.rs
@@ -3,6 +3,7 @@
 
 use crate::sets::Woken;
 use async_task::{Runnable, Task};
+use hyper::rt::Executor;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::future::Future;
@@ -71,6 +72,25 @@
     }
 }
 
+/// Starts a task in a set, wherever the one that calls this is.
+pub fn spawn_in(set: &Set, future: impl Future<Output = ()> + 'static) {
+    if let Some(woken) = crate::sets::woken() {
+        drop(set.spawn(&woken, future));
+    }
+}
+
+/// Runs what hyper's connections start where they are.
+#[derive(Clone, Copy)]
+pub struct Local;
+
+impl<F: Future + 'static> Executor<F> for Local {
+    fn execute(&self, future: F) {
+        spawn(async move {
+            let _ = future.await;
+        });
+    }
+}
+
 /// A way to end a task. Dropped, it lets the task go on.
 pub struct Handle(Inner);
 
--- a/crates/ratelimit-proto/src/channel.rs
+++ b/crates/ratelimit-proto/src/channel.rs
@@ -71,3 +71,22 @@
         });
     }
 }
+
+/// Whether a failed question is known not to have been looked at: the server refused its stream, or the stream
+/// came after the last one that its GOAWAY takes (RFC 9113, sections 6.8 and 8.7).
+pub fn never_processed(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<h2::Error>() {
+            let quiet = error.reason() == Some(h2::Reason::NO_ERROR);
+            let refused = error.is_reset() && error.reason() == Some(h2::Reason::REFUSED_STREAM);
+            return error.is_remote() && (refused || error.is_go_away() && quiet);
+        }
+        if error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled) {
+            // It was still with us when the connection ended.
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/crates/ratelimit-proto/src/lib.rs
+++ b/crates/ratelimit-proto/src/lib.rs
@@ -35,7 +35,7 @@
     }
 }
 
-pub use channel::{Channel, LocalExecutor};
+pub use channel::{never_processed, Channel, LocalExecutor};
 pub use envoy::config::core::v3::HeaderValue;
 pub use envoy::extensions::common::ratelimit::v3::{rate_limit_descriptor::Entry, RateLimitDescriptor};
 pub use envoy::service::ratelimit::v3::rate_limit_response::{
@@ -46,6 +46,7 @@
     RateLimitService, RateLimitServiceServer,
 };
 pub use envoy::service::ratelimit::v3::{RateLimitRequest, RateLimitResponse};
+pub use prost_types::Duration;
 
 /// The definitions themselves, for server reflection.
 pub const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/ratelimit.bin"));
--- a/crates/ratelimit/src/claim.rs
+++ b/crates/ratelimit/src/claim.rs
@@ -79,6 +79,25 @@
     }
 }
 
+/// What has come of a request or a question that is for its ingress to decide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decided {
+    /// The module lets it pass: it is sent for the first time, or its question is answered.
+    Passes,
+    /// The module refuses it, with the time after which its quota has room (0: that is not why).
+    Refused { sent_before: bool, retry_after: u64 },
+}
+
+/// The outcome that is told to others who ask about the try; none: that is no word on the try, which stays fresh
+/// for them. Want of a node refuses a request and says nothing of its quota, and one that was sent has passed.
+pub fn told(decided: Decided) -> Option<bool> {
+    match decided {
+        Decided::Passes => Some(true),
+        Decided::Refused { sent_before: false, retry_after } if retry_after > 0 => Some(false),
+        Decided::Refused { .. } => None,
+    }
+}
+
 /// What to add when the try that was [`Standing::Fresh`] has been decided.
 pub fn outcome(let_in: bool) -> f64 {
     if let_in {
--- a/crates/ratelimit/src/lib.rs
+++ b/crates/ratelimit/src/lib.rs
@@ -1,8 +1,11 @@
 //! Decisions about rate limit questions, without input or output and without a clock. The quota itself is the
 //! decision module's; here is what a question is about ([`Mapping`]), whether a try has been counted before
-//! ([`claim`]), and how the answers for several descriptors become one ([`verdict`]).
+//! ([`claim`]), how the answers for several descriptors become one ([`verdict`]), and what an outside server's
+//! answers mean, in time or late ([`consult`]).
 
+pub mod breaker;
 pub mod claim;
+pub mod consult;
 mod mapping;
 mod question;
 pub mod timeout;
--- a/crates/standin/src/bin/violetyoke-standin.rs
+++ b/crates/standin/src/bin/violetyoke-standin.rs
@@ -1,5 +1,5 @@
-//! Stand-ins from the command line: `violetyoke-standin node`, `discovery` or `counter`. Each serves until its
-//! standard input ends, and takes words from there: a node the name of a fault, a counter nothing.
+//! Stand-ins from the command line: `violetyoke-standin node`, `discovery`, `counter` or `limiter`. Each serves until
+//! its standard input ends, and takes words from there: a node the name of a fault, a counter nothing.
 
 use clap::{Parser, Subcommand};
 use std::io::{self, BufRead};
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use violetyoke_standin::counter::Counter;
 use violetyoke_standin::discovery::{member, Discovery};
+use violetyoke_standin::limiter::{self, Limiter};
 use violetyoke_standin::node::{Fault, Node, Shape};
 
 /// Stand-ins for what an ingress meets, on loopback addresses.
@@ -49,6 +50,20 @@
         listen: SocketAddr,
         nodes: Vec<String>,
     },
+    /// An outside rate limit server. A line on standard input says how it answers: answer, delay MS, silent, error,
+    /// garble, lenient or strict; or ends its connections: goaway or break.
+    Limiter {
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Units of each descriptor in each window.
+        #[arg(long, default_value_t = 10)]
+        limit: u64,
+        #[arg(long, default_value_t = 1_000)]
+        window_ms: u64,
+        /// Always OK, and nothing is counted or noted: to measure beside it.
+        #[arg(long)]
+        bare: bool,
+    },
     /// A counter.
     Counter {
         #[arg(long, default_value = "127.0.0.1:0")]
@@ -90,6 +105,25 @@
                 entry(node, phase).map(|entry| discovery.change(entry))
             })
         }
+        What::Limiter { listen, bare: true, .. } => {
+            println!("{}", limiter::bare(listen)?);
+            each_line(|_| Err("a bare limiter takes no words".to_string()))
+        }
+        What::Limiter { listen, limit, window_ms, bare: false } => {
+            let limiter = Limiter::start(listen, limit, Duration::from_millis(window_ms))?;
+            println!("{}", limiter.address);
+            each_line(|line| match line {
+                "goaway" => {
+                    limiter.go_away();
+                    Ok(())
+                }
+                "break" => {
+                    limiter.break_off();
+                    Ok(())
+                }
+                _ => line.parse().map(|mode| limiter.set(mode)),
+            })
+        }
         What::Counter { listen } => {
             let counter = Counter::start_at(listen)?;
             println!("{}", counter.address);
--- a/crates/standin/src/counter.rs
+++ b/crates/standin/src/counter.rs
@@ -22,6 +22,8 @@
     Late,
     /// Adds, and answers with no number in it.
     Noise,
+    /// Adds, and never answers.
+    Mute,
 }
 
 /// A running counter; its threads end with the process.
@@ -34,6 +36,8 @@
 #[derive(Default)]
 struct State {
     mode: Mutex<Mode>,
+    /// Calls that are answered before the mode holds.
+    before: Mutex<u32>,
     calls: Mutex<Vec<(String, f64)>>,
     totals: Mutex<HashMap<String, (f64, Instant)>>,
     connections: AtomicU32,
@@ -62,6 +66,12 @@
     }
 
     pub fn set(&self, mode: Mode) {
+        self.set_after(0, mode);
+    }
+
+    /// Answers so many calls more before the mode holds.
+    pub fn set_after(&self, calls: u32, mode: Mode) {
+        *lock(&self.state.before) = calls;
         *lock(&self.state.mode) = mode;
     }
 
@@ -115,13 +125,19 @@
             return Some(Some("-ERR ADDGET NAME AMOUNT LIFE\r\n".to_string()));
         };
         lock(&self.calls).push((words[1].clone(), amount));
-        let mode = *lock(&self.mode);
+        let before = {
+            let mut before = lock(&self.before);
+            let now = *before > 0;
+            *before = before.saturating_sub(1);
+            now
+        };
+        let mode = if before { Mode::Answer } else { *lock(&self.mode) };
         match mode {
             Mode::Silent => return Some(None),
             Mode::Break => return None,
             Mode::Busy => return Some(Some("-BUSY\r\n".to_string())),
             Mode::Late => thread::sleep(Duration::from_millis(120)),
-            Mode::Answer | Mode::Noise => {}
+            Mode::Answer | Mode::Noise | Mode::Mute => {}
         }
         let now = Instant::now();
         let ends = now + Duration::from_millis(life.max(1)).min(LONGEST_LIFE);
@@ -131,6 +147,9 @@
             *number = (0.0, ends);
         }
         number.0 += amount;
+        if mode == Mode::Mute {
+            return Some(None);
+        }
         let text = if mode == Mode::Noise { "?!".to_string() } else { number.0.to_string() };
         Some(Some(format!("${}\r\n{text}\r\n", text.len())))
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod http;
+pub mod limiter;
 pub mod node;
 pub mod scripted;
 
--- a/crates/violetyoke/tests/common/mod.rs
+++ b/crates/violetyoke/tests/common/mod.rs
@@ -3,6 +3,8 @@
 //! fails.
 #![allow(dead_code, unused_imports)] // Each file of tests uses its own part.
 
+pub mod grpc;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/violetyoke/tests/ratelimit.rs
+++ b/crates/violetyoke/tests/ratelimit.rs
@@ -2,16 +2,13 @@
 
 mod common;
 
+use common::grpc::*;
 use common::*;
-use hyper_util::rt::TokioIo;
-use std::future::Future;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::task::LocalSet;
 use tonic::{Code, Request, Status};
 use violetyoke_ratelimit_proto as proto;
-use violetyoke_ratelimit_proto::{Channel, LocalExecutor};
 use violetyoke_standin::node::{Node, Shape};
 
 const HOST: &str = "booking.example.org";
@@ -52,44 +49,6 @@
     )
 }
 
-fn asked_at(service: &Service) -> SocketAddr {
-    let mut address = None;
-    until("the service answers questions", || {
-        address = service.log().iter().find_map(|line| {
-            line.strip_prefix("violetyoke: answering rate limit questions on ")
-                .map(|text| text.parse().unwrap())
-        });
-        address.is_some()
-    });
-    address.unwrap()
-}
-
-/// Runs a test's asynchronous part, for so long at most.
-fn block<T>(work: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let work = async { tokio::time::timeout(Duration::from_secs(20), work).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, work)
-}
-
-type Client = proto::RateLimitServiceClient<Channel>;
-
-async fn channel(address: SocketAddr) -> Channel {
-    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
-    let uri = format!("http://{address}").parse().unwrap();
-    let (channel, connection) = Channel::open(TokioIo::new(stream), LocalExecutor, uri).await.unwrap();
-    tokio::task::spawn_local(async move { drop(connection.await) });
-    channel
-}
-
-async fn client(address: SocketAddr) -> Client {
-    proto::RateLimitServiceClient::new(channel(address).await)
-}
-
-fn descriptor(entries: &[(&str, &str)]) -> proto::RateLimitDescriptor {
-    let entry = |(key, value): &(&str, &str)| proto::Entry { key: key.to_string(), value: value.to_string() };
-    proto::RateLimitDescriptor { entries: entries.iter().map(entry).collect(), ..Default::default() }
-}
-
 fn question(descriptors: Vec<proto::RateLimitDescriptor>) -> proto::RateLimitRequest {
     proto::RateLimitRequest { domain: "rooms".into(), descriptors, hits_addend: 0 }
 }
@@ -99,13 +58,13 @@
 }
 
 async fn ask(
-    client: &mut Client,
+    client: &mut Asker,
     request: proto::RateLimitRequest,
 ) -> Result<proto::RateLimitResponse, Status> {
     client.should_rate_limit(request).await.map(|response| response.into_inner())
 }
 
-async fn ok(client: &mut Client, request: proto::RateLimitRequest) -> bool {
+async fn ok(client: &mut Asker, request: proto::RateLimitRequest) -> bool {
     ask(client, request).await.unwrap().overall_code() == proto::Code::Ok
 }
 
@@ -494,3 +453,83 @@
         assert!(names.contains(&"envoy.service.ratelimit.v3.RateLimitService"), "{names:?}");
     });
 }
+
+/// An ingress dies at each point between the claim and its answer, and the try comes again through another, over
+/// either way: it passes, it is counted at least once, and at most once more than it would have been.
+#[test]
+fn a_try_whose_ingress_is_killed_is_counted_again_through_another() {
+    // Its calls: the claim, its units, the outcome. Each is lost on its way, or is added and its answer lost.
+    for (answered, mode, first_over_grpc) in [
+        (0, Mode::Silent, true),
+        (0, Mode::Mute, false),
+        (1, Mode::Silent, false),
+        (1, Mode::Mute, true),
+        (2, Mode::Mute, true),
+        (2, Mode::Silent, false),
+    ] {
+        let case = format!("{answered} calls answered, then {mode:?}, first over gRPC: {first_over_grpc}");
+        let node = node();
+        let counter = Counter::start();
+        // The counter's answers are waited for so long that the ingress dies before it gives up.
+        let more = format!("counter = \"{}\"\ncounter_timeout_ms = 1500", counter.address);
+        let text =
+            file(&node, 0.01, 4.0, &more).replace("[service]\n", "[service]\ningresses = 2\nindex = INDEX\n");
+        let mut a = Service::start(&text.replace("INDEX", "0"));
+        let b = Service::start(&text.replace("INDEX", "1"));
+        let (at_a, at_b) = (asked_at(&a), asked_at(&b));
+        let named = || question(vec![descriptor(&[("account", "h"), ("try", "t")])]);
+        counter.set_after(answered, mode);
+        let passed = block(async {
+            if first_over_grpc {
+                let mut client = client(at_a).await;
+                let asked = tokio::task::spawn_local(async move { ask(&mut client, named()).await });
+                wait_for_calls(&counter, answered).await;
+                a.child.kill().unwrap();
+                let _ = asked.await.unwrap();
+                counter.set(Mode::Answer);
+                assert_eq!(tried(&b, "h", "t"), 200, "{case}");
+                1
+            } else {
+                let request = open_request("POST", HOST, "/bookings", "h", "room=4");
+                let mut client = a.client();
+                client.send(request.replacen("X-Account", "X-Try: t\r\nX-Account", 1));
+                wait_for_calls(&counter, answered).await;
+                a.child.kill().unwrap();
+                drop(client.answer());
+                counter.set(Mode::Answer);
+                assert!(ok(&mut self::client(at_b).await, named()).await, "{case}");
+                1
+            }
+        });
+        // What is left of four units: the try was counted once, or once more for the loss.
+        let more = (0..8).filter(|_| booking(&b, "h") == 200).count();
+        assert!((2..=3).contains(&more), "{case}: {more} more");
+        assert!(passed + more <= 4, "{case}");
+    }
+}
+
+/// Until the call behind those that are answered has come.
+async fn wait_for_calls(counter: &Counter, answered: u32) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while counter.calls().len() <= answered as usize {
+        assert!(Instant::now() < end, "the call came");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+#[test]
+fn with_a_slow_counter_a_try_passes_and_is_counted_once_more_at_most() {
+    let node = node();
+    let counter = Counter::start();
+    let text = file(&node, 0.01, 4.0, &format!("counter = \"{}\"", counter.address));
+    let text = text.replace("[service]\n", "[service]\ningresses = 2\nindex = INDEX\n");
+    let a = Service::start(&text.replace("INDEX", "0"));
+    let b = Service::start(&text.replace("INDEX", "1"));
+    counter.set(Mode::Late);
+    // Every answer comes after its call was given up: nobody knows of the claim, and the try is counted at both.
+    assert_eq!(tried(&a, "h", "t"), 200);
+    assert_eq!(tried(&b, "h", "t"), 200);
+    counter.set(Mode::Answer);
+    let more = (0..8).filter(|_| booking(&b, "h") == 200).count();
+    assert!(more <= 3, "{more} more");
+}
