--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,9 +2,12 @@
 //! falls short. `cargo xtask measure NAME` prints figures that have no verdict.
 
 mod figures;
+mod grpc;
 mod load;
 mod measure;
+mod measure_questions;
 mod process;
+mod prove_consult;
 mod prove_ratelimit;
 mod prove_routes;
 
@@ -45,6 +48,8 @@
     Routes,
     /// Questions and requests of the same accounts over three ingresses keep the ceiling; tries count once.
     Ratelimit,
+    /// An outside rate limit server that fails holds up nobody, is spared, and its counts are used once.
+    Consult,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -53,6 +58,8 @@
     Pools,
     /// CPU a request and memory of the platform's form, beside an earlier commit's.
     Platform,
+    /// CPU and time of a rate limit question, beside a bare tonic server.
+    Questions,
 }
 
 fn main() -> ExitCode {
@@ -63,6 +70,10 @@
         What::Prove { name: Proof::Ratelimit, long, without_defence } => {
             prove_ratelimit::run(long, !without_defence)
         }
+        What::Prove { name: Proof::Consult, long, without_defence } => {
+            prove_consult::run(long, !without_defence)
+        }
+        What::Measure { name: Measure::Questions, .. } => measure_questions::run(),
         What::Measure { name: Measure::Pools, .. } => measure::pools(),
         What::Measure { name: Measure::Platform, base } => measure::platform(&base),
     };
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -19,6 +19,12 @@
     build_in(&root(), "violetyoke")
 }
 
+/// Builds the stand-ins in their released form.
+pub fn build_standin() -> Result<PathBuf> {
+    build_in(&root(), "violetyoke-standin")?;
+    Ok(root().join("target/release/violetyoke-standin"))
+}
+
 fn build_in(root: &Path, package: &str) -> Result<PathBuf> {
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
     let status = Command::new(cargo)
@@ -101,6 +107,15 @@
         Ok(program)
     }
 
+    /// A stand-in as a process of its own, which tells its address first and serves while its input is open.
+    pub fn standin(program: &Path, arguments: &[&str]) -> Result<Program> {
+        let mut child =
+            Command::new(program).args(arguments).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()?;
+        let mut lines = BufReader::new(child.stdout.take().ok_or("no standard output")?).lines();
+        let line = lines.next().ok_or("the stand-in ended")??;
+        Ok(Program { child, address: line.parse()?, file: PathBuf::new() })
+    }
+
     /// Memory held now, in KiB.
     pub fn resident(&self) -> Result<u64> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
@@ -108,10 +123,13 @@
         Ok(line.and_then(|line| line.trim().strip_suffix(" kB")).ok_or("no VmRSS")?.trim().parse()?)
     }
 
-    /// CPU time used so far, by the program and for it by the kernel, in microseconds.
+    /// CPU time used so far by all of its threads, and for it by the kernel, in microseconds.
     pub fn cpu(&self) -> Result<f64> {
-        let stat = fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))?;
-        let nanoseconds: f64 = stat.split(' ').next().ok_or("no schedstat")?.parse()?;
+        let mut nanoseconds = 0.0;
+        for thread in fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
+            let stat = fs::read_to_string(thread?.path().join("schedstat"))?;
+            nanoseconds += stat.split(' ').next().ok_or("no schedstat")?.parse::<f64>()?;
+        }
         Ok(nanoseconds / 1e3)
     }
 }
--- a/xtask/src/prove_ratelimit.rs
+++ b/xtask/src/prove_ratelimit.rs
@@ -4,6 +4,7 @@
 //! own counts.
 
 use crate::figures::{quantile, Figures};
+use crate::grpc;
 use crate::process::{build, Program, Result};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +15,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
-use violetyoke_ratelimit_proto as proto;
-use violetyoke_ratelimit_proto::{Channel, LocalExecutor};
+use violetyoke_ratelimit_proto::Channel;
 use violetyoke_standin::counter::Counter;
 use violetyoke_standin::node::{Node, Shape};
 
@@ -79,9 +79,69 @@
         let tally = LocalSet::new().block_on(&runtime, play(&program, &files, seed, time, kills, defence))?;
         judge(&mut figures, phase, &tally, &node, began.elapsed(), kills);
     }
+    halves(&mut figures, &program, &runtime, if long { 30 } else { 8 })?;
     Ok(figures)
 }
 
+/// Accounts that ask over HTTP only, beside as many that ask half over gRPC: what each kind gets in all.
+fn halves(
+    figures: &mut Figures,
+    program: &Path,
+    runtime: &tokio::runtime::Runtime,
+    seconds: u64,
+) -> Result<()> {
+    const EACH: usize = 4;
+    let counter = Counter::start_at(violetyoke_standin::any())?;
+    let shape = Shape { workers: 16, queue: 64, service: Duration::from_millis(2), ..Shape::default() };
+    let node = Node::start(violetyoke_standin::any(), "n", shape)?;
+    let mut services = Vec::new();
+    let mut at = Vec::new();
+    for index in 0..INGRESSES {
+        let asked = crate::process::free_address()?;
+        let text = file(&node, &counter, index).replace("ASKED", &asked.to_string());
+        let service = Program::serve(program, &text)?;
+        at.push((service.address, asked));
+        services.push(service);
+    }
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let at = Rc::new(at);
+    let account = |number: usize, half: bool| {
+        let at = at.clone();
+        tokio::task::spawn_local(async move {
+            let (mut channels, mut passed, mut number_of_try) = (BTreeMap::new(), 0u64, 0usize);
+            let mut next = Instant::now() + PAUSE * number as u32 / (2 * EACH as u32);
+            while next < end {
+                tokio::time::sleep_until(next.into()).await;
+                next += PAUSE;
+                let (serves, asked) = at[number_of_try % INGRESSES];
+                let name = format!("h{number}-{number_of_try}");
+                // By threes, so that each way comes to each ingress.
+                let answer = if half && (number_of_try / INGRESSES) % 2 == 0 {
+                    ask(&mut channels, asked, number, &name, false).await
+                } else {
+                    request(serves, number, &name, 0, false).await
+                };
+                number_of_try += 1;
+                passed += u64::from(answer == Some(true));
+            }
+            passed
+        })
+    };
+    let [alone, half] = LocalSet::new().block_on(runtime, async {
+        let tasks: Vec<_> = (0..2 * EACH).map(|number| account(number, number % 2 == 1)).collect();
+        let mut totals = [0u64; 2];
+        for (number, task) in tasks.into_iter().enumerate() {
+            totals[number % 2] += task.await?;
+        }
+        Ok::<_, tokio::task::JoinError>(totals)
+    })?;
+    figures.tell("halves_passed_over_http_alone", alone);
+    figures.tell("halves_passed_half_over_grpc", half);
+    let apart = (half as f64 / alone as f64 - 1.0).abs();
+    figures.at_most("halves_apart", apart, 0.02);
+    Ok(())
+}
+
 fn file(node: &Node, counter: &Counter, index: usize) -> String {
     format!(
         r#"[service]
@@ -218,30 +278,20 @@
     name: &str,
     names: bool,
 ) -> Option<bool> {
-    let entry = |key: &str, value: String| proto::Entry { key: key.into(), value };
-    let mut entries = vec![entry("account", format!("a{account}"))];
+    let account = format!("a{account}");
+    let mut entries = vec![("account", account.as_str())];
     if names {
-        entries.push(entry("try", name.to_string()));
+        entries.push(("try", name));
     }
-    let descriptors = vec![proto::RateLimitDescriptor { entries, ..Default::default() }];
-    let request = proto::RateLimitRequest { domain: "rooms".into(), descriptors, hits_addend: 0 };
     let channel = match channels.get(&address).filter(|channel| !channel.is_closed()) {
         Some(channel) => channel.clone(),
         None => {
-            let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            let uri = format!("http://{address}").parse().ok()?;
-            let io = hyper_util::rt::TokioIo::new(stream);
-            let (channel, connection) = Channel::open(io, LocalExecutor, uri).await.ok()?;
-            tokio::task::spawn_local(async move { drop(connection.await) });
+            let channel = grpc::channel(address).await.ok()?;
             channels.insert(address, channel.clone());
             channel
         }
     };
-    let mut client = proto::RateLimitServiceClient::new(channel);
-    let answer =
-        tokio::time::timeout(Duration::from_secs(2), client.should_rate_limit(request)).await.ok()?.ok()?;
-    Some(answer.into_inner().overall_code() == proto::Code::Ok)
+    grpc::ask(&channel, grpc::question(&entries)).await
 }
 
 /// Whether the request was served; none: it was not answered.
