Control plane: tenants in SQLite with versions and audit, administration API, keys, CLI

Tests: every schema step with data, 400 changes by two connections with none lost, 200 by two processes over HTTP, SIGKILL at random points of 200 changes with the audit log replayed, every endpoint with five kinds of keys, a key withdrawn on an open connection, a tenant made anew. Found by them: replays of a creation used a revision, and key ids stood in the audit log twice.

--- /dev/null
+++ b/crates/control/src/api/openapi.rs
@@ -0,0 +1,126 @@
+//! The OpenAPI page, from the table of endpoints and the types' own schemas.
+
+use super::endpoints::{Access, Endpoint, ENDPOINTS};
+use super::keys::{NewKey, Rotation};
+use super::snapshots::IngressState;
+use super::Problem;
+use crate::keys::{Role, ShownKey};
+use crate::store::AuditEntry;
+use serde_json::{json, Map, Value};
+use utoipa::OpenApi;
+use violetyoke_tenants::model::{Account, Fault, Limits, Part, Plan, Route, State, StoredTenant, Tenant};
+use violetyoke_tenants::snapshot::{Snapshot, TenantView};
+
+/// A page of a list.
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)] // It only has a shape.
+struct Page {
+    /// Each with its `version`.
+    items: Vec<Value>,
+    /// What `after` has to be for the next page; none: this was the last.
+    next: Option<String>,
+}
+
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct AuditPage {
+    items: Vec<AuditEntry>,
+    next: Option<u64>,
+}
+
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct Ingresses {
+    /// The newest.
+    revision: u64,
+    /// By their names.
+    items: std::collections::BTreeMap<String, IngressState>,
+}
+
+#[derive(OpenApi)]
+#[openapi(
+    info(title = "violetyoke administration", version = "1", description = "Tenants of a hosted ingress"),
+    components(schemas(
+        Account,
+        AuditEntry,
+        AuditPage,
+        Fault,
+        IngressState,
+        Ingresses,
+        Limits,
+        NewKey,
+        Page,
+        Part,
+        Plan,
+        Problem,
+        Role,
+        Rotation,
+        Route,
+        ShownKey,
+        Snapshot,
+        State,
+        StoredTenant,
+        Tenant,
+        TenantView
+    ))
+)]
+struct Schemas;
+
+/// The page as JSON.
+pub fn document() -> Value {
+    let mut page = serde_json::to_value(Schemas::openapi()).unwrap_or_default();
+    let mut paths: Map<String, Value> = Map::new();
+    for endpoint in ENDPOINTS {
+        let path = paths.entry(endpoint.path).or_insert_with(|| json!({}));
+        path[endpoint.method.to_lowercase()] = operation(endpoint);
+    }
+    page["paths"] = Value::Object(paths);
+    page["components"]["securitySchemes"] = json!({ "key": { "type": "http", "scheme": "bearer" } });
+    page
+}
+
+fn operation(endpoint: &Endpoint) -> Value {
+    let content = |kind: &str, name: &str| json!({ kind: { "schema": { "$ref": format!("#/components/schemas/{name}") } } });
+    let in_path =
+        |name: &str| json!({ "name": name, "in": "path", "required": true, "schema": { "type": "string" } });
+    let header = |name: &str, about: &str| json!({ "name": name, "in": "header", "required": false, "description": about, "schema": { "type": "string" } });
+    let mut parameters: Vec<Value> = ["tenant", "name", "key"]
+        .into_iter()
+        .filter(|name| endpoint.path.contains(&format!("{{{name}}}")))
+        .map(in_path)
+        .collect();
+    let changes =
+        ["PUT", "PATCH", "DELETE"].contains(&endpoint.method) || endpoint.path.ends_with("/restore");
+    if changes {
+        parameters.push(header("If-Match", "the ETag that was read, or *"));
+    } else if endpoint.method == "POST" && !endpoint.path.ends_with("/rotate") {
+        parameters
+            .push(header("Idempotency-Key", "sent again with the same body, the first answer comes again"));
+    }
+    let success = match (endpoint.method, endpoint.path) {
+        ("POST", path) if !path.ends_with("/restore") => "201",
+        ("DELETE", "/v1/tenants/{tenant}") => "202",
+        ("DELETE", _) => "204",
+        _ => "200",
+    };
+    let mut answer = json!({ "description": endpoint.about });
+    if let Some(name) = endpoint.gives {
+        answer["content"] = content("application/json", name);
+    }
+    let problem = json!({ "description": "What went wrong", "content": content("application/problem+json", "Problem") });
+    let mut operation = json!({
+        "summary": endpoint.about,
+        "parameters": parameters,
+        "responses": { success: answer, "default": problem },
+    });
+    if let Some(name) = endpoint.takes {
+        let kind =
+            if endpoint.method == "PATCH" { "application/merge-patch+json" } else { "application/json" };
+        operation["requestBody"] = json!({ "required": true, "content": content(kind, name) });
+    }
+    if endpoint.access != Access::Public {
+        operation["security"] = json!([{ "key": [] }]);
+        operation["x-access"] = json!(format!("{:?}", endpoint.access));
+    }
+    operation
+}
--- a/crates/violetyoke/src/bin/violetyoke-service.rs
+++ b/crates/violetyoke/src/bin/violetyoke-service.rs
@@ -1,5 +1,9 @@
 //! The program with its commands: several pools by a file of our own.
 
+#[path = "../admin.rs"]
+mod admin;
+#[path = "../control.rs"]
+mod control;
 #[path = "../demo.rs"]
 mod demo;
 
@@ -31,6 +35,19 @@
         #[arg(long, default_value = "127.0.0.1:8080")]
         listen: SocketAddr,
     },
+    /// The control plane: keeps tenants in a file and answers the administration API. The first start prints an
+    /// operator's key.
+    Control(control::Arguments),
+    /// Tenants of a hosted service, by way of the administration API.
+    Tenant(admin::Arguments),
+    /// A tenant's plans.
+    Plan(admin::Arguments),
+    /// A tenant's accounts.
+    Account(admin::Arguments),
+    /// A tenant's routes.
+    Route(admin::Arguments),
+    /// Keys of the administration API: a tenant's, or without one operators' and ingresses'.
+    Key(admin::Arguments),
 }
 
 /// What `check` and `serve` exit with for a bad file.
@@ -49,6 +66,12 @@
             Ok(config) => run(|runtime| runtime.block_on(service::serve(file, config))),
             Err(errors) => bad_file(&errors),
         },
+        Command::Control(arguments) => run(|runtime| runtime.block_on(control::serve(arguments))),
+        Command::Tenant(arguments) => administrate("tenants", arguments),
+        Command::Plan(arguments) => administrate("plans", arguments),
+        Command::Account(arguments) => administrate("accounts", arguments),
+        Command::Route(arguments) => administrate("routes", arguments),
+        Command::Key(arguments) => administrate("keys", arguments),
         Command::Demo { listen } => match demo::start(listen) {
             Ok((file, config)) => run(|runtime| runtime.block_on(service::serve(file, config))),
             Err(error) => fail(error),
@@ -67,6 +90,10 @@
     }
 }
 
+fn administrate(collection: &'static str, arguments: admin::Arguments) -> ExitCode {
+    run(|runtime| runtime.block_on(admin::run(collection, arguments)).map_err(std::io::Error::other))
+}
+
 fn fail(error: impl std::fmt::Display) -> ExitCode {
     eprintln!("violetyoke: {error}");
     ExitCode::FAILURE
--- a/crates/violetyoke/tests/common/mod.rs
+++ b/crates/violetyoke/tests/common/mod.rs
@@ -3,6 +3,7 @@
 //! fails.
 #![allow(dead_code, unused_imports)] // Each file of tests uses its own part.
 
+pub mod control;
 pub mod grpc;
 
 use serde_json::{json, Value};
