--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 //! the decision module.
 
 mod consult;
+mod control;
 mod error;
 mod pool;
 mod ratelimit;
@@ -13,6 +14,7 @@
 mod service;
 
 pub use consult::Consult;
+pub use control::Control;
 pub use error::Errors;
 pub use pool::{Class, Fields, Node, Nodes, Pool};
 pub use ratelimit::RateLimit;
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -1,5 +1,6 @@
 //! The whole file: what all pools share, the pools, and the routes to them.
 
+use crate::control::Control;
 use crate::error::Errors;
 use crate::pool::Pool;
 use crate::ratelimit::RateLimit;
@@ -24,6 +25,8 @@
     pub routes: Vec<Route>,
     /// The gRPC rate limit service, where it is switched on.
     pub ratelimit: Option<RateLimit>,
+    /// Where tenants come from, where there are any.
+    pub control: Option<Control>,
 }
 
 /// A route to a pool.
@@ -112,7 +115,7 @@
     sections.into_iter().for_each(Section::finish);
     let sections = root.sections("route");
     let routes: Vec<Route> = sections.iter().filter_map(|section| route(section, &pools)).collect();
-    if sections.is_empty() {
+    if sections.is_empty() && !root.has("control") {
         root.error("route", "at least one is needed");
     }
     let rules: Vec<Rule> = routes.iter().map(|route| route.rule.clone()).collect();
@@ -143,6 +146,7 @@
         pools,
         routes,
         ratelimit,
+        control: root.has("control").then(|| Control::read(root.section("control"))),
     };
     service.finish();
     read
--- a/crates/ingress/src/clients.rs
+++ b/crates/ingress/src/clients.rs
@@ -4,7 +4,7 @@
 //! against the pool whose request it carried last, and against the [`DOOR`] until it has carried one; the one
 //! that has been idle the longest makes room for a new one of the same pool.
 
-use super::pool::{Pool, Shared};
+use super::pool::Shared;
 use super::socket::Socket;
 use super::tasks::{Handle, Set};
 use std::cell::{Cell, RefCell};
@@ -157,19 +157,19 @@
         stock.borrow_mut().take(member, 1)
     }
 
-    /// Counts a connection against the pool whose request it carries now, and lets its task go there. False:
-    /// the pool has all the connections that it may have.
-    pub fn settle(&self, place: &Place, pool: &Pool) -> bool {
+    /// Counts a connection against the one whose request it carries now, a pool or a tenant, and lets its task go
+    /// there. False: that one has all the connections that it may have.
+    pub fn settle(&self, place: &Place, member: Member, set: impl FnOnce() -> Option<Rc<Set>>) -> bool {
         let Some(stock) = &self.shared else { return true };
-        if place.home.get() == Some(pool.member) {
+        if place.home.get() == Some(member) {
             return true;
         }
-        if !self.take(stock, pool.member) {
+        if !self.take(stock, member) {
             return false;
         }
         self.give(place);
-        place.home.set(Some(pool.member));
-        place.move_to(pool.set.as_ref());
+        place.home.set(Some(member));
+        place.move_to(set().as_ref());
         true
     }
 
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -7,6 +7,7 @@
 use super::embedded::Link;
 use super::peers::Peers;
 use super::pool::Pool;
+use super::sets;
 use super::tasks::{self, Handle};
 use super::{Answer, ClientRequest, Clock, Forward, Message, Messages, Reply};
 use bytes::Bytes;
@@ -187,8 +188,15 @@
                 () = wake.as_mut() => set_for = 0,
             }
             for message in batch.drain(..) {
+                let charged = match &message {
+                    Message::Request(request) => request.charged.map(|member| (member, Instant::now())),
+                    _ => None,
+                };
                 self.take(message);
                 self.settle();
+                if let Some((member, began)) = charged {
+                    sets::charge(member, began.elapsed().as_micros() as u64);
+                }
             }
             // Calls that give units back may still be on their way: they end with the pool's tasks.
             if self.retiring && self.requests.is_empty() && self.pool.open() == 0 && self.calls.is_empty() {
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -1,6 +1,7 @@
 //! To which pool a request goes. The table is replaced as a whole; a request that has been matched keeps the
 //! pool that it was matched to.
 
+use crate::guest::Guest;
 use crate::pool::Pool;
 use crate::request::{bad, Rejection};
 use hyper::header::HOST;
@@ -8,6 +9,7 @@
 use hyper::{StatusCode, Uri};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use violetyoke_routes::{target, Bad, Table};
 
 /// The table in force.
@@ -19,7 +21,7 @@
     /// Everything goes to one pool, as it came.
     One(Rc<Pool>),
     Table {
-        table: Table,
+        table: Arc<Table>,
         routes: Vec<Route>,
     },
 }
@@ -28,6 +30,8 @@
     pub pool: Rc<Pool>,
     /// Class of requests that state none.
     pub class: Option<String>,
+    /// Whose it is.
+    pub guest: Option<Rc<dyn Guest>>,
 }
 
 pub struct Matched {
@@ -35,6 +39,7 @@
     /// What goes on to the node.
     pub uri: Uri,
     pub class: Option<u16>,
+    pub guest: Option<Rc<dyn Guest>>,
 }
 
 impl Front {
@@ -42,8 +47,9 @@
         Front { routing: RefCell::new(Rc::new(routing)) }
     }
 
-    pub fn replace(&self, routing: Routing) {
-        *self.routing.borrow_mut() = Rc::new(routing);
+    /// Returns what was in force, as far as nobody needs it any more: it may be large.
+    pub fn replace(&self, routing: Routing) -> Option<Routing> {
+        Rc::into_inner(self.routing.replace(Rc::new(routing)))
     }
 
     /// Whether errors are told in words: the platform's clients want none.
@@ -64,7 +70,12 @@
         let (table, routes) = match &**routing {
             Routing::One(pool) => {
                 let origin = head.uri.path_and_query().ok_or(bad("path: missing"))?;
-                return Ok(Matched { pool: pool.clone(), uri: Uri::from(origin.clone()), class: None });
+                return Ok(Matched {
+                    pool: pool.clone(),
+                    uri: Uri::from(origin.clone()),
+                    class: None,
+                    guest: None,
+                });
             }
             Routing::Table { table, routes } => (table, routes),
         };
@@ -84,7 +95,7 @@
             None => Uri::try_from(target.path).map_err(|_| why(Bad::Encoding))?,
         };
         let class = route.class.as_ref().and_then(|class| route.pool.rules().class(class));
-        Ok(Matched { pool: route.pool.clone(), uri, class })
+        Ok(Matched { pool: route.pool.clone(), uri, class, guest: route.guest.clone() })
     }
 }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,8 +12,10 @@
 mod driver;
 mod embedded;
 mod fields;
+mod follow;
 mod front;
 mod gate;
+mod guest;
 mod peers;
 pub mod platform;
 mod pool;
@@ -25,6 +27,7 @@
 mod sets;
 mod socket;
 mod tasks;
+mod tenants;
 
 use bytes::Bytes;
 use discovery::TargetList;
@@ -37,6 +40,7 @@
 use tokio::sync::{mpsc, oneshot};
 use violetyoke_decision::interface::{CustomerId, Event, Micros, Outcome, Report, RequestId, Settings};
 use violetyoke_decision::view::Standing;
+use violetyoke_shares::Member;
 
 /// The largest body that either side may send.
 const LARGEST_BODY: usize = 64 * 1024;
@@ -80,6 +84,8 @@
     pub forward: Option<Rc<Forward>>,
     /// The number of its try's claim, if it is for this request to tell the outcome.
     pub claim: Option<u64>,
+    /// The tenant that is charged for what the driver does with it.
+    pub charged: Option<Member>,
     pub reply: oneshot::Sender<Reply>,
 }
 
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -142,19 +142,19 @@
         })
     }
 
-    /// Bytes of a body that is about to be read; none: there is no room for it.
-    pub fn hold(&self, amount: u64) -> Option<Held> {
+    /// Bytes of a body that is about to be read, of the pool's or of a tenant's; none: there is no room for it.
+    pub fn hold(&self, member: Member, amount: u64) -> Option<Held> {
         let Some(bytes) = &self.bytes else { return Some(Held { stock: None, member: 0, amount: 0 }) };
-        let fits = bytes.borrow_mut().take(self.member, amount);
-        fits.then(|| Held { stock: Some(bytes.clone()), member: self.member, amount })
+        let fits = bytes.borrow_mut().take(member, amount);
+        fits.then(|| Held { stock: Some(bytes.clone()), member, amount })
     }
 
     /// Bytes of an answer that is there already: it is passed on, and what comes next finds less room.
-    pub fn hold_anyway(&self, amount: u64) -> Held {
+    pub fn hold_anyway(&self, member: Member, amount: u64) -> Held {
         if let Some(bytes) = &self.bytes {
-            bytes.borrow_mut().force(self.member, amount);
+            bytes.borrow_mut().force(member, amount);
         }
-        Held { stock: self.bytes.clone(), member: self.member, amount }
+        Held { stock: self.bytes.clone(), member, amount }
     }
 }
 
--- a/crates/ingress/src/questions.rs
+++ b/crates/ingress/src/questions.rs
@@ -373,6 +373,7 @@
             repeat: false,
             forward: None,
             claim: pass.as_ref().and_then(|pass| pass.claim),
+            charged: None,
             reply,
         }));
         // Dropped here, its stream has been reset: what was asked ends with it.
--- a/crates/ingress/src/request.rs
+++ b/crates/ingress/src/request.rs
@@ -157,8 +157,8 @@
 }
 
 /// What the head says; why it is turned down if it does not say it well. `class` is what the route makes of a
-/// request that states none.
-pub fn check(rules: &Rules, head: &Parts, class: Option<u16>) -> Result<Terms, Rejection> {
+/// request that states none. A guest's plan and customer are the tenant's to say.
+pub fn check(rules: &Rules, head: &Parts, class: Option<u16>, guest: bool) -> Result<Terms, Rejection> {
     // Beside a length it may hide a second request in the body: hyper follows one of the two, whoever stood
     // before this ingress perhaps the other. No client of ours has a use for it alone either.
     if head.headers.contains_key(TRANSFER_ENCODING) {
@@ -193,6 +193,7 @@
         return Err(Rejection { code, why: "method: GET, POST, PUT, PATCH and DELETE are taken" });
     }
     let plan = match field(headers, &TIER, "x-tier: doubled or not text")? {
+        _ if guest => 0,
         Some(tier) => place(&rules.plans, tier).ok_or(bad("x-tier: no such plan"))?,
         None => usual_plan.ok_or(bad("x-tier: missing"))?,
     };
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -30,6 +30,7 @@
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 use violetyoke_decision::interface::Micros;
 use violetyoke_ratelimit::claim::Way;
+use violetyoke_shares::Member;
 
 /// How long new connections are still taken after SIGTERM.
 const LINGER: Duration = Duration::from_millis(700);
@@ -201,15 +202,31 @@
         let ready = shared.front.ready();
         return Ok(status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
     }
-    let Matched { pool, uri, class } = shared.front.find(&head)?;
-    if !shared.clients.settle(place, &pool) {
+    let Matched { pool, uri, class, guest } = shared.front.find(&head)?;
+    // Whose room it takes.
+    let member = guest.as_ref().map_or(pool.member, |guest| guest.member());
+    let set = || guest.as_ref().map_or_else(|| pool.set.clone(), |guest| guest.set());
+    if !shared.clients.settle(place, member, set) {
         return Ok(close(status(StatusCode::SERVICE_UNAVAILABLE)));
     }
     let rules = pool.rules();
-    let terms = check(&rules, &head, class)?;
+    let mut terms = check(&rules, &head, class, guest.is_some())?;
     // Held until the answer is there: a table that is replaced meanwhile changes nothing for this request.
     let Some(_entry) = pool.enter() else { return Ok(status(StatusCode::SERVICE_UNAVAILABLE)) };
-    let Some(held) = pool.hold(body.size_hint().lower()) else {
+    let _admitted = match &guest {
+        None => None,
+        Some(guest) => match guest.admit(pool.member, &account_text(&head.headers)) {
+            Ok(admitted) => {
+                (terms.plan, terms.customer) = (admitted.plan, admitted.customer);
+                Some(admitted.place)
+            }
+            Err(rejection) if rejection.code == StatusCode::SERVICE_UNAVAILABLE => {
+                return Ok(close(turned_away(shared, rejection)));
+            }
+            Err(rejection) => return Err(rejection),
+        },
+    };
+    let Some(held) = pool.hold(member, body.size_hint().lower()) else {
         return Ok(close(status(StatusCode::SERVICE_UNAVAILABLE)));
     };
     let body = whole(&rules, &head, body).await?;
@@ -263,6 +280,7 @@
         repeat: terms.repeat,
         forward,
         claim: pass.as_ref().and_then(|pass| pass.claim),
+        charged: guest.as_ref().map(|_| member),
         reply,
     };
     if !pool.send(Message::Request(request)) {
@@ -275,7 +293,7 @@
         // Refused, it has run nowhere.
         pass.ended(!matches!(reply.answer, Answer::Refused { .. }));
     }
-    Ok(written(&pool, reply))
+    Ok(written(&pool, member, reply))
 }
 
 /// An id of this ingress's own, for a client that gave none.
@@ -284,10 +302,10 @@
     HeaderValue::from_str(&format!("v{name:016x}")).unwrap_or(HeaderValue::from_static("v"))
 }
 
-fn written(pool: &Pool, reply: Reply) -> Response<Whole> {
+fn written(pool: &Pool, member: Member, reply: Reply) -> Response<Whole> {
     let mut response = match reply.answer {
         Answer::Served(body) => {
-            let held = pool.hold_anyway(body.len() as u64);
+            let held = pool.hold_anyway(member, body.len() as u64);
             Response::new(Whole::new(body, Some(held)))
         }
         Answer::Failed | Answer::Admitted => status(StatusCode::BAD_GATEWAY),
--- a/crates/ingress/src/service.rs
+++ b/crates/ingress/src/service.rs
@@ -15,26 +15,31 @@
 use crate::request::{Form, Rules};
 use crate::sets::{Running, Sets};
 use crate::tasks::{Handle, Set};
-use crate::{server, Clock, Message};
+use crate::tenants::{Prepared, Tenancy};
+use crate::{follow, server, Clock, Message};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc;
-use tokio::task::unconstrained;
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::sync::{mpsc, watch as watched};
+use tokio::task::{spawn_blocking, unconstrained};
+use tokio::time::{interval, sleep, MissedTickBehavior};
 use violetyoke_config::{self as file, Nodes};
 use violetyoke_decision::interface::{self as words, Plan};
 use violetyoke_shares::{Member, Stock};
+use violetyoke_tenants::snapshot::Held;
 
 /// The rate limit service's number among those that share the process.
 const ASKING: Member = DOOR + 1;
 /// How often the file is looked at, where that is switched on.
 const LOOK: Duration = Duration::from_millis(500);
+/// How long the set of a tenant that is gone is kept for its tasks to leave it.
+const SET_ENDS: Duration = Duration::from_secs(1);
 /// Descriptors kept for connections that are yet to say what they want: one part in so many of all.
 const DOOR_PART: u64 = 8;
 /// Weight of the door among the pools: it accepts, and reads each connection's first head.
@@ -59,7 +64,17 @@
     let door = sets.add(DOOR, DOOR_WEIGHT);
     let running = Running::new(sets.clone(), over.clone());
     let mut pools = Pools::new(&config, sets.clone(), door.clone());
-    let (routing, asking) = pools.apply(&config).map_err(io::Error::other)?;
+    let config = Arc::new(config);
+    // Without the control plane it begins with what was in force when it ended.
+    let held = Arc::new(config.control.as_ref().map(follow::last_good).unwrap_or_default());
+    let prepared = match Prepared::new(&config, held) {
+        Err(reason) if config.control.is_some() => {
+            eprintln!("violetyoke: the tenants that were kept are not taken: {reason}");
+            Prepared::new(&config, Arc::default())
+        }
+        prepared => prepared,
+    };
+    let (routing, asking, _) = pools.apply(&config, prepared.map_err(io::Error::other)?);
     let questions =
         asking.map(|asking| Questions::new(asking, pools.clock, pools.descriptors.clone(), ASKING));
     let clients = Clients::shared(pools.descriptors.clone());
@@ -71,7 +86,13 @@
         None => None,
     };
     let weight = config.ratelimit.as_ref().map_or(1, |ratelimit| ratelimit.weight);
-    sets.spawn(&door, watch(path, config, pools, shared.clone(), questions, reload));
+    let (in_force, files) = watched::channel(config.clone());
+    let (offers, offered) = mpsc::channel(1);
+    if let Some(control) = config.control.clone() {
+        let held = pools.tenancy.held.clone();
+        sets.spawn(&door, follow::follow(control, held, files, offers));
+    }
+    sets.spawn(&door, watch(path, in_force, pools, shared.clone(), questions, reload, offered));
     let result = Rc::new(RefCell::new(Ok(())));
     // Both have to have answered what they took.
     let left = Rc::new(Cell::new(1 + usize::from(asked.is_some())));
@@ -102,22 +123,43 @@
     result.replace(Ok(()))
 }
 
-/// Reads the file again when told to or when it has changed. A bad file changes nothing.
+/// Reads the file again when told to or when it has changed, and takes up what comes from the control plane. A bad
+/// file changes nothing.
 async fn watch(
     path: PathBuf,
-    mut config: file::Service,
+    in_force: watched::Sender<Arc<file::Service>>,
     mut pools: Pools,
     shared: Rc<server::Shared>,
     questions: Option<Rc<Questions>>,
     mut reload: tokio::signal::unix::Signal,
+    mut offered: mpsc::Receiver<follow::Offered>,
 ) {
     let changed = || fs::metadata(&path).and_then(|data| data.modified()).ok();
     let mut seen: Option<SystemTime> = changed();
     let mut look = interval(LOOK);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut config = in_force.borrow().clone();
+    let mut followed = config.control.is_some();
     loop {
         tokio::select! {
             told = reload.recv() => if told.is_none() { return },
+            offer = offered.recv(), if followed => {
+                let Some((prepared, done)) = offer else {
+                    followed = false;
+                    continue;
+                };
+                // The file may have changed since it was made ready.
+                match ready(&config, prepared.held).await {
+                    Ok(prepared) => {
+                        let revision = prepared.held.revision;
+                        pools.put_in_force(&config, prepared, &shared, questions.as_ref());
+                        eprintln!("violetyoke: tenants at revision {revision} are in force");
+                        let _ = done.send(());
+                    }
+                    Err(reason) => eprintln!("violetyoke: the tenants in force stay: {reason}"),
+                }
+                continue;
+            }
             _ = look.tick() => {
                 if !config.watch_file || changed() == seen {
                     continue;
@@ -125,34 +167,41 @@
             }
         }
         seen = changed();
+        let listen = |file: &file::Service| file.ratelimit.as_ref().map(|ratelimit| ratelimit.listen);
         let new = match read(&path) {
-            Ok(new) if new.listen != config.listen => {
-                Err(format!("{}: service.listen: cannot change while running\n", path.display()))
-            }
-            Ok(new)
-                if new.ratelimit.as_ref().map(|new| new.listen)
-                    != config.ratelimit.as_ref().map(|old| old.listen) =>
-            {
-                Err(format!("{}: ratelimit.listen: cannot change while running\n", path.display()))
+            Ok(new) if new.listen != config.listen => Err("service.listen"),
+            Ok(new) if listen(&new) != listen(&config) => Err("ratelimit.listen"),
+            Ok(new) if new.control != config.control => Err("control"),
+            Ok(new) => Ok(Arc::new(new)),
+            Err(errors) => {
+                eprint!("violetyoke: the configuration in force stays\n{errors}");
+                continue;
             }
-            read => read,
         };
-        match new.and_then(|new| pools.apply(&new).map(|routing| (new, routing))) {
-            Ok((new, (routing, asking))) => {
-                shared.front.replace(routing);
-                if let (Some(questions), Some(asking)) = (&questions, asking) {
-                    sets_weight(&pools, &asking);
-                    questions.replace(asking);
-                }
-                pools.retire(&new, &shared.clients);
-                config = new;
+        let new = new.map_err(|key| format!("{}: {key}: cannot change while running", path.display()));
+        let prepared = match new {
+            Ok(new) => ready(&new, pools.tenancy.held.clone()).await.map(|prepared| (new, prepared)),
+            Err(reason) => Err(reason),
+        };
+        match prepared {
+            Ok((new, prepared)) => {
+                pools.put_in_force(&new, prepared, &shared, questions.as_ref());
+                config = new.clone();
+                in_force.send_replace(new);
                 eprintln!("violetyoke: {} is in force", path.display());
             }
-            Err(error) => eprint!("violetyoke: the configuration in force stays\n{error}"),
+            Err(error) => eprintln!("violetyoke: the configuration in force stays\n{error}"),
         }
     }
 }
 
+/// Checks a file and what is held together, on another thread: it may take long.
+async fn ready(config: &Arc<file::Service>, held: Arc<Held>) -> Result<Prepared, String> {
+    let config = config.clone();
+    let prepared = spawn_blocking(move || Prepared::new(&config, held)).await;
+    prepared.unwrap_or_else(|_| Err("it could not be checked".into()))
+}
+
 fn sets_weight(pools: &Pools, asking: &Asking) {
     pools.sets.weigh(ASKING, asking.file.weight);
 }
@@ -166,6 +215,7 @@
     bytes: Shared,
     counts: Rc<Counts>,
     running: BTreeMap<String, Run>,
+    tenancy: Tenancy,
     next: Member,
 }
 
@@ -178,6 +228,8 @@
     checks: Rc<Checks>,
     watch: Option<Handle>,
     revision: u64,
+    /// Its plans that are tenants'.
+    hosted: Vec<(String, Plan)>,
 }
 
 /// What a pool has beside the file's classes and plans: a class for what only asks, and a plan without a quota for
@@ -190,12 +242,14 @@
 struct Slots {
     classes: Vec<(String, words::Class)>,
     plans: Vec<(String, Plan)>,
+    /// The numbers of plans that are tenants', by their names.
+    hosted: HashMap<String, u16>,
 }
 
 impl Slots {
     /// Finds places for a pool's classes and plans. A class that would have other effects than the one of its
     /// name before is another class: what is open ends by the rules that it came under.
-    fn take(&mut self, config: &file::Pool) {
+    fn take(&mut self, config: &file::Pool, hosted: &[(String, Plan)]) {
         for class in &config.classes {
             let alike = |old: &words::Class| {
                 (old.effect, old.group, old.repeat_window)
@@ -219,6 +273,14 @@
                 None => self.plans.push((name.clone(), plan.clone())),
             }
         }
+        for (name, plan) in hosted {
+            let next = self.plans.len() as u16;
+            let number = *self.hosted.entry(name.clone()).or_insert(next);
+            match self.plans.get_mut(usize::from(number)) {
+                Some(slot) => slot.1 = plan.clone(),
+                None => self.plans.push((name.clone(), plan.clone())),
+            }
+        }
     }
 
     /// The names by which requests find them; what the file no longer has is not to be found.
@@ -263,55 +325,112 @@
 impl Pools {
     fn new(config: &file::Service, sets: Rc<Sets>, door: Rc<Set>) -> Pools {
         let stock = |total| Rc::new(RefCell::new(Stock::new(total)));
+        let (descriptors, bytes) = (stock(config.descriptors), stock(config.buffered_bytes));
+        let open = config.control.as_ref().map_or(0, |control| control.open_requests);
+        let turns = config.turns.then(|| sets.clone());
         Pools {
             clock: Clock::start(),
+            tenancy: Tenancy::new(open, descriptors.clone(), bytes.clone(), turns),
             sets,
             door,
-            descriptors: stock(config.descriptors),
-            bytes: stock(config.buffered_bytes),
+            descriptors,
+            bytes,
             counts: Rc::default(),
             running: BTreeMap::new(),
             next: ASKING + 1,
         }
     }
 
-    /// Brings the pools to what a checked file says, and gives the routes to them. Pools that the file no
-    /// longer has run on until [`Pools::retire`].
-    fn apply(&mut self, config: &file::Service) -> Result<(Routing, Option<Asking>), String> {
-        let table = config.table().map_err(|errors| errors.to_string())?;
+    /// Puts a file and tenants in force that have been checked together. What they take the place of is dropped on
+    /// another thread, where it may take long.
+    fn put_in_force(
+        &mut self,
+        config: &file::Service,
+        prepared: Prepared,
+        shared: &Rc<server::Shared>,
+        questions: Option<&Rc<Questions>>,
+    ) {
+        let (routing, asking, (gone, held)) = self.apply(config, prepared);
+        let old = match shared.front.replace(routing) {
+            Some(Routing::Table { table, .. }) => Some(table),
+            _ => None,
+        };
+        if let (Some(questions), Some(asking)) = (questions, asking) {
+            sets_weight(self, &asking);
+            questions.replace(asking);
+        }
+        self.retire(config, &shared.clients);
+        for member in gone {
+            shared.clients.leave(member, &self.door);
+            if config.turns {
+                // Its connections' tasks go to the door when they are next polled, which is at once.
+                let sets = self.sets.clone();
+                self.sets.spawn(&self.door, async move {
+                    sleep(SET_ENDS).await;
+                    sets.remove(member);
+                });
+            }
+        }
+        drop(spawn_blocking(move || drop((old, held))));
+    }
+
+    /// Brings the pools and tenants to what is prepared, and gives the routes to them. Pools that the file no longer
+    /// has run on until [`Pools::retire`].
+    fn apply(
+        &mut self,
+        config: &file::Service,
+        prepared: Prepared,
+    ) -> (Routing, Option<Asking>, (Vec<Member>, Arc<Held>)) {
         let door = config.descriptors / DOOR_PART;
         self.descriptors.borrow_mut().resize(config.descriptors);
         self.descriptors.borrow_mut().set(DOOR, door.min(self.spare(config)), config.descriptors);
         self.bytes.borrow_mut().resize(config.buffered_bytes);
         let mut pools = Vec::new();
         for pool in &config.pools {
+            let hosted = prepared.plans.get(&pool.name).map_or(&[][..], Vec::as_slice);
             match self.running.remove(&pool.name) {
                 // Counted under another name, its customers' use would be lost from sight: another pool.
                 Some(run) if run.config.quota != pool.quota => {
-                    let fresh = self.start(config, pool);
+                    let fresh = self.start(config, pool, hosted);
                     self.running.insert(format!("{} (replaced {})", pool.name, run.pool.member), run);
                     pools.push(fresh.pool.clone());
                     self.running.insert(pool.name.clone(), fresh);
                 }
                 Some(mut run) => {
-                    self.change(config, &mut run, pool);
+                    self.change(config, &mut run, pool, hosted);
                     pools.push(run.pool.clone());
                     self.running.insert(pool.name.clone(), run);
                 }
                 None => {
-                    let run = self.start(config, pool);
+                    let run = self.start(config, pool, hosted);
                     pools.push(run.pool.clone());
                     self.running.insert(pool.name.clone(), run);
                 }
             }
         }
+        let next = &mut self.next;
+        let member = || {
+            *next += 1;
+            *next - 1
+        };
+        let running = &self.running;
+        let number = |name: &str| running.get(name).map(|run| run.pool.member);
+        let of: HashMap<Member, &Run> = running.values().map(|run| (run.pool.member, run)).collect();
+        let plan_of = |pool: Member, name: &str| of.get(&pool)?.slots.hosted.get(name).copied();
+        let left = self.tenancy.apply(config, &prepared, member, number, &plan_of);
         let route = |route: &file::Route| Route {
             pool: pools[route.pool].clone(),
             class: route.default_class.clone(),
+            guest: None,
         };
-        let routes = config.routes.iter().map(route).collect();
+        let mut routes: Vec<Route> = config.routes.iter().map(route).collect();
+        routes.extend(prepared.routes.into_iter().map(|route| Route {
+            pool: pools[route.pool].clone(),
+            class: route.class,
+            guest: self.tenancy.tenant(&route.tenant),
+        }));
         let asking = config.ratelimit.clone().map(|file| Asking { file, pools });
-        Ok((Routing::Table { table, routes }, asking))
+        (Routing::Table { table: prepared.table, routes }, asking, left)
     }
 
     /// Descriptors that are guaranteed to no pool.
@@ -332,14 +451,14 @@
         }
     }
 
-    fn start(&mut self, config: &file::Service, file: &file::Pool) -> Run {
+    fn start(&mut self, config: &file::Service, file: &file::Pool, hosted: &[(String, Plan)]) -> Run {
         let member = self.next;
         self.next += 1;
         self.share(config, member, file);
         let own = config.turns.then(|| self.sets.add(member, file.weight));
         let set = own.clone().unwrap_or_else(|| self.door.clone());
         let mut slots = Slots::default();
-        slots.take(file);
+        slots.take(file, hosted);
         let (messages, inbox) = mpsc::unbounded_channel();
         let bytes = Some(self.bytes.clone());
         let pool = Pool::new(
@@ -377,7 +496,8 @@
         });
         let checks = Rc::new(Checks::new(pool.messages()));
         pool.set_gate(checks.clone());
-        let mut run = Run { pool, config: file.clone(), slots, checks, watch: None, revision: 1 };
+        let (config, hosted) = (file.clone(), hosted.to_vec());
+        let mut run = Run { pool, config, slots, checks, watch: None, revision: 1, hosted };
         self.consult(&run, file);
         watch_nodes(&mut run, &self.sets, &set);
         run
@@ -399,13 +519,14 @@
         }));
     }
 
-    fn change(&self, config: &file::Service, run: &mut Run, file: &file::Pool) {
+    fn change(&self, config: &file::Service, run: &mut Run, file: &file::Pool, hosted: &[(String, Plan)]) {
         self.share(config, run.pool.member, file);
-        if run.config == *file {
+        if run.config == *file && run.hosted == hosted {
             return;
         }
+        run.hosted = hosted.to_vec();
         self.sets.weigh(run.pool.member, file.weight);
-        run.slots.take(file);
+        run.slots.take(file, hosted);
         run.pool.change(run.slots.rules(file), file.open_requests);
         run.pool.fields.set(file.fields);
         let settings = run.slots.settings(file);
--- a/crates/ingress/src/sets.rs
+++ b/crates/ingress/src/sets.rs
@@ -35,10 +35,19 @@
     WOKEN.with_borrow(Clone::clone)
 }
 
+/// Charges a member for what another's task has done for it, in microseconds.
+pub fn charge(member: Member, cost: u64) {
+    if let Some(woken) = woken() {
+        woken.charges.lock().unwrap_or_else(PoisonError::into_inner).push((member, cost));
+    }
+}
+
 /// Members whose sets have something to do, and how to wake the whole.
 #[derive(Default)]
 pub struct Woken {
     state: Mutex<(Vec<Member>, Option<Waker>)>,
+    /// What has been done for members in others' turns, in microseconds.
+    charges: Mutex<Vec<(Member, u64)>>,
 }
 
 impl Woken {
@@ -124,6 +133,8 @@
         let woken =
             std::mem::take(&mut self.sets.woken.state.lock().unwrap_or_else(PoisonError::into_inner).0);
         woken.into_iter().for_each(|member| self.turns.ready(member));
+        let mut charges = self.sets.woken.charges.lock().unwrap_or_else(PoisonError::into_inner);
+        charges.drain(..).for_each(|(member, cost)| self.turns.charge(member, cost));
     }
 }
 
--- /dev/null
+++ b/crates/ingress/src/tenants.rs
@@ -0,0 +1,287 @@
+//! Tenants as the service runs them: what a snapshot becomes before it is put in force, and each tenant's room,
+//! turns and plans.
+
+use crate::guest::{Admitted, Guest};
+use crate::pool::Shared;
+use crate::request::{bad, Rejection};
+use crate::sets::Sets;
+use crate::tasks::Set;
+use hyper::StatusCode;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use violetyoke_config as file;
+use violetyoke_decision::interface::Plan;
+use violetyoke_routes::{Rule, Table};
+use violetyoke_shares::{Member, Stock};
+use violetyoke_tenants::account_number;
+use violetyoke_tenants::model::{self, Part};
+use violetyoke_tenants::snapshot::{Held, TenantView};
+
+/// Plans that a pool's module can have; it knows them by 16 bits.
+const MOST_PLANS: usize = 60_000;
+
+/// A file and what is held, checked together and with all that takes long done: putting it in force is quick. It is
+/// made on another thread.
+pub struct Prepared {
+    pub held: Arc<Held>,
+    /// Of the file's routes, and behind them the tenants'.
+    pub table: Arc<Table>,
+    pub routes: Vec<HostedRoute>,
+    /// Each pool's plans that are tenants', by names that no file has.
+    pub plans: BTreeMap<String, Vec<(String, Plan)>>,
+}
+
+pub struct HostedRoute {
+    pub tenant: String,
+    /// Number of the pool in the file.
+    pub pool: usize,
+    pub class: Option<String>,
+}
+
+/// The name of a tenant's plan among a pool's. One of a tenant made anew is another.
+pub fn slot(tenant: &TenantView, plan: &str) -> String {
+    format!("{}\u{1f}{}\u{1f}{plan}", tenant.name, tenant.epoch)
+}
+
+fn figures(plan: &model::Plan) -> Plan {
+    Plan {
+        rate: plan.rate,
+        burst: plan.burst,
+        open_cap: f64::from(plan.open),
+        worth: plan.worth,
+        ceiling_rate: plan.ceiling_rate,
+        ceiling_burst: plan.ceiling_burst,
+        ..Plan::default()
+    }
+}
+
+impl Prepared {
+    /// Why not, in words that name the tenant.
+    pub fn new(config: &file::Service, held: Arc<Held>) -> Result<Prepared, String> {
+        let mut rules: Vec<Rule> = config.routes.iter().map(|route| route.rule.clone()).collect();
+        let (mut routes, mut plans) = (Vec::new(), BTreeMap::<String, Vec<(String, Plan)>>::new());
+        let [mut descriptors, mut bytes, mut open] = [0u64; 3];
+        for tenant in held.tenants.values() {
+            let wrong = |what: String| format!("tenant {:?}: {what}", tenant.name);
+            for route in &tenant.routes {
+                let number = config.pools.iter().position(|pool| pool.name == route.pool);
+                let number =
+                    number.ok_or_else(|| wrong(format!("there is no pool {:?} here", route.pool)))?;
+                let known =
+                    |name: &String| config.pools[number].classes.iter().any(|class| class.name == *name);
+                if route.default_class.as_ref().is_some_and(|class| !known(class)) {
+                    return Err(wrong(format!("route {:?}: the pool has no such class", route.name)));
+                }
+                rules.push(route.rule().map_err(wrong)?);
+                let (tenant, class) = (tenant.name.clone(), route.default_class.clone());
+                routes.push(HostedRoute { tenant, pool: number, class });
+            }
+            let pools: BTreeSet<&String> = tenant.routes.iter().map(|route| &route.pool).collect();
+            for pool in pools {
+                let list = tenant.plans.iter().map(|plan| (slot(tenant, &plan.name), figures(plan)));
+                plans.entry(pool.clone()).or_default().extend(list);
+            }
+            descriptors += tenant.limits.descriptors.guaranteed;
+            bytes += tenant.limits.buffered_bytes.guaranteed;
+            open += tenant.limits.open_requests.guaranteed;
+        }
+        if let Some((pool, list)) = plans.iter().find(|(_, list)| list.len() > MOST_PLANS) {
+            return Err(format!(
+                "pool {pool:?} would have {} plans, and {MOST_PLANS} is the most",
+                list.len()
+            ));
+        }
+        let most_open = config.control.as_ref().map_or(u64::MAX, |control| control.open_requests);
+        let kept: u64 = config.pools.iter().map(|pool| pool.descriptors).sum();
+        let kept_bytes: u64 = config.pools.iter().map(|pool| pool.buffered_bytes).sum();
+        for (what, asked, there) in [
+            ("descriptors", descriptors, config.descriptors.saturating_sub(kept + 32)),
+            ("buffered_bytes", bytes, config.buffered_bytes.saturating_sub(kept_bytes)),
+            ("open_requests", open, most_open),
+        ] {
+            if asked > there {
+                return Err(format!(
+                    "limits.{what}: tenants are guaranteed {asked}, and {there} can be given"
+                ));
+            }
+        }
+        let table = Table::build(&rules).map_err(|ties| {
+            let name = |number: usize| match number.checked_sub(config.routes.len()) {
+                Some(number) => format!("tenant {:?}", routes[number].tenant),
+                None => format!("route[{number}] of the file"),
+            };
+            let (first, second) = ties.first().map_or((0, 0), |tie| (tie.first, tie.second));
+            format!("{} and {} have routes that match the same requests", name(first), name(second))
+        })?;
+        Ok(Prepared { held, table: Arc::new(table), routes, plans })
+    }
+}
+
+/// A tenant as it runs.
+pub struct Tenant {
+    member: Member,
+    view: RefCell<Arc<TenantView>>,
+    /// The numbers of its plans in each pool that it has routes to.
+    plans: RefCell<BTreeMap<Member, Vec<u16>>>,
+    requests: Shared,
+    sets: Option<Rc<Sets>>,
+    /// Made when its first request comes: most tenants are quiet.
+    set: RefCell<Option<Rc<Set>>>,
+    open: Cell<u64>,
+}
+
+/// An open request's place, given back when it is over.
+struct Place(Rc<Tenant>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let tenant = &self.0;
+        tenant.open.set(tenant.open.get() - 1);
+        tenant.requests.borrow_mut().give(tenant.member, 1);
+    }
+}
+
+/// A tenant with itself at hand: places hold it.
+pub struct Handle(pub Rc<Tenant>);
+
+impl Guest for Handle {
+    fn member(&self) -> Member {
+        self.0.member
+    }
+
+    fn set(&self) -> Option<Rc<Set>> {
+        let sets = self.0.sets.as_ref()?;
+        let mut set = self.0.set.borrow_mut();
+        let weight = u64::from(self.0.view.borrow().weight);
+        Some(set.get_or_insert_with(|| sets.add(self.0.member, weight)).clone())
+    }
+
+    fn admit(&self, pool: Member, account: &str) -> Result<Admitted, Rejection> {
+        const FULL: Rejection = Rejection { code: StatusCode::SERVICE_UNAVAILABLE, why: "tenant: no room" };
+        const DRAINS: Rejection =
+            Rejection { code: StatusCode::SERVICE_UNAVAILABLE, why: "tenant: draining" };
+        const NO_ACCOUNT: Rejection =
+            Rejection { code: StatusCode::FORBIDDEN, why: "x-account: not one of the tenant's" };
+        let tenant = &self.0;
+        let view = tenant.view.borrow();
+        if view.draining {
+            return Err(DRAINS);
+        }
+        let plan = view.plan_of(account).ok_or(NO_ACCOUNT)?;
+        let plans = tenant.plans.borrow();
+        let plan = plans
+            .get(&pool)
+            .and_then(|plans| plans.get(plan))
+            .ok_or(bad("x-account: its plan is not here"))?;
+        if !tenant.requests.borrow_mut().take(tenant.member, 1) {
+            return Err(FULL);
+        }
+        tenant.open.set(tenant.open.get() + 1);
+        let customer = account_number(&view.name, view.epoch, account);
+        Ok(Admitted { plan: *plan, customer, place: Box::new(Place(tenant.clone())) })
+    }
+}
+
+/// All tenants that run.
+pub struct Tenancy {
+    running: BTreeMap<String, Rc<Tenant>>,
+    pub held: Arc<Held>,
+    requests: Shared,
+    descriptors: Shared,
+    bytes: Shared,
+    sets: Option<Rc<Sets>>,
+}
+
+/// What pools know of a tenant's plans: from a pool's number and a plan's name among that pool's to its number.
+pub type PlanOf<'a> = &'a dyn Fn(Member, &str) -> Option<u16>;
+
+impl Tenancy {
+    pub fn new(open_requests: u64, descriptors: Shared, bytes: Shared, sets: Option<Rc<Sets>>) -> Tenancy {
+        let requests = Rc::new(RefCell::new(Stock::new(open_requests)));
+        Tenancy { running: BTreeMap::new(), held: Arc::default(), requests, descriptors, bytes, sets }
+    }
+
+    /// Puts what is held in force. `member` gives numbers to new tenants; `pools` are each tenant's pools. Returns
+    /// those that are gone, whose connections are to leave, and what was held before, to be dropped elsewhere.
+    pub fn apply(
+        &mut self,
+        config: &file::Service,
+        prepared: &Prepared,
+        mut member: impl FnMut() -> Member,
+        pools: impl Fn(&str) -> Option<Member>,
+        plan_of: PlanOf<'_>,
+    ) -> (Vec<Member>, Arc<Held>) {
+        if let Some(control) = &config.control {
+            self.requests.borrow_mut().resize(control.open_requests);
+        }
+        let mut gone = Vec::new();
+        let mut running = BTreeMap::new();
+        for (name, view) in &prepared.held.tenants {
+            // One made anew under the name is another: nothing of the old one's goes on.
+            let old = self.running.remove(name);
+            let (same, other) = match old {
+                Some(old) if old.view.borrow().epoch == view.epoch => (Some(old), None),
+                old => (None, old),
+            };
+            gone.extend(other.map(|other| other.member));
+            let fresh = same.is_none();
+            let tenant = same.unwrap_or_else(|| {
+                Rc::new(Tenant {
+                    member: member(),
+                    view: RefCell::new(view.clone()),
+                    plans: RefCell::default(),
+                    requests: self.requests.clone(),
+                    sets: self.sets.clone(),
+                    set: RefCell::default(),
+                    open: Cell::new(0),
+                })
+            });
+            let changed = fresh || !Arc::ptr_eq(&tenant.view.borrow(), view);
+            if changed {
+                self.share(config, &tenant, view);
+                if let (Some(sets), Some(_)) = (&self.sets, &*tenant.set.borrow()) {
+                    sets.weigh(tenant.member, u64::from(view.weight));
+                }
+                *tenant.view.borrow_mut() = view.clone();
+            }
+            let names: BTreeSet<&String> = view.routes.iter().map(|route| &route.pool).collect();
+            let numbers = names.into_iter().filter_map(|pool| pools(pool)).map(|pool| {
+                let number = |plan: &model::Plan| plan_of(pool, &slot(view, &plan.name)).unwrap_or(u16::MAX);
+                (pool, view.plans.iter().map(number).collect())
+            });
+            let numbers: BTreeMap<Member, Vec<u16>> = numbers.collect();
+            *tenant.plans.borrow_mut() = numbers;
+            running.insert(name.clone(), tenant);
+        }
+        let left = std::mem::replace(&mut self.running, running);
+        for tenant in left.into_values() {
+            gone.push(tenant.member);
+        }
+        for member in &gone {
+            // What is open still has its room until it is over; nothing is guaranteed any more.
+            self.requests.borrow_mut().retire(*member);
+            self.descriptors.borrow_mut().retire(*member);
+            self.bytes.borrow_mut().retire(*member);
+        }
+        (gone, std::mem::replace(&mut self.held, prepared.held.clone()))
+    }
+
+    fn share(&self, config: &file::Service, tenant: &Tenant, view: &TenantView) {
+        let most = |part: Part, all: u64| if part.most == 0 { all } else { part.most.min(all) };
+        let limits = view.limits;
+        let open = config.control.as_ref().map_or(u64::MAX, |control| control.open_requests);
+        for (stock, part, all) in [
+            (&self.requests, limits.open_requests, open),
+            (&self.descriptors, limits.descriptors, config.descriptors),
+            (&self.bytes, limits.buffered_bytes, config.buffered_bytes),
+        ] {
+            stock.borrow_mut().set(tenant.member, part.guaranteed, most(part, all));
+        }
+    }
+
+    pub fn tenant(&self, name: &str) -> Option<Rc<dyn Guest>> {
+        self.running.get(name).map(|tenant| Rc::new(Handle(tenant.clone())) as Rc<dyn Guest>)
+    }
+}
--- a/crates/shares/src/turns.rs
+++ b/crates/shares/src/turns.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Something has been done for a member outside of its turns, at such a cost.
+    pub fn charge(&mut self, member: Member, cost: u64) {
+        if let Some(standing) = self.members.get_mut(&member) {
+            standing.credit = standing.credit.saturating_sub_unsigned(cost);
+        }
+    }
+
     /// A member's turn has cost so much; `more`: it still has something to do.
     pub fn used(&mut self, member: Member, cost: u64, more: bool) {
         let Some(standing) = self.members.get_mut(&member) else { return };
--- a/crates/tenants/src/snapshot.rs
+++ b/crates/tenants/src/snapshot.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 
 /// The form that this program writes and reads.
 pub const FORMAT: u32 = 1;
@@ -130,6 +131,12 @@
         TenantView { name, epoch, weight, limits, draining, hosts, pools, plans, accounts, routes }
     }
 
+    /// The number of an account's plan among [`TenantView::plans`]; none: there is no such account.
+    pub fn plan_of(&self, account: &str) -> Option<usize> {
+        let place = self.accounts.binary_search_by(|known| known.name.as_str().cmp(account)).ok()?;
+        self.plans.iter().position(|plan| plan.name == self.accounts[place].plan)
+    }
+
     fn check(&self) -> Result<(), String> {
         let TenantView { name, weight, limits, hosts, pools, .. } = self.clone();
         let tenant = Tenant { name, weight, limits, hosts, pools };
@@ -146,6 +153,9 @@
         if plans.len() < self.plans.len() {
             return Err("two plans have one name".into());
         }
+        if let Some(pair) = self.accounts.windows(2).find(|pair| pair[0].name == pair[1].name) {
+            return Err(format!("account {:?} stands there twice", pair[0].name));
+        }
         match self.accounts.iter().find(|account| !plans.contains(account.plan.as_str())) {
             Some(account) => {
                 Err(format!("account {:?} has plan {:?}, which is not there", account.name, account.plan))
@@ -159,10 +169,16 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Held {
     pub revision: u64,
-    pub tenants: BTreeMap<String, TenantView>,
+    pub tenants: BTreeMap<String, Arc<TenantView>>,
 }
 
 impl Held {
+    /// All of it, to be kept and read again.
+    pub fn whole(&self) -> Snapshot {
+        let tenants = self.tenants.values().map(|tenant| TenantView::clone(tenant)).collect();
+        Snapshot::new(None, self.revision, tenants, vec![])
+    }
+
     /// What would be held after that snapshot; this one is left as it is.
     pub fn take(&self, snapshot: Snapshot) -> Result<Held, Bad> {
         if snapshot.format != FORMAT {
@@ -182,9 +198,11 @@
         for name in &snapshot.gone {
             tenants.remove(name);
         }
-        for tenant in snapshot.tenants {
+        for mut tenant in snapshot.tenants {
+            // Looked up by halving.
+            tenant.accounts.sort_by(|a, b| a.name.cmp(&b.name));
             tenant.check().map_err(|reason| Bad::Tenant { name: tenant.name.clone(), reason })?;
-            tenants.insert(tenant.name.clone(), tenant);
+            tenants.insert(tenant.name.clone(), Arc::new(tenant));
         }
         // Hosts are what tells tenants apart: two with the same would serve each other's requests.
         let mut hosts: BTreeMap<&str, &str> = BTreeMap::new();
--- a/crates/tenants/tests/snapshots.rs
+++ b/crates/tenants/tests/snapshots.rs
@@ -87,6 +87,22 @@
     refused(&|tenant| tenant.routes[0].pool = "other".into(), "pool");
     refused(&|tenant| tenant.routes.push(tenant.routes[0].clone()), "matches the same requests");
     refused(&|tenant| tenant.weight = 0, "weight");
+    refused(&|tenant| tenant.accounts.push(tenant.accounts[0].clone()), "twice");
+}
+
+#[test]
+fn accounts_are_found_by_name_in_whatever_order_they_came() {
+    let mut view = tenant("a", 1.0);
+    view.plans.push(Plan { name: "gold".into(), ..view.plans[0].clone() });
+    view.accounts = ["z", "b", "ü", "a"]
+        .into_iter()
+        .map(|name| Account { name: name.into(), plan: if name == "b" { "gold" } else { "basic" }.into() })
+        .collect();
+    let held = Held::default().take(Snapshot::new(None, 1, vec![view], vec![])).unwrap();
+    let found: Vec<_> = ["a", "b", "ü", "z", "c", ""].map(|name| held.tenants["a"].plan_of(name)).into();
+    assert_eq!(found, [Some(0), Some(1), Some(0), Some(0), None, None]);
+    // What is kept on a disk is what is read back.
+    assert_eq!(Held::default().take(held.whole()).unwrap(), held);
 }
 
 #[test]
--- a/crates/violetyoke/tests/common/control.rs
+++ b/crates/violetyoke/tests/common/control.rs
@@ -40,8 +40,9 @@
     pub fn start(file: &StoreFile, arguments: &[&str]) -> Control {
         let fresh = !file.0.exists();
         let mut child = Command::new(env!("CARGO_BIN_EXE_violetyoke"))
-            .args(["control", "--listen", "127.0.0.1:0", "--store"])
+            .args(["control", "--store"])
             .arg(&file.0)
+            .args(if arguments.contains(&"--listen") { &[][..] } else { &["--listen", "127.0.0.1:0"] })
             .args(arguments)
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
