Prove one tenant's rush harmless to another; charge a driver's work to its tenant once

First bookings on new connections took up to 56 ms: whose they are is not known before their heads are read, which all new ones wait for.

What a driver does for a tenant was charged to the pool too, which then had its turns too seldom.

--- a/crates/ingress/src/sets.rs
+++ b/crates/ingress/src/sets.rs
@@ -133,8 +133,18 @@
         let woken =
             std::mem::take(&mut self.sets.woken.state.lock().unwrap_or_else(PoisonError::into_inner).0);
         woken.into_iter().for_each(|member| self.turns.ready(member));
+    }
+
+    /// Charges members for what was done for them in another's turn; the sum, which is not that one's cost. Were it
+    /// charged twice, a pool that works for a crowd would have its turns too seldom, and all would wait for it.
+    fn take_charges(&mut self) -> u64 {
         let mut charges = self.sets.woken.charges.lock().unwrap_or_else(PoisonError::into_inner);
-        charges.drain(..).for_each(|(member, cost)| self.turns.charge(member, cost));
+        let mut sum = 0;
+        for (member, cost) in charges.drain(..) {
+            self.turns.charge(member, cost);
+            sum += cost;
+        }
+        sum
     }
 }
 
@@ -163,7 +173,9 @@
             }
             let more = set.run_one();
             let ended = Instant::now();
-            this.turns.used(member, (ended - began).as_micros() as u64 + 1, more);
+            let for_others = this.take_charges();
+            let own = ((ended - began).as_micros() as u64).saturating_sub(for_others);
+            this.turns.used(member, own + 1, more);
             began = ended;
         }
     }
--- a/crates/violetyoke/src/admin.rs
+++ b/crates/violetyoke/src/admin.rs
@@ -150,19 +150,19 @@
         .collect()
 }
 
-struct Client {
-    server: SocketAddr,
-    key: String,
+pub struct Client {
+    pub server: SocketAddr,
+    pub key: String,
 }
 
-struct Answered {
-    body: Value,
+pub struct Answered {
+    pub body: Value,
     version: Option<String>,
 }
 
 impl Client {
     /// One call on a connection of its own: nothing is ever sent twice.
-    async fn call(
+    pub async fn call(
         &self,
         method: Method,
         path: &str,
--- a/crates/violetyoke/src/bin/violetyoke-service.rs
+++ b/crates/violetyoke/src/bin/violetyoke-service.rs
@@ -6,6 +6,8 @@
 mod control;
 #[path = "../demo.rs"]
 mod demo;
+#[path = "../demo_tenants.rs"]
+mod demo_tenants;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -34,6 +36,9 @@
     Demo {
         #[arg(long, default_value = "127.0.0.1:8080")]
         listen: SocketAddr,
+        /// With a control plane and two tenants, one of which floods the service.
+        #[arg(long)]
+        tenants: bool,
     },
     /// The control plane: keeps tenants in a file and answers the administration API. The first start prints an
     /// operator's key.
@@ -72,7 +77,7 @@
         Command::Account(arguments) => administrate("accounts", arguments),
         Command::Route(arguments) => administrate("routes", arguments),
         Command::Key(arguments) => administrate("keys", arguments),
-        Command::Demo { listen } => match demo::start(listen) {
+        Command::Demo { listen, tenants } => match start_demo(listen, tenants) {
             Ok((file, config)) => run(|runtime| runtime.block_on(service::serve(file, config))),
             Err(error) => fail(error),
         },
@@ -90,6 +95,14 @@
     }
 }
 
+fn start_demo(listen: SocketAddr, tenants: bool) -> Result<(PathBuf, violetyoke_config::Service), String> {
+    if tenants {
+        demo_tenants::start(listen)
+    } else {
+        demo::start(listen)
+    }
+}
+
 fn administrate(collection: &'static str, arguments: admin::Arguments) -> ExitCode {
     run(|runtime| runtime.block_on(admin::run(collection, arguments)).map_err(std::io::Error::other))
 }
--- a/crates/violetyoke/src/demo.rs
+++ b/crates/violetyoke/src/demo.rs
@@ -9,14 +9,20 @@
 use violetyoke_ingress::service;
 use violetyoke_standin::node::{Node, Shape};
 
+/// The address itself; for port 0 one that is free, so that others can be told of it.
+pub fn chosen(listen: SocketAddr) -> Result<SocketAddr, String> {
+    match listen.port() {
+        0 => TcpListener::bind(listen)
+            .and_then(|listener| listener.local_addr())
+            .map_err(|error| error.to_string()),
+        _ => Ok(listen),
+    }
+}
+
 /// Starts the nodes, writes the service's file beside other temporary ones, and says what to try.
 pub fn start(listen: SocketAddr) -> Result<(PathBuf, Service), String> {
     let told = |error: io::Error| error.to_string();
-    // Port 0 is any free one: it is chosen here, so that the lines below can name it.
-    let listen = match listen.port() {
-        0 => TcpListener::bind(listen).and_then(|listener| listener.local_addr()).map_err(told)?,
-        _ => listen,
-    };
+    let listen = chosen(listen)?;
     let node = |name: &str, milliseconds| {
         let shape = Shape { service: Duration::from_millis(milliseconds), ..Shape::default() };
         Node::start(violetyoke_standin::any(), name, shape).map_err(told)
--- a/crates/violetyoke/tests/commands.rs
+++ b/crates/violetyoke/tests/commands.rs
@@ -87,6 +87,32 @@
     assert_eq!(statuses, [200, 200, 429], "{lines:?}");
 }
 
+#[test]
+fn the_demo_with_tenants_shows_the_quiet_one_served() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_violetyoke"))
+        .args(["demo", "--tenants", "--listen", "127.0.0.1:0"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
+    // The first seconds may be before the tenants are in force.
+    let served = |line: &String| {
+        let rest = line.strip_prefix("quiet: ")?;
+        let count: u32 = rest.split(' ').next()?.parse().ok()?;
+        let loud: u64 = rest.split("loud: ").nth(1)?.split(' ').next()?.parse().ok()?;
+        (count > 0 && loud > 0).then_some(count)
+    };
+    let found = lines.by_ref().take(30).find_map(|line| served(&line));
+    let _ = child.kill();
+    let _ = child.wait();
+    for end in [".db", ".db-wal", ".db-shm", ".key", ".toml"] {
+        let _ =
+            std::fs::remove_file(std::env::temp_dir().join(format!("violetyoke-demo-{}{end}", child.id())));
+    }
+    assert!(found.is_some());
+}
+
 /// The lines up to the one that ends the demo's words: its output stays open for as long as it runs.
 trait CollectToEnd {
     fn collect_to_end(self) -> Vec<String>;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,10 +6,13 @@
 mod load;
 mod measure;
 mod measure_questions;
+mod measure_tenants;
 mod process;
 mod prove_consult;
 mod prove_ratelimit;
 mod prove_routes;
+mod prove_tenants;
+mod tenants;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use figures::Figures;
@@ -50,6 +53,8 @@
     Ratelimit,
     /// An outside rate limit server that fails holds up nobody, is spared, and its counts are used once.
     Consult,
+    /// One tenant's rush leaves another's bookings and quotas whole.
+    Tenants,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -60,6 +65,8 @@
     Platform,
     /// CPU and time of a rate limit question, beside a bare tonic server.
     Questions,
+    /// An ingress of 10 and of 10,000 tenants, side by side.
+    Tenants,
 }
 
 fn main() -> ExitCode {
@@ -73,6 +80,10 @@
         What::Prove { name: Proof::Consult, long, without_defence } => {
             prove_consult::run(long, !without_defence)
         }
+        What::Prove { name: Proof::Tenants, long, without_defence } => {
+            prove_tenants::run(long, !without_defence)
+        }
+        What::Measure { name: Measure::Tenants, .. } => measure_tenants::run(),
         What::Measure { name: Measure::Questions, .. } => measure_questions::run(),
         What::Measure { name: Measure::Pools, .. } => measure::pools(),
         What::Measure { name: Measure::Platform, base } => measure::platform(&base),
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -14,28 +14,33 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
 }
 
-/// Builds the program in its released form.
+/// Builds the program in its released form, for figures of its own.
 pub fn build() -> Result<PathBuf> {
-    build_in(&root(), "violetyoke")
+    build_in(&root(), "violetyoke", "release")
+}
+
+/// Builds the program for a proof, which takes less time.
+pub fn build_for_proof() -> Result<PathBuf> {
+    build_in(&root(), "violetyoke", "proof")
 }
 
 /// Builds the stand-ins in their released form.
 pub fn build_standin() -> Result<PathBuf> {
-    build_in(&root(), "violetyoke-standin")?;
+    build_in(&root(), "violetyoke-standin", "release")?;
     Ok(root().join("target/release/violetyoke-standin"))
 }
 
-fn build_in(root: &Path, package: &str) -> Result<PathBuf> {
+fn build_in(root: &Path, package: &str, profile: &str) -> Result<PathBuf> {
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
     let status = Command::new(cargo)
-        .args(["build", "--quiet", "--release", "--locked", "--package", package, "--bins"])
+        .args(["build", "--quiet", "--profile", profile, "--locked", "--package", package, "--bins"])
         .current_dir(root)
         .env_remove("CARGO_TARGET_DIR")
         .status()?;
     if !status.success() {
         return Err(format!("the build in {} failed", root.display()).into());
     }
-    Ok(root.join("target/release/violetyoke"))
+    Ok(root.join("target").join(profile).join("violetyoke"))
 }
 
 /// Builds an earlier commit's program, in a work tree of its own below `target`.
@@ -58,7 +63,7 @@
         }
     }
     let old = fs::read_to_string(tree.join("Cargo.toml"))?.contains("name = \"nettlehub\"");
-    build_in(&tree, if old { "nettlehub" } else { "violetyoke" })
+    build_in(&tree, if old { "nettlehub" } else { "violetyoke" }, "release")
 }
 
 /// An address that nobody listens on just now.
--- a/xtask/src/prove_consult.rs
+++ b/xtask/src/prove_consult.rs
@@ -3,7 +3,7 @@
 //! by its own records and the node's.
 
 use crate::figures::{quantile, Figures};
-use crate::process::{build, Program, Result};
+use crate::process::{build_for_proof, Program, Result};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,7 +31,7 @@
 }
 
 pub fn run(long: bool, defence: bool) -> Result<Figures> {
-    let program = build()?;
+    let program = build_for_proof()?;
     let mut figures = Figures::default();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let seconds = if long { 30 } else { 1 };
--- a/xtask/src/prove_ratelimit.rs
+++ b/xtask/src/prove_ratelimit.rs
@@ -5,7 +5,7 @@
 
 use crate::figures::{quantile, Figures};
 use crate::grpc;
-use crate::process::{build, Program, Result};
+use crate::process::{build_for_proof, Program, Result};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -60,7 +60,7 @@
 }
 
 pub fn run(long: bool, defence: bool) -> Result<Figures> {
-    let program = build()?;
+    let program = build_for_proof()?;
     let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?.as_millis() as u64;
     // The short form is the same each time; the long one is another each time, and says which.
     let seed = if long { seed } else { 7 };
--- a/xtask/src/prove_routes.rs
+++ b/xtask/src/prove_routes.rs
@@ -3,7 +3,7 @@
 
 use crate::figures::{quantile, Figures};
 use crate::load::{flood, paced, Answered};
-use crate::process::{build, Program, Result};
+use crate::process::{build_for_proof, Program, Result};
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
 use violetyoke_standin::node::{Fault, Node, Shape};
@@ -24,7 +24,7 @@
 const FIELDS: usize = 60;
 
 pub fn run(long: bool, defence: bool) -> Result<Figures> {
-    let program = build()?;
+    let program = build_for_proof()?;
     let phase = Duration::from_secs(if long { 20 } else { 5 });
     let shape = |milliseconds| Shape {
         workers: 4,
