--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -102,7 +102,10 @@
                 if offers.send((prepared, done)).await.is_err() || in_force.await.is_err() {
                     return;
                 }
-                (held, rejected) = (new.clone(), None);
+                let old = std::mem::replace(&mut held, new.clone());
+                // The last to hold it may be this one, and it may be large.
+                drop(spawn_blocking(move || drop(old)));
+                rejected = None;
                 if let Some(path) = control.last_good.clone() {
                     let kept = spawn_blocking(move || keep(&path, &new)).await;
                     if let Ok(Err(error)) = kept {
--- a/crates/ingress/src/service.rs
+++ b/crates/ingress/src/service.rs
@@ -15,7 +15,7 @@
 use crate::request::{Form, Rules};
 use crate::sets::{Running, Sets};
 use crate::tasks::{Handle, Set};
-use crate::tenants::{Prepared, Tenancy};
+use crate::tenants::{HostedRoute, Prepared, Tenancy};
 use crate::{follow, server, Clock, Message};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -74,7 +74,9 @@
         }
         prepared => prepared,
     };
-    let (routing, asking, _) = pools.apply(&config, prepared.map_err(io::Error::other)?);
+    let mut prepared = prepared.map_err(io::Error::other)?;
+    let routes = std::mem::take(&mut prepared.routes);
+    let (routing, asking, _) = pools.apply(&config, &prepared, routes);
     let questions =
         asking.map(|asking| Questions::new(asking, pools.clock, pools.descriptors.clone(), ASKING));
     let clients = Clients::shared(pools.descriptors.clone());
@@ -149,7 +151,11 @@
                     continue;
                 };
                 // The file may have changed since it was made ready.
-                match ready(&config, prepared.held).await {
+                let prepared = match Arc::ptr_eq(&prepared.file, &config) {
+                    true => Ok(prepared),
+                    false => ready(&config, prepared.held).await,
+                };
+                match prepared {
                     Ok(prepared) => {
                         let revision = prepared.held.revision;
                         pools.put_in_force(&config, prepared, &shared, questions.as_ref());
@@ -346,11 +352,12 @@
     fn put_in_force(
         &mut self,
         config: &file::Service,
-        prepared: Prepared,
+        mut prepared: Prepared,
         shared: &Rc<server::Shared>,
         questions: Option<&Rc<Questions>>,
     ) {
-        let (routing, asking, (gone, held)) = self.apply(config, prepared);
+        let routes = std::mem::take(&mut prepared.routes);
+        let (routing, asking, (gone, held)) = self.apply(config, &prepared, routes);
         let old = match shared.front.replace(routing) {
             Some(Routing::Table { table, .. }) => Some(table),
             _ => None,
@@ -371,7 +378,7 @@
                 });
             }
         }
-        drop(spawn_blocking(move || drop((old, held))));
+        drop(spawn_blocking(move || drop((old, held, prepared))));
     }
 
     /// Brings the pools and tenants to what is prepared, and gives the routes to them. Pools that the file no longer
@@ -379,7 +386,8 @@
     fn apply(
         &mut self,
         config: &file::Service,
-        prepared: Prepared,
+        prepared: &Prepared,
+        hosted: Vec<HostedRoute>,
     ) -> (Routing, Option<Asking>, (Vec<Member>, Arc<Held>)) {
         let door = config.descriptors / DOOR_PART;
         self.descriptors.borrow_mut().resize(config.descriptors);
@@ -417,20 +425,20 @@
         let number = |name: &str| running.get(name).map(|run| run.pool.member);
         let of: HashMap<Member, &Run> = running.values().map(|run| (run.pool.member, run)).collect();
         let plan_of = |pool: Member, name: &str| of.get(&pool)?.slots.hosted.get(name).copied();
-        let left = self.tenancy.apply(config, &prepared, member, number, &plan_of);
+        let left = self.tenancy.apply(config, prepared, member, number, &plan_of);
         let route = |route: &file::Route| Route {
             pool: pools[route.pool].clone(),
             class: route.default_class.clone(),
             guest: None,
         };
         let mut routes: Vec<Route> = config.routes.iter().map(route).collect();
-        routes.extend(prepared.routes.into_iter().map(|route| Route {
+        routes.extend(hosted.into_iter().map(|route| Route {
             pool: pools[route.pool].clone(),
             class: route.class,
             guest: self.tenancy.tenant(&route.tenant),
         }));
         let asking = config.ratelimit.clone().map(|file| Asking { file, pools });
-        (Routing::Table { table: prepared.table, routes }, asking, left)
+        (Routing::Table { table: prepared.table.clone(), routes }, asking, left)
     }
 
     /// Descriptors that are guaranteed to no pool.
--- a/crates/ingress/src/tenants.rs
+++ b/crates/ingress/src/tenants.rs
@@ -25,6 +25,8 @@
 /// A file and what is held, checked together and with all that takes long done: putting it in force is quick. It is
 /// made on another thread.
 pub struct Prepared {
+    /// The file that it was checked with.
+    pub file: Arc<file::Service>,
     pub held: Arc<Held>,
     /// Of the file's routes, and behind them the tenants'.
     pub table: Arc<Table>,
@@ -59,7 +61,7 @@
 
 impl Prepared {
     /// Why not, in words that name the tenant.
-    pub fn new(config: &file::Service, held: Arc<Held>) -> Result<Prepared, String> {
+    pub fn new(config: &Arc<file::Service>, held: Arc<Held>) -> Result<Prepared, String> {
         let mut rules: Vec<Rule> = config.routes.iter().map(|route| route.rule.clone()).collect();
         let (mut routes, mut plans) = (Vec::new(), BTreeMap::<String, Vec<(String, Plan)>>::new());
         let [mut descriptors, mut bytes, mut open] = [0u64; 3];
@@ -115,7 +117,7 @@
             let (first, second) = ties.first().map_or((0, 0), |tie| (tie.first, tie.second));
             format!("{} and {} have routes that match the same requests", name(first), name(second))
         })?;
-        Ok(Prepared { held, table: Arc::new(table), routes, plans })
+        Ok(Prepared { file: config.clone(), held, table: Arc::new(table), routes, plans })
     }
 }
 
