--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -75,6 +75,8 @@
         let (revision, body) = match ask(&control, held.revision, rejected.as_ref()).await {
             Ok(Some(answer)) => answer,
             Ok(None) => {
+                // A control plane that is ending answers at once: without this, all would ask it as fast as they can.
+                sleep(FIRST_PAUSE).await;
                 pause = FIRST_PAUSE;
                 continue;
             }
