Write down what each decision was and why, and make a table of a tier's logs

Change: the module's refusals name the rule that gave the request up. Off, it costs one check of an option. The way not taken: events on a metrics port, as nothing can be asked of a process that has been upgraded away.

Ruled out: nodes out by hand are believed out by every process within a second of each other; cold ones are known as cold; the processor is idle.

--- a/crates/control/src/limit.rs
+++ b/crates/control/src/limit.rs
@@ -132,12 +132,12 @@
                         // It stands: nothing takes a call back.
                         events.push(Event::Abandoned { request });
                     }
-                    Action::Refuse { request, retry_after } => {
+                    Action::Refuse { request, retry_after, .. } => {
                         if let Some(answer) = waiting.remove(&request) {
                             let _ = answer.send(Err(retry_after));
                         }
                     }
-                    Action::Fail { request } => drop(waiting.remove(&request)),
+                    Action::Fail { request, .. } => drop(waiting.remove(&request)),
                     _ => {}
                 }
             }
--- a/crates/decision/src/counter.rs
+++ b/crates/decision/src/counter.rs
@@ -77,7 +77,7 @@
             let (open, customer) =
                 (&self.requests.open[&id], self.quota.customers.get_mut(&of).expect("just read"));
             customer.owed -= if open.window == customer.window { open.stands } else { 0.0 };
-            self.refuse_beyond(id);
+            self.refuse_beyond(id, if within { Why::Spare } else { Why::Untold });
             return false;
         }
         let customer = self.quota.customers.get_mut(&of).expect("just read");
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -393,6 +393,27 @@
     pub report: Report,
 }
 
+/// The rule that gave a request up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// The estimate on a total of the counter is past the limit.
+    Quota,
+    /// The estimate without a total is.
+    Untold,
+    /// What may be sent on untold is used up.
+    Spare,
+    /// The plan's cap on attempts out.
+    Cap,
+    /// Held for want of a backend for as long as is of use.
+    Held,
+    /// Its last attempt ended badly, and no other is permitted or can be in time.
+    Attempt,
+    /// Taken back after it was let in.
+    Withdrawn,
+    /// Of no class or plan that there is.
+    Unknown,
+}
+
 /// What a gateway asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -410,10 +431,12 @@
     Refuse {
         request: RequestId,
         retry_after: Micros,
+        why: Why,
     },
     /// Final answer: failed, nothing promised.
     Fail {
         request: RequestId,
+        why: Why,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -56,7 +56,7 @@
             Event::Request(request) => self.arrive(request),
             Event::Timer { token } if self.requests.armed == Some(token) => self.requests.armed = None,
             Event::Abandoned { request } | Event::AnswerBegun { request, .. } => self.close(request),
-            Event::Withdrawn { request } => self.refuse(request, 0),
+            Event::Withdrawn { request } => self.refuse(request, 0, Why::Withdrawn),
             Event::Carried { unused, broke } => self.carried(unused, broke),
             Event::AttemptEnded(end) => self.attempt_ended(end),
             Event::Counted { count, outcome, total, waited } => self.counted(count, outcome, total, waited),
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -102,7 +102,7 @@
         let (id, customer) = (request.id, request.customer);
         let plan = self.settings.plans.get(usize::from(request.plan));
         let (Some(plan), true) = (plan, usize::from(request.class) < self.settings.classes.len()) else {
-            return self.actions.push(Action::Fail { request: id });
+            return self.actions.push(Action::Fail { request: id, why: Why::Unknown });
         };
         let quota = plan.rate > 0.0;
         self.forget();
@@ -354,7 +354,7 @@
             self.admit(id);
         } else {
             self.give_back(of, window, stands);
-            self.refuse_beyond(id);
+            self.refuse_beyond(id, Why::Quota);
         }
     }
 
@@ -375,11 +375,11 @@
         }
     }
 
-    pub(crate) fn refuse_beyond(&mut self, id: RequestId) {
+    pub(crate) fn refuse_beyond(&mut self, id: RequestId, why: Why) {
         let request = &self.requests.open[&id].request;
         let customer = &self.quota.customers[&request.customer];
         let plan = &self.settings.plans[customer.plan];
         let wait = (customer.standing + request.units - plan.burst).max(0.0) / plan.rate * 1e6;
-        self.refuse(id, wait as Micros);
+        self.refuse(id, wait as Micros, why);
     }
 }
--- a/crates/decision/src/requests.rs
+++ b/crates/decision/src/requests.rs
@@ -68,7 +68,7 @@
         // The plan's cap on attempts out holds as far as own ones tell of the others'.
         let cap = self.settings.plans[customer.plan].open_cap;
         if cap > 0.0 && f64::from(customer.out) / customer.part >= cap {
-            self.refuse(id, 0);
+            self.refuse(id, 0, Why::Cap);
         } else if self.settings.classes[usize::from(self.requests.open[&id].request.class)].asks_only {
             self.requests.open.get_mut(&id).expect("open").stage = Stage::Out;
             self.actions.push(Action::Admit { request: id });
@@ -114,7 +114,7 @@
             self.requests.due.remove(&(at, id));
             match self.requests.open.get(&id).map(|open| open.stage) {
                 Some(Stage::Asking) => drop(self.decide_alone(id)),
-                Some(Stage::Held) => self.refuse(id, 0),
+                Some(Stage::Held) => self.refuse(id, 0, Why::Held),
                 _ => {}
             }
         }
@@ -193,7 +193,7 @@
         if self.worth_again(end.request, end.outcome) {
             self.hold(end.request);
         } else {
-            self.refuse(end.request, 0);
+            self.refuse(end.request, 0, Why::Attempt);
         }
     }
 
@@ -208,7 +208,7 @@
     }
 
     /// Ends a request unserved: refused where the client may safely try again, else failed.
-    pub(crate) fn refuse(&mut self, id: RequestId, wait: Micros) {
+    pub(crate) fn refuse(&mut self, id: RequestId, wait: Micros, why: Why) {
         let Some(open) = self.requests.open.get(&id) else { return };
         let class = &self.settings.classes[usize::from(open.request.class)];
         let harmless = open.may_have_run.is_none()
@@ -217,9 +217,9 @@
         self.actions.push(if harmless {
             let limits = &self.settings.limits;
             let retry_after = if limits.retry_hints { wait.min(limits.longest_retry_hint) } else { 0 };
-            Action::Refuse { request: id, retry_after }
+            Action::Refuse { request: id, retry_after, why }
         } else {
-            Action::Fail { request: id }
+            Action::Fail { request: id, why }
         });
         let unsent = open.charged.filter(|_| open.attempts == 0);
         let (of, units) = (open.request.customer, open.request.units);
--- a/crates/decision/src/view.rs
+++ b/crates/decision/src/view.rs
@@ -15,7 +15,55 @@
     pub until_full: Micros,
 }
 
+/// What a gateway believes of its fleet and its counter.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetView {
+    /// Bound on its attempts out (0: none yet), attempts out, and answer times against the fleet's best.
+    pub room: f64,
+    pub out: usize,
+    pub pace: f64,
+    /// Time between a customer's calls to the counter from which each request asks (us), bad answers in a row.
+    pub spacing: f64,
+    pub bad: u32,
+    pub backends: Vec<BackendView>,
+}
+
+/// What a gateway believes of one backend.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendView {
+    pub id: BackendId,
+    /// Draining or gone; left out for a while or back for one attempt; not yet warm.
+    pub away: bool,
+    pub left_out: bool,
+    pub cold: bool,
+    pub slow: f64,
+    pub fails: f64,
+    pub out: u32,
+}
+
 impl Gateway {
+    /// What it believes of the fleet and of the counter.
+    pub fn fleet(&self) -> FleetView {
+        let warm = self.settings.safety.cold_time;
+        let backends = self.fleet.backends.iter().map(|(id, backend)| BackendView {
+            id: *id,
+            away: backend.told_gone,
+            left_out: backend.ejected_until > self.now || backend.trial,
+            cold: backend.started > 0 && self.now < backend.started + warm,
+            slow: backend.slow,
+            fails: backend.fails,
+            out: backend.out,
+        });
+        FleetView {
+            room: self.fleet.room,
+            out: self.requests.flights.len(),
+            pace: self.fleet.pace,
+            spacing: self.spacing(),
+            bad: self.counter.bad,
+            backends: backends.collect(),
+        }
+    }
+
     /// How many customers and backends it keeps figures of.
     pub fn known(&self) -> (usize, usize) {
         (self.quota.customers.len(), self.fleet.backends.len())
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -390,7 +390,10 @@
         assert_eq!(step(&mut gateway, START, event), []);
     }
     let unknown = Request { class: 40, ..request(1, 9) };
-    assert_eq!(step(&mut gateway, START, Event::Request(unknown)), [Action::Fail { request: 1 }]);
+    assert_eq!(
+        step(&mut gateway, START, Event::Request(unknown)),
+        [Action::Fail { request: 1, why: Why::Unknown }]
+    );
 }
 
 #[test]
--- a/crates/decision/tests/plans.rs
+++ b/crates/decision/tests/plans.rs
@@ -131,7 +131,7 @@
     gateway.reconfigure(START + 1_000, with_plan(&settings, 1.0, 2.0));
     let end = step(&mut gateway, START + 2_000, ended(1, 0, to.unwrap(), Outcome::Reset));
     assert_eq!(
-        end.iter().filter(|action| matches!(action, Action::Fail { request: 1 })).count(),
+        end.iter().filter(|action| matches!(action, Action::Fail { request: 1, .. })).count(),
         1,
         "{end:?}"
     );
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -52,7 +52,7 @@
             match action {
                 Action::Send { request, backend, .. } => self.send(now, *request, *backend),
                 Action::Refuse { request, .. } => self.finish(*request, true),
-                Action::Fail { request } => self.finish(*request, false),
+                Action::Fail { request, .. } => self.finish(*request, false),
                 _ => {}
             }
         }
@@ -290,7 +290,7 @@
 #[test]
 fn the_checker_sees_each_broken_rule() {
     let send = |request, backend| Action::Send { request, backend, expires: 0 };
-    let refuse = |request| Action::Refuse { request, retry_after: 0 };
+    let refuse = |request| Action::Refuse { request, retry_after: 0, why: Why::Attempt };
     let broken = |checker: Checker| checker.broken.into_iter().collect::<Vec<_>>();
     let ran = Some(Outcome::Error);
     assert_eq!(broken(checked(0, 0, &[(0, refuse(1)), (1, refuse(1))], None)), ["final"]);
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -1,5 +1,6 @@
 //! The one owner of the decision module: hands it events in order and carries out what it asks for.
 
+use super::account::{Account, Over};
 use super::backend::{self, Backend, Budget, Ended};
 use super::config::Names;
 use super::counter::Counter;
@@ -86,6 +87,8 @@
     /// Events that carrying out an action has brought up, in their order.
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    /// What was decided and why, where it is asked for.
+    account: Option<Box<Account>>,
 }
 
 /// A request taken and not yet answered.
@@ -97,6 +100,10 @@
     claim: Option<u64>,
     deadline: Micros,
     attempts: u8,
+    class: u16,
+    plan: u16,
+    units: f64,
+    arrived: Micros,
     /// Most attempts, as was in force when it came.
     most_attempts: u32,
     may_have_run: bool,
@@ -104,6 +111,12 @@
 }
 
 impl Open {
+    fn over(&self) -> Over {
+        let (class, plan, units, arrived, attempts) =
+            (self.class, self.plan, self.units, self.arrived, self.attempts);
+        Over { class, plan, units, arrived, attempts }
+    }
+
     /// Whether its last byte has come, and gone on if it is a long one.
     fn is_there(&self) -> bool {
         let upload = self.forward.as_ref().and_then(|forward| forward.body.upload());
@@ -114,6 +127,7 @@
 /// The attempt that is out for it.
 struct Out {
     attempt: u8,
+    class: u16,
     backend: BackendId,
     at: Micros,
     expires: Micros,
@@ -147,6 +161,7 @@
 impl Driver {
     pub fn new(setup: Setup, clock: Clock, messages: Messages, pool: Rc<Pool>) -> Driver {
         let Setup { settings, names, seed, budget, known, counter, peers, hand } = setup;
+        let account = Account::open(&settings, &names.classes, &names.plans);
         let mut driver = Driver {
             clock,
             names,
@@ -173,6 +188,7 @@
             timers_set: 0,
             events: VecDeque::new(),
             actions: Vec::new(),
+            account,
         };
         driver.counter = counter.map(|link| driver.open(link));
         driver.targets(TargetList { cached: true, complete: true, ..known });
@@ -273,6 +289,9 @@
                 // One that was let in is no longer held here, but the module waits for word of it.
                 self.events.push_back(Event::Abandoned { request });
                 if let Some(open) = self.requests.remove(&request) {
+                    if let Some(account) = &self.account {
+                        account.over(self.clock.now(), &open.over(), "gone", None);
+                    }
                     self.withdraw(request, open.out);
                 }
             }
@@ -303,6 +322,9 @@
     }
 
     fn reconfigure(&mut self, settings: Settings, names: Names) {
+        if let Some(account) = &mut self.account {
+            account.change(&settings, &names.classes, &names.plans);
+        }
         (self.names, self.limits) = (names, settings.limits.clone());
         self.report_fields = settings.report_fields.clone().into();
         self.counter_timeout = settings.counter.map_or(0, |counter| counter.timeout);
@@ -330,6 +352,11 @@
                 let since = now.saturating_sub(self.keep_idle);
                 self.backends.values().for_each(|backend| backend.close_older(since));
                 self.forget();
+                if let Some(account) = &mut self.account {
+                    let name = |id| self.ids.iter().find(|(_, known)| **known == id);
+                    let name = |id| name(id).map(|(name, _)| name.clone()).unwrap_or_default();
+                    account.state(now, self.gateway.fleet(), name);
+                }
                 self.set(now + SWEEP, Timer::Sweep);
             }
         }
@@ -356,15 +383,15 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, backend, expires } => self.send(request, backend, expires),
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, why } => {
                 let sent_before = self.requests.get(&request).is_some_and(|open| open.attempts > 0);
                 self.decided(request, Decided::Refused { sent_before, retry_after });
-                self.finish(request, Answer::Refused { retry_after })
+                self.finish(request, Answer::Refused { retry_after }, Some(why))
             }
-            Action::Fail { request } => self.finish(request, Answer::Failed),
+            Action::Fail { request, why } => self.finish(request, Answer::Failed, Some(why)),
             Action::Admit { request } => {
                 self.decided(request, Decided::Passes);
-                self.finish(request, Answer::Admitted)
+                self.finish(request, Answer::Admitted, None)
             }
             Action::Cancel { request, attempt } => {
                 let open = self.requests.get_mut(&request);
@@ -409,6 +436,10 @@
             forward: request.forward,
             deadline,
             attempts: 0,
+            class: request.class,
+            plan: request.plan,
+            units: request.units,
+            arrived: request.arrived,
             most_attempts: self.limits.attempts,
             may_have_run: false,
             out: None,
@@ -432,8 +463,11 @@
     }
 
     /// Gives the one final answer; whatever is still out for the request is withdrawn.
-    fn finish(&mut self, request: RequestId, answer: Answer) {
+    fn finish(&mut self, request: RequestId, answer: Answer, why: Option<Why>) {
         let Some(open) = self.requests.remove(&request) else { return };
+        if let Some(account) = &self.account {
+            account.over(self.clock.now(), &open.over(), answer.word(), why);
+        }
         let tells = open.forward.is_none() || self.pool.fields.get() != Fields::default();
         let standing = if tells { self.gateway.standing(open.customer) } else { None };
         let _ = open.reply.send(Reply { answer, standing });
@@ -454,7 +488,7 @@
         let (pool, attempts) = (&self.pool.name, open.attempts);
         eprintln!("defect: request {request} of pool {pool:?} was not decided in time (attempts {attempts})");
         self.events.push_back(Event::Abandoned { request });
-        self.finish(request, if ran { Answer::Failed } else { Answer::Refused { retry_after: 0 } });
+        self.finish(request, if ran { Answer::Failed } else { Answer::Refused { retry_after: 0 } }, None);
     }
 
     // ---- Attempts ----
@@ -511,7 +545,8 @@
             let Ended { outcome, report, body, carried, .. } = work.await;
             let _ = messages.send(Message::AttemptEnded { request, attempt, outcome, report, body, carried });
         });
-        open.out = Some(Out { attempt, backend: to, at: now, expires, sent, upload, task });
+        open.out =
+            Some(Out { attempt, class: open.class, backend: to, at: now, expires, sent, upload, task });
         self.decided(request, Decided::Passes);
         self.set(expires, Timer::Expire(request, attempt));
         self.set(now + self.limits.connect_timeout, Timer::Connect(request, attempt));
@@ -530,7 +565,7 @@
         open.may_have_run |= !outcome.never_ran();
         let served = outcome == Outcome::Ok;
         if served {
-            self.finish(request, answer);
+            self.finish(request, answer, None);
         }
         self.ended(request, &out, outcome, served, report);
     }
@@ -561,18 +596,24 @@
 
     fn ended(&mut self, request: RequestId, out: &Out, outcome: Outcome, closed: bool, report: Report) {
         let last = out.upload.as_ref().and_then(|upload| upload.ended());
-        self.events.push_back(Event::AttemptEnded(AttemptEnd {
+        let now = self.clock.now();
+        let end = AttemptEnd {
             request,
             attempt: out.attempt,
             backend: out.backend,
             outcome,
             // A node begins with the last byte.
-            waited: self.clock.now().saturating_sub(out.at.max(last.unwrap_or(0))),
+            waited: now.saturating_sub(out.at.max(last.unwrap_or(0))),
             closed,
             settled_units: 0.0,
             usage: 0,
             report,
-        }));
+        };
+        if let Some(account) = &self.account {
+            let node = self.ids.iter().find(|(_, id)| **id == out.backend);
+            account.attempt(now, out.class, node.map_or("", |(node, _)| node), &end);
+        }
+        self.events.push_back(Event::AttemptEnded(end));
     }
 
     // ---- Counter ----
@@ -644,6 +685,9 @@
             }
             return;
         }
+        if let Some(account) = &mut self.account {
+            account.call(outcome);
+        }
         let waited = self.clock.now().saturating_sub(at);
         self.events.push_back(Event::Counted { count, outcome, total, waited });
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! [`platform`] is one pool in the form that the platform expects, [`service`] several of them in one process.
 
+mod account;
 mod backend;
 mod clients;
 pub mod config;
@@ -125,6 +126,18 @@
     Admitted,
 }
 
+impl Answer {
+    /// How it ended, in a word.
+    fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) | Answer::Long(..) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+            Answer::Admitted => "admitted",
+        }
+    }
+}
+
 /// What the sockets report to the driver.
 pub(crate) enum Message {
     Request(ClientRequest),
--- a/crates/sim/src/wire.rs
+++ b/crates/sim/src/wire.rs
@@ -310,10 +310,10 @@
         Action::Send { request, backend, expires } => {
             record(records, 65, &[&request.to_le_bytes(), &backend.to_le_bytes(), &expires.to_le_bytes()])
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             record(records, 66, &[&request.to_le_bytes(), &short(*retry_after)]);
         }
-        Action::Fail { request } => record(records, 67, &[&request.to_le_bytes()]),
+        Action::Fail { request, .. } => record(records, 67, &[&request.to_le_bytes()]),
         Action::Cancel { request, attempt } => record(records, 68, &[&request.to_le_bytes(), &[*attempt]]),
         Action::Timer { at, token } => record(records, 69, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Probe { backend } => record(records, 70, &[&backend.to_le_bytes()]),
--- a/crates/sim/tests/wire.rs
+++ b/crates/sim/tests/wire.rs
@@ -162,7 +162,7 @@
     let (request, backend) = (0x5d3a_91c4, 0x0312_4a07);
     let cases = [
         (Action::Send { request, backend, expires: 8_492_250 }, "41 c4913a5d 074a1203 da94810000000000"),
-        (Action::Fail { request: 0x0e6f_2b19 }, "43 192b6f0e"),
+        (Action::Fail { request: 0x0e6f_2b19, why: Why::Attempt }, "43 192b6f0e"),
         (Action::Timer { at: 8_486_522, token: 77 }, "45 7a7e810000000000 4d00000000000000"),
         (Action::Watch { on: true }, "4b 01"),
         (Action::Cancel { request, attempt: 0 }, "44 c4913a5d 00"),
@@ -171,7 +171,10 @@
             "4d 90f6890000000000 00008040 c0c62d00",
         ),
         (Action::Probe { backend: 0x2c90_11f2 }, "46 f211902c"),
-        (Action::Refuse { request: 0x0e6f_2b19, retry_after: 250_000 }, "42 192b6f0e 90d00300"),
+        (
+            Action::Refuse { request: 0x0e6f_2b19, retry_after: 250_000, why: Why::Quota },
+            "42 192b6f0e 90d00300",
+        ),
         (Action::CloseIdle { backend: 0x2c90_11f2 }, "47 f211902c"),
         (Action::FetchList, "4c"),
     ];
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! `cargo xtask prove NAME` runs a subsystem's proof: it prints its figures as `key=value` and exits 1 when one
 //! falls short. `cargo xtask measure NAME` prints figures that have no verdict.
 
+mod account;
 mod figures;
 mod grpc;
 mod load;
@@ -16,6 +17,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use figures::Figures;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -36,6 +38,14 @@
         #[arg(long)]
         without_defence: bool,
     },
+    /// Prints what a tier's logs say was lost, by which rule, where and when.
+    Account {
+        /// A log, or a folder of logs, of ingresses that ran with VIOLETYOKE_ACCOUNT set.
+        logs: PathBuf,
+        /// Seconds that are told of together.
+        #[arg(long, default_value_t = 5)]
+        span: u64,
+    },
     /// Prints figures.
     Measure {
         name: Measure,
@@ -71,6 +81,7 @@
 
 fn main() -> ExitCode {
     let result = match Cli::parse().what {
+        What::Account { logs, span } => account::run(&logs, span),
         What::Prove { name: Proof::Routes, long, without_defence } => {
             prove_routes::run(long, !without_defence)
         }
