Send cold nodes their part by what the fleet can do, and a late node one attempt at a time

Cause, from the account: where nodes are out by hand and new ones are cold, a cold node's turn was taken from the mean over all nodes, cold ones too, so that few warm nodes were left with most of the load; a sick one among them was sent hundreds of attempts that timed out and held the places of all others. Units sent untold under a ceiling counted as untold for good, though totals had shown them, and each request past that asked a crowded counter.

Change: a cold node's part comes from the load over what all ready nodes can do for their age (half of the fleet at least: at most double the old part, of the three times that are safe). A node expected to take more than half of a request's time left gets one attempt at a time, whatever the fleet's pace. A total gives back the untold units that it shows. Whether a node is on trial is derived from its count of times out. Not taken: a bound for each node of its own, as one gateway of many sees a node too rarely to learn one.

Three module tests, each fails without its change.

--- a/crates/decision/src/cold.rs
+++ b/crates/decision/src/cold.rs
@@ -5,25 +5,43 @@
 use crate::Gateway;
 
 /// Usual gaps between two attempts to one backend over which recent ones count: they keep turns even.
-pub(crate) const TURN_GAPS: f64 = 2.0;
+const TURN_GAPS: f64 = 2.0;
 /// Fall times over which this gateway's rate of attempts is taken.
 pub(crate) const RATE_SPAN: f64 = 2.0;
+/// Least part of its warm capacity that the fleet is taken to have: a cold backend gets its part of the whole
+/// load by age, which is beyond all of them where all are cold. At most double, of three times that are safe.
+const LEAST_WARM: f64 = 0.5;
 
 impl Gateway {
-    /// A cold backend gets this gateway's usual turns, each earned by work it surely could do since the last.
-    /// Over all gateways, that is its usual load for its age, far from falling over, however many they are.
-    pub(crate) fn cold_allows(&self, backend: &Backend, usual_gap: f64) -> bool {
+    /// A cold backend gets turns by what it can do for its age, each earned since the last.
+    pub(crate) fn cold_allows(&self, backend: &Backend, gap: f64) -> bool {
+        let able = |at: Micros| {
+            let age = self.age(backend, at);
+            age * (self.settings.safety.cold_share + self.warmth(age)) / 2.0
+        };
+        let warm = self.age(backend, self.now) >= self.settings.safety.cold_time as f64;
+        warm || able(self.now) - able(backend.sent_at) >= gap * backend.phase
+    }
+
+    /// How long ago a backend started, up to the time by which all are warm.
+    fn age(&self, backend: &Backend, at: Micros) -> f64 {
+        let warm = self.settings.safety.cold_time;
+        let since = if backend.started == 0 { warm } else { at.saturating_sub(backend.started).min(warm) };
+        since as f64
+    }
+
+    /// Part of its warm capacity that a backend surely has at an age.
+    fn warmth(&self, age: f64) -> f64 {
         let safety = &self.settings.safety;
-        let warm = safety.cold_time as f64;
-        let age = |at: Micros| (at.saturating_sub(backend.started) as f64).min(warm);
-        if backend.started == 0 || age(self.now) >= warm {
-            return true;
-        }
-        let able = |age: f64| age * (safety.cold_share + (1.0 - safety.cold_share) * age / (2.0 * warm));
-        // Half an attempt at a time from all gateways together is safe: an all cold fleet must not starve.
+        safety.cold_share + (1.0 - safety.cold_share) * age / safety.cold_time.max(1) as f64
+    }
+
+    /// Time between two attempts to a backend that is warm (us), where each gets the part that it can do.
+    pub(crate) fn cold_gap(&self) -> f64 {
+        let able = self.over_ready(|backend| self.warmth(self.age(backend, self.now))) / self.ready();
+        // One attempt at a time from all gateways together is safe: an all cold fleet must not starve.
         let answer = self.fleet.usual.iter().copied().fold(1.0, f64::max);
-        let gap = usual_gap.min(TURN_GAPS * answer * f64::from(self.settings.gateways));
-        able(age(self.now)) - able(age(backend.sent_at)) >= gap * backend.phase
+        (self.turn() / TURN_GAPS * able.max(LEAST_WARM)).min(answer * f64::from(self.settings.gateways))
     }
 
     /// The time over which a backend's recent attempts fade (us): some usual gaps between two of them.
@@ -34,6 +52,10 @@
     }
 
     pub(crate) fn ready(&self) -> f64 {
-        self.fleet.backends.values().filter(|backend| !backend.told_gone).count() as f64
+        self.over_ready(|_| 1.0)
+    }
+
+    pub(crate) fn over_ready(&self, figure: impl Fn(&Backend) -> f64) -> f64 {
+        self.fleet.backends.values().filter(|backend| !backend.told_gone).map(figure).sum()
     }
 }
--- a/crates/decision/src/connections.rs
+++ b/crates/decision/src/connections.rs
@@ -27,10 +27,9 @@
     pub(crate) fn carried(&mut self, unused: Option<Micros>, broke: bool) {
         let faded = self.faded(self.kept.carried_at, BREAK_FADE);
         self.kept.carried_at = self.now;
-        self.kept
-            .carried
-            .iter_mut()
-            .for_each(|(broken, all)| (*broken, *all) = (*broken * faded, *all * faded));
+        for (broken, all) in &mut self.kept.carried {
+            (*broken, *all) = (*broken * faded, *all * faded);
+        }
         let age = |unused: Micros| 1 + ((unused / SHORTEST_KEPT).max(1).ilog2() as usize).min(AGES - 1);
         let (broken, all) = &mut self.kept.carried[unused.map_or(0, age)];
         (*broken, *all) = (*broken + f64::from(u8::from(broke)), *all + 1.0);
--- a/crates/decision/src/counter.rs
+++ b/crates/decision/src/counter.rs
@@ -65,22 +65,21 @@
     pub(crate) fn decide_alone(&mut self, id: RequestId) -> bool {
         let open = self.requests.open.get(&id).filter(|open| open.stage == Stage::Asking);
         let Some(open) = open else { return false };
-        let (of, units) = (open.request.customer, open.request.units);
+        let (of, units, asked_in, stands) =
+            (open.request.customer, open.request.units, open.window, open.stands);
         let spare = self.spare(of);
         let customer = &self.quota.customers[&of];
         let (all, beyond, seen) = (units / self.part(customer), customer.beyond, self.seen(customer));
         let customer = self.quota.customers.get_mut(&of).expect("just read");
         customer.waiting.retain(|other| *other != id);
         let within = if customer.telling { self.within(of, seen, all) } else { self.by_chance(1.0 - beyond) };
+        let customer = self.quota.customers.get_mut(&of).expect("just read");
         if !within || units > spare {
             // Its call has most likely added, or is owed: what is refused must not swell the count.
-            let (open, customer) =
-                (&self.requests.open[&id], self.quota.customers.get_mut(&of).expect("just read"));
-            customer.owed -= if open.window == customer.window { open.stands } else { 0.0 };
+            customer.owed -= if asked_in == customer.window { stands } else { 0.0 };
             self.refuse_beyond(id, if within { Why::Spare } else { Why::Untold });
             return false;
         }
-        let customer = self.quota.customers.get_mut(&of).expect("just read");
         (customer.spare, customer.unseen) = (customer.spare - units, customer.unseen + units);
         self.watch(of, 0.0, all);
         self.admit(id);
--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet.rs
@@ -1,6 +1,5 @@
 //! Backends: the choice among them, what their answers teach, and when one is left out.
 
-use crate::cold::TURN_GAPS;
 use crate::interface::*;
 use crate::{mix, Gateway};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,17 +24,18 @@
 /// How much a failing backend's cost grows with its share of failures (factor).
 const FAIL_COST: f64 = 8.0;
 /// Share of failures past which a backend is left out, and attempts in a row that suffice, broken or left
-/// unanswered while the fleet has room: a machine that vanishes breaks nothing, and a fleet that is overrun
-/// has none to leave out. Hurts one that is overrun alone, but spares it work for a while.
+/// unanswered while the fleet has room: a machine that vanishes breaks nothing.
 const FAIL_EJECT: f64 = 0.4;
 const DOWN_EJECT: u32 = 3;
-/// Part of the fleet that is left out at once, at most: past it, something else is at fault (a network
-/// that breaks connections, say) and those still in would only be overrun. Guards too against a fleet that
-/// restarts at once. May hurt where more than half are truly down: attempts then go there, at a higher cost.
+/// Part of the fleet that is left out at once, at most: past it, something else is at fault (a network that
+/// breaks connections, a fleet that restarts), and those still in would only be overrun.
 const MOST_EJECTED: f64 = 0.5;
 /// First time a backend is left out, in connect time-outs, and how often it doubles.
 const EJECT_FIRST: f64 = 2.0;
 const EJECT_DOUBLES: u32 = 4;
+/// Part of the time left to a request that a backend may be expected to take. Past it, it gets one at a time,
+/// to learn by: more would wait there until they are of no use, and hold the places of others.
+const MOST_WAIT: f64 = 0.5;
 /// Cost factor of another zone, for near-ties only; chance adds up to twice that, lest all choose alike.
 const CROSS_ZONE: f64 = 1.05;
 const JITTER: f64 = 0.1;
@@ -73,8 +73,8 @@
     /// Attempts broken or left without an answer since its last good one.
     pub(crate) down: u32,
     pub(crate) ejected_until: Micros,
+    /// How often it was left out since its last good answer; if it was, it gets one attempt at a time.
     pub(crate) ejections: u32,
-    pub(crate) trial: bool,
     /// When it was last seen to start, when it was last sent to, and turns to be earned before the next.
     pub(crate) started: Micros,
     pub(crate) sent_at: Micros,
@@ -87,9 +87,8 @@
     pub(crate) fn backends_told(&mut self, kind: ListKind, entries: Vec<BackendEntry>) {
         if kind == ListKind::Full || kind == ListKind::Cached {
             let listed: BTreeSet<BackendId> = entries.iter().map(|entry| entry.id).collect();
-            for backend in
-                self.fleet.backends.values_mut().filter(|backend| !listed.contains(&backend.entry.id))
-            {
+            let unlisted = |backend: &&mut Backend| !listed.contains(&backend.entry.id);
+            for backend in self.fleet.backends.values_mut().filter(unlisted) {
                 (backend.told_gone, backend.entry.condition) = (true, Condition::Gone);
             }
         }
@@ -112,9 +111,8 @@
             backend.entry = entry;
         }
         // One that comes back is told with its new start.
-        self.fleet
-            .backends
-            .retain(|_, backend| backend.entry.condition != Condition::Gone || backend.out > 0);
+        let over = |backend: &Backend| backend.entry.condition == Condition::Gone && backend.out == 0;
+        self.fleet.backends.retain(|_, backend| !over(backend));
     }
 
     /// The cheapest backend that may take this request now, if any.
@@ -122,31 +120,31 @@
         let open = &self.requests.open[&id];
         let class = &self.settings.classes[usize::from(open.request.class)];
         let bound_to = open.may_have_run.filter(|_| class.effect == Effect::Keyed);
-        let home =
-            bound_to.and_then(|(backend, _)| self.fleet.backends.get(&backend)).map(|home| &home.entry);
+        let home = bound_to.and_then(|(backend, _)| self.fleet.backends.get(&backend));
         let lost = bound_to.is_some() && home.is_none() && class.group != Group::All;
         if lost || bound_to.is_some_and(|(_, sent)| self.now >= sent + class.repeat_window) {
             return None;
         }
-        let ready = self.fleet.backends.values().filter(|backend| !backend.told_gone);
-        let mean = ready.map(|backend| backend.entry.share).sum::<f64>() / self.ready();
+        let mean = self.over_ready(|backend| backend.entry.share) / self.ready();
         // A bound under one leaves room for an attempt after a pause.
-        let pause = self.fleet.usual[usize::from(open.request.class)] * (1.0 / self.fleet.room - 1.0);
+        let usual = self.fleet.usual[usize::from(open.request.class)];
+        let pause = usual * (1.0 / self.fleet.room - 1.0);
         let full = self.requests.flights.len() as f64 + 1.0 > self.fleet.room.max(1.0);
         if self.fleet.room > 0.0 && (full || ((self.now - self.fleet.sent_at) as f64) < pause) {
             return None;
         }
-        let (turn, mut random) = (self.turn(), self.random);
+        let (turn, gap, mut random) = (self.turn(), self.cold_gap(), self.random);
+        let left = self.useless_at(open).saturating_sub(self.now) as f64;
         let mut best: Option<(f64, BackendId)> = None;
         for (backend_id, backend) in &self.fleet.backends {
             let same_group = match (home, class.group) {
                 (None, _) | (_, Group::All) => true,
-                (Some(home), Group::Zone) => home.zone == backend.entry.zone,
-                (Some(home), Group::Cell) => home.cell == backend.entry.cell,
+                (Some(home), Group::Zone) => home.entry.zone == backend.entry.zone,
+                (Some(home), Group::Cell) => home.entry.cell == backend.entry.cell,
             };
             let left_out = backend.told_gone || backend.ejected_until > self.now || !same_group;
-            if left_out || (backend.trial && backend.out > 0) || !self.cold_allows(backend, turn / TURN_GAPS)
-            {
+            let one = backend.ejections > 0 || usual * backend.slow > MOST_WAIT * left;
+            if left_out || (one && backend.out > 0) || !self.cold_allows(backend, gap) {
                 continue;
             }
             let size = if mean > 0.0 { (backend.entry.share / mean).max(0.1) } else { 1.0 };
@@ -178,11 +176,11 @@
     }
 
     pub(crate) fn learn(&mut self, id: BackendId, class: usize, outcome: Outcome, waited: Micros) {
-        let (aim, took) = (self.settings.classes[class].aim as f64, waited as f64);
-        let (usual, now) = (self.fleet.usual[class], self.now);
+        let (aim, usual, now) = (self.settings.classes[class].aim as f64, self.fleet.usual[class], self.now);
+        let took = (waited as f64).max(if outcome == Outcome::Timeout { aim } else { 0.0 });
         let first_ejection = EJECT_FIRST * self.settings.limits.connect_timeout as f64;
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
-            self.bound_all(took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / self.fleet.best[class]);
+            self.bound_all(took / self.fleet.best[class]);
         }
         let ejected = |backend: &&Backend| !backend.told_gone && backend.ejected_until > now;
         let others_out = self.fleet.backends.values().filter(ejected).count() as f64;
@@ -190,16 +188,15 @@
         let Some(backend) = self.fleet.backends.get_mut(&id) else { return };
         match outcome {
             Outcome::Ok | Outcome::Timeout => {
-                let ratio = took.max(if outcome == Outcome::Ok { 0.0 } else { aim }) / usual;
-                backend.slow += NEWEST * (ratio - backend.slow);
-                let silent = outcome == Outcome::Timeout && took > QUEUED * usual;
+                backend.slow += NEWEST * (took / usual - backend.slow);
+                let silent = outcome == Outcome::Timeout && waited as f64 > QUEUED * usual;
                 backend.down += u32::from(silent && self.fleet.pace < ROOMY);
                 if outcome == Outcome::Ok {
                     self.fleet.usual[class] += FLEET_NEWEST * (took - usual);
                     let best = self.fleet.best[class] * (1.0 + FLEET_NEWEST * BEST_RISE);
                     self.fleet.best[class] = best.min(self.fleet.usual[class]).min(BEST_OF_AIM * aim);
                     backend.fails -= NEWEST * backend.fails;
-                    (backend.ejections, backend.trial, backend.down) = (0, false, 0);
+                    (backend.ejections, backend.down) = (0, 0);
                 }
             }
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Full => {
@@ -209,12 +206,11 @@
             Outcome::Stale | Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => return,
         }
         let bad = outcome != Outcome::Ok && (outcome != Outcome::Timeout || self.fleet.pace < ROOMY);
-        let failing = backend.fails > FAIL_EJECT || backend.down >= DOWN_EJECT || backend.trial;
+        let failing = backend.fails > FAIL_EJECT || backend.down >= DOWN_EJECT || backend.ejections > 0;
         if may_eject && bad && failing && backend.ejected_until <= now {
             let span = first_ejection * f64::from(1u32 << backend.ejections.min(EJECT_DOUBLES));
             backend.ejected_until = now + span as Micros;
             backend.ejections += 1;
-            backend.trial = true;
         }
     }
 }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,13 +1,9 @@
 //! The decisions of a quota-keeping gateway for a shared API.
 //!
-//! [`Gateway`] is a state machine without input or output of its own: it is handed [`Event`]s with the
-//! time they happened and appends the [`Action`]s it wants carried out. Its limiter is the sliding
-//! tail: each request adds its units to its customer's count of the current window on a shared counter
-//! service, the previous window weighs in by its unelapsed fraction, and what goes past the limit is
-//! refused at once.
-//!
-//! [`Event`]: interface::Event
-//! [`Action`]: interface::Action
+//! [`Gateway`] is a state machine without input or output of its own: it is handed events with the time they
+//! happened and appends the actions it wants carried out. Its limiter is the sliding tail: each request adds
+//! its units to its customer's count of the current window on a shared counter service, the previous window
+//! weighs in by its unelapsed fraction, and what goes past the limit is refused at once.
 
 mod cold;
 mod connections;
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -17,13 +17,11 @@
 const SHARE_WEIGHT: f64 = 0.5;
 /// Part of its own units that a total shows at least, rounded to seven digits and kept so by others.
 const ROUNDING: f64 = 0.9;
-/// Least part of the usual chance to ask a crowded counter, for a customer far below its limit: a call
-/// tells most where the decision is near.
+/// Least part of the usual chance to ask a crowded counter, for a customer far below its limit.
 const CALM_PART: f64 = 0.2;
 /// Most gateways of a customer for which own units tell of the others'; past it, one would stand for a burst.
 const TELLING_SPREAD: f64 = 6.0;
-/// Customers looked at with each request, and windows of silence after which one is forgotten: its units have
-/// been refilled, the counter has dropped its names, and what it may send untold has grown back.
+/// Customers looked at with each request, and windows of silence after which one is forgotten, all refilled.
 const LOOKED_AT: usize = 4;
 const FORGET_AFTER: f64 = 6.0;
 
@@ -288,6 +286,8 @@
                 customer.own += call.amount - lost;
                 let unseen = (customer.owed - lost + still_out).max(0.0);
                 let guessed = (customer.unseen - unseen) / part;
+                // What a total shows is untold no more.
+                customer.spare += if customer.telling { (customer.unseen - unseen).max(0.0) } else { 0.0 };
                 came = if lost > 0.0 { asked } else { total - customer.total - guessed };
                 (customer.total, customer.unseen) = (total + lost, unseen);
                 if let Some(open) = call.request.and_then(|id| self.requests.open.get_mut(&id)) {
--- a/crates/decision/src/requests.rs
+++ b/crates/decision/src/requests.rs
@@ -121,13 +121,8 @@
     }
 
     pub(crate) fn arm(&mut self) {
-        if let Some((at, _)) = self
-            .requests
-            .due
-            .first()
-            .copied()
-            .filter(|(at, _)| self.requests.armed.is_none_or(|armed| *at < armed))
-        {
+        let first = self.requests.due.first().map(|(at, _)| *at);
+        if let Some(at) = first.filter(|at| self.requests.armed.is_none_or(|armed| *at < armed)) {
             self.requests.armed = Some(at);
             self.actions.push(Action::Timer { at, token: at });
         }
@@ -176,12 +171,9 @@
 
     pub(crate) fn attempt_ended(&mut self, end: AttemptEnd) {
         let Some(flight) = self.requests.flights.remove(&(end.request, end.attempt)) else { return };
-        if let Some(backend) = self.fleet.backends.get_mut(&flight.backend) {
-            backend.out = backend.out.saturating_sub(1);
-        }
-        if let Some(customer) = self.quota.customers.get_mut(&flight.customer) {
-            customer.out = customer.out.saturating_sub(1);
-        }
+        let backend = self.fleet.backends.get_mut(&flight.backend).map(|backend| &mut backend.out);
+        let customer = self.quota.customers.get_mut(&flight.customer).map(|customer| &mut customer.out);
+        backend.into_iter().chain(customer).for_each(|out| *out = out.saturating_sub(1));
         self.learn(flight.backend, flight.class, end.outcome, end.waited);
         if end.closed || end.outcome == Outcome::Ok {
             return self.close(end.request);
--- a/crates/decision/src/view.rs
+++ b/crates/decision/src/view.rs
@@ -48,7 +48,7 @@
         let backends = self.fleet.backends.iter().map(|(id, backend)| BackendView {
             id: *id,
             away: backend.told_gone,
-            left_out: backend.ejected_until > self.now || backend.trial,
+            left_out: backend.ejections > 0,
             cold: backend.started > 0 && self.now < backend.started + warm,
             slow: backend.slow,
             fails: backend.fails,
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -343,6 +343,74 @@
     assert!((1..=20).contains(&cold), "{cold} of 200 where a full turn is 50");
 }
 
+#[test]
+fn cold_backends_get_their_part_of_the_load_by_what_the_whole_fleet_can_do() {
+    // Two warm ones and, from the fourth second on, six that started four seconds before, of ten: each of those
+    // can do half of what a warm one can.
+    let mut gateway = gateway(settings(), &[1, 2]);
+    let mut to_each = BTreeMap::new();
+    for id in 0..2_000 {
+        let now = START + u64::from(id) * 2_000;
+        if id == 1_500 {
+            let born = now - 4 * SECOND;
+            let entries = (3..=8).map(|id| entry(id, Condition::Ready, born)).collect();
+            step(&mut gateway, now, Event::Backends { kind: ListKind::Delta, version: 2, entries });
+        }
+        let to = sent(&step(&mut gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) })));
+        *to_each.entry(to[0]).or_insert(0u32) += u32::from(id >= 1_600);
+        step(&mut gateway, now, ended(id, 0, to[0], Outcome::Ok));
+    }
+    let cold = (3..=8).map(|id| to_each.get(&id).copied().unwrap_or(0)).sum::<u32>();
+    // By their capacity they would get six tenths; by turns of the whole fleet, three in eight.
+    assert!((180..=260).contains(&cold), "{cold} of 400 to the cold: {to_each:?}");
+}
+
+#[test]
+fn a_backend_that_answers_too_late_holds_one_attempt_and_leaves_the_places_to_others() {
+    let mut gateway = gateway(Settings { gateways: 1, ..settings() }, &[1, 2]);
+    let ask = |gateway: &mut Gateway, id, now| {
+        sent(&step(gateway, now, Event::Request(Request { plan: 2, ..request(id, 9) })))
+    };
+    // What it is sent times out; the other one is busy, so that nothing is left out for want of an answer.
+    for id in 0..200 {
+        let now = START + u64::from(id) * 20_000;
+        let Some(to) = ask(&mut gateway, id, now).first().copied() else { continue };
+        let (outcome, waited) = if to == 1 { (Outcome::Timeout, 500_000) } else { (Outcome::Ok, 150_000) };
+        let end = AttemptEnd { outcome, waited, closed: true, ..end_of(id, to) };
+        step(&mut gateway, now, Event::AttemptEnded(end));
+    }
+    let now = START + 60 * SECOND;
+    let to: Vec<BackendId> = (1000..1012).flat_map(|id| ask(&mut gateway, id, now)).collect();
+    let late = to.iter().filter(|to| **to == 1).count();
+    assert!(late <= 1 && to.len() - late >= 4, "{to:?}");
+}
+
+#[test]
+fn units_sent_untold_may_be_sent_again_once_a_total_has_shown_them() {
+    let mut gateway = gateway(settings(), &[1]);
+    let ask = |id| Event::Request(Request { plan: 1, ..request(id, 9) });
+    // Turned away twice, the counter is not waited for; a ceiling of twice the quota leaves five units a gateway.
+    let mut calls = Vec::new();
+    for id in 1..=2 {
+        calls = counts(&step(&mut gateway, START, ask(id)));
+        let full = Event::Counted { count: calls[0].0, outcome: Outcome::Full, total: 0.0, waited: 1_000 };
+        step(&mut gateway, START, full);
+    }
+    let now = START + SECOND;
+    let alone = |gateway: &mut Gateway, ids: std::ops::Range<u32>| {
+        ids.filter(|id| !sent(&step(gateway, now, ask(*id))).is_empty()).count()
+    };
+    let first = alone(&mut gateway, 10..20);
+    assert!((1..=4).contains(&first), "{first} of 10");
+    assert_eq!(alone(&mut gateway, 20..30), 0, "no more untold units");
+    // The call that all of them asked for in vain shows what was sent.
+    let total =
+        Event::Counted { count: calls[0].0, outcome: Outcome::Ok, total: first as f64, waited: 1_000 };
+    step(&mut gateway, now, total);
+    let again = alone(&mut gateway, 30..40);
+    assert!((1..=first).contains(&again), "{again} after {first}");
+}
+
 #[test]
 fn slow_answers_shrink_what_is_out() {
     let mut gateway = gateway(settings(), &[1, 2]);
