Count one broken connection to an outside rate limit server as one failure

Cause: a connection that breaks ends every question on it, and each counted at the breaker: one break under load could open it for everybody. That a proof only held with a breaker that needs more failures than can be out hid it.

Change: a question that a connection's end took down says which connection; the breaker is told once for each, and for each of its epochs, so that a trial's end is always told. Told apart from the server's own errors by the cause that a status has. Not taken: watching the connection's end apart, which comes in no fixed order with its questions'.

--- a/crates/ingress/src/consult.rs
+++ b/crates/ingress/src/consult.rs
@@ -7,7 +7,8 @@
 use crate::Clock;
 use hyper_util::rt::TokioIo;
 use siphasher::sip::SipHasher13;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::hash::Hasher;
 use std::io;
 use std::rc::Rc;
@@ -35,6 +36,8 @@
     outside: RefCell<Outside>,
     /// The connection in use, and what asks on it.
     link: RefCell<Option<(Channel, Client)>>,
+    /// How many connections there have been.
+    opened: Cell<u64>,
     /// Held by the one that opens a connection.
     opening: Mutex<()>,
     clock: Clock,
@@ -59,6 +62,7 @@
             file: RefCell::new(Rc::new(file)),
             outside: RefCell::new(outside),
             link: RefCell::default(),
+            opened: Cell::new(0),
             opening: Mutex::default(),
             clock,
             descriptors,
@@ -144,6 +148,7 @@
     async fn call(&self, request: proto::RateLimitRequest, number: u64, until: Micros) -> Said {
         for asked in 1.. {
             let Ok(mut client) = self.client().await else { return Said::Nothing };
+            let connection = self.opened.get();
             let left = until.saturating_sub(self.clock.now()).max(1);
             let mut question = Request::new(request.clone());
             question.set_timeout(Duration::from_micros(left));
@@ -151,6 +156,8 @@
                 Ok(response) => return said(response.get_ref()),
                 // Its connection was ending.
                 Err(status) if never_processed(&status) => drop(self.link.take()),
+                // What the server says itself has no cause; a connection's end has.
+                Err(status) if status.source().is_some() => return Said::Broke { connection },
                 Err(_) => return Said::Nothing,
             }
             if !self.outside.borrow().again(self.clock.now(), number, until, asked) {
@@ -185,6 +192,7 @@
             let _ = connection.await;
         });
         let client = Client::new(channel.clone()).max_decoding_message_size(LARGEST_ANSWER);
+        self.opened.set(self.opened.get() + 1);
         *self.link.borrow_mut() = Some((channel, client.clone()));
         Ok(client)
     }
--- a/crates/ratelimit/src/consult.rs
+++ b/crates/ratelimit/src/consult.rs
@@ -81,6 +81,10 @@
     },
     /// Nothing that is an answer: an error, no connection, a code that is neither.
     Nothing,
+    /// The connection of this number broke under it, as under all that were on it.
+    Broke {
+        connection: u64,
+    },
 }
 
 /// How often what happened; a request may be in several.
@@ -133,6 +137,8 @@
     /// Questions whose answer may still come, which hold a place.
     out: usize,
     next: u64,
+    /// The connection that last broke, and the breaker's epoch: one break is one failure.
+    broke: Option<(u64, u64)>,
     /// Credits by what they are about, by when they end, and each with a number of its own.
     credits: BTreeSet<(u64, Micros, u64)>,
     /// The same in the order in which they end.
@@ -148,6 +154,7 @@
             open: BTreeMap::new(),
             out: 0,
             next: 1,
+            broke: None,
             credits: BTreeSet::new(),
             ends: BTreeSet::new(),
             tally: Tally::default(),
@@ -247,6 +254,15 @@
                 self.open.remove(&number);
                 Some(self.failed(now, epoch))
             }
+            Said::Broke { connection } => {
+                self.open.remove(&number);
+                // A trial has an epoch of its own, and its end is told whatever broke before it.
+                if self.broke.replace((connection, epoch)) != Some((connection, epoch)) {
+                    return Some(self.failed(now, epoch));
+                }
+                self.tally.silent += 1;
+                Some(self.silent(0))
+            }
         }
     }
 
@@ -308,7 +324,7 @@
                 self.book(now, about);
             }
             Said::Over { .. } if let_in => self.tally.late_over_let_in += 1,
-            Said::Over { .. } | Said::Nothing => {}
+            Said::Over { .. } | Said::Nothing | Said::Broke { .. } => {}
         }
     }
 
--- a/crates/ratelimit/tests/consult.rs
+++ b/crates/ratelimit/tests/consult.rs
@@ -164,6 +164,27 @@
     ask(&mut breaker, 5_000);
 }
 
+#[test]
+fn a_connection_that_breaks_is_one_failure_however_many_it_carried() {
+    let mut outside = Outside::new(settings(Silence::Refuse), 1);
+    let broke = |connection| Said::Broke { connection };
+    for connection in 1..=2 {
+        let numbers: Vec<_> = (0..4).map(|about| question(&mut outside, 0, about).0).collect();
+        for number in numbers {
+            assert!(matches!(outside.answered(1, number, broke(connection)), Some(Word::Refuse { .. })));
+        }
+    }
+    assert!(!outside.is_shut(), "two failures of three");
+    let (first, second) = (question(&mut outside, 1, 1).0, question(&mut outside, 1, 2).0);
+    outside.answered(2, first, broke(3));
+    assert!(outside.is_shut());
+    // The trial is on the connection that an older question still breaks under: its own end is told.
+    let (trial, _) = question(&mut outside, 2_000 * MS, 3);
+    outside.answered(2_000 * MS, second, broke(4));
+    outside.answered(2_000 * MS, trial, broke(4));
+    assert!(matches!(outside.ask(10_000 * MS, 12_000 * MS, 4), Ask::Question { .. }), "it asks again");
+}
+
 #[test]
 fn pauses_of_several_ingresses_end_apart() {
     let settings = breaker::Settings { failures: 1, pause: 1_000_000, longest_pause: 8_000_000 };
--- a/xtask/src/prove_consult.rs
+++ b/xtask/src/prove_consult.rs
@@ -48,9 +48,6 @@
         let limiter = Limiter::start(violetyoke_standin::any(), u64::MAX / 2, Duration::from_secs(3_600))?;
         let shape = Shape { workers: 16, queue: 256, service: Duration::from_millis(1), ..Shape::default() };
         let node = Node::start(violetyoke_standin::any(), "n", shape)?;
-        // All that are out on a connection that breaks fail in one moment, and by chance those are enough to open
-        // the breaker for everybody: what a break alone costs shows only where it stays shut.
-        let failures = if phase == "breaks" { failures.max(MOST_OPEN + 1) } else { failures };
         let service = Program::serve(&program, &file(&node, &limiter, failures))?;
         limiter.set(mode);
         let end = Instant::now() + Duration::from_secs(seconds);
