--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,6 +16,7 @@
 pub use consult::Consult;
 pub use control::Control;
 pub use error::Errors;
-pub use pool::{Class, Fields, Node, Nodes, Pool};
+pub use pool::{only_once, plan, Class, Fields, Node, Nodes, Pool};
 pub use ratelimit::RateLimit;
+pub use section::{read, Section};
 pub use service::{parse, Route, Service};
--- a/crates/config/src/pool.rs
+++ b/crates/config/src/pool.rs
@@ -85,8 +85,24 @@
         if section.has("quota") && !plain(&quota) {
             section.error("quota", "must be 1 to 40 letters, digits, - or _");
         }
-        let classes: Vec<Class> = section.sections("class").into_iter().map(class).collect();
-        let plans: Vec<(String, Plan)> = section.sections("plan").into_iter().map(plan).collect();
+        let classes: Vec<Class> = section
+            .sections("class")
+            .into_iter()
+            .map(|section| {
+                let class = Class::read(&section);
+                section.finish();
+                class
+            })
+            .collect();
+        let plans: Vec<(String, Plan)> = section
+            .sections("plan")
+            .into_iter()
+            .map(|section| {
+                let plan = plan(&section);
+                section.finish();
+                plan
+            })
+            .collect();
         if classes.is_empty() {
             section.error("class", "at least one is needed");
         }
@@ -217,45 +233,49 @@
     discovery.map_or(Nodes::Static(list), Nodes::Discovery)
 }
 
-fn class(section: Section<'_>) -> Class {
-    let name = section.needed("name");
-    if section.has("name") && !plain(&name) {
-        section.error("name", "must be 1 to 40 letters, digits, - or _");
-    }
-    let time = |key: &'static str, usual: f64| (section.number(key, usual, 1.0..=600_000.0) * MS) as Micros;
-    let aim = time("aim_ms", 1_000.0);
-    if !section.has("effect") {
-        // A guess here could make a booking run twice.
-        section.error("effect", "is missing: safe, keyed or unsafe");
-    }
-    let class = words::Class {
-        aim,
-        aim_stretch: 0.0,
-        deadline: time("deadline_ms", aim as f64 / MS * 2.0),
-        effect: section.word(
-            "effect",
-            Effect::Unsafe,
-            &[("safe", Effect::Safe), ("keyed", Effect::Keyed), ("unsafe", Effect::Unsafe)],
-        ),
-        group: section.word(
-            "group",
-            Group::All,
-            &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)],
-        ),
-        repeat_window: (section.number("repeat_window_ms", 0.0, 0.0..=86_400_000.0) * MS) as Micros,
-        late_value: 0.0,
-        value: section.number("value", 1.0, 1e-6..=1e6),
-        streamed: false,
-        asks_only: false,
-    };
-    if class.deadline < class.aim {
-        section.error("deadline_ms", "is before aim_ms");
+impl Class {
+    /// Reads a class's keys; others may stand beside them.
+    pub fn read(section: &Section<'_>) -> Class {
+        let name = section.needed("name");
+        if section.has("name") && !plain(&name) {
+            section.error("name", "must be 1 to 40 letters, digits, - or _");
+        }
+        let time =
+            |key: &'static str, usual: f64| (section.number(key, usual, 1.0..=600_000.0) * MS) as Micros;
+        let aim = time("aim_ms", 1_000.0);
+        if !section.has("effect") {
+            // A guess here could make a booking run twice.
+            section.error("effect", "is missing: safe, keyed or unsafe");
+        }
+        let class = words::Class {
+            aim,
+            aim_stretch: 0.0,
+            deadline: time("deadline_ms", aim as f64 / MS * 2.0),
+            effect: section.word(
+                "effect",
+                Effect::Unsafe,
+                &[("safe", Effect::Safe), ("keyed", Effect::Keyed), ("unsafe", Effect::Unsafe)],
+            ),
+            group: section.word(
+                "group",
+                Group::All,
+                &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)],
+            ),
+            repeat_window: (section.number("repeat_window_ms", 0.0, 0.0..=86_400_000.0) * MS) as Micros,
+            late_value: 0.0,
+            value: section.number("value", 1.0, 1e-6..=1e6),
+            streamed: false,
+            asks_only: false,
+        };
+        if class.deadline < class.aim {
+            section.error("deadline_ms", "is before aim_ms");
+        }
+        Class { name, class }
     }
-    section.finish();
-    Class { name, class }
 }
 
-fn plan(section: Section<'_>) -> (String, Plan) {
+/// Reads a plan's keys and its name; others may stand beside them.
+pub fn plan(section: &Section<'_>) -> (String, Plan) {
     let name = section.needed("name");
     if section.has("name") && !plain(&name) {
         section.error("name", "must be 1 to 40 letters, digits, - or _");
@@ -276,11 +296,10 @@
     if plan.ceiling_rate > 0.0 && (plan.ceiling_rate < plan.rate || plan.ceiling_burst < plan.burst) {
         section.error("ceiling_rate", "rate and burst of the ceiling must not be below the plan's");
     }
-    section.finish();
     (name, plan)
 }
 
-fn only_once<'n>(section: &Section<'_>, key: &'static str, names: impl Iterator<Item = &'n str>) {
+pub fn only_once<'n>(section: &Section<'_>, key: &'static str, names: impl Iterator<Item = &'n str>) {
     let mut seen = BTreeSet::new();
     for name in names {
         if !seen.insert(name) {
@@ -290,7 +309,7 @@
 }
 
 /// Names stand in counter names and header fields.
-pub(crate) fn plain(name: &str) -> bool {
+pub fn plain(name: &str) -> bool {
     (1..=40).contains(&name.len())
         && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_')
 }
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -27,7 +27,28 @@
     }
 }
 
-pub(crate) struct Section<'a> {
+/// Reads a file's text, its root table first; all errors in one go.
+pub fn read<T>(text: &str, read: impl FnOnce(&Section<'_>) -> T) -> Result<T, Errors> {
+    let reading = Reading::new(text);
+    let (table, syntax) = DeTable::parse_recoverable(text);
+    for error in &syntax {
+        let line = reading.line(error.span().map_or(0, |span| span.start));
+        reading.errors.borrow_mut().add(line, "syntax", error.message());
+    }
+    let root = Section::root(&reading, table.get_ref());
+    let value = read(&root);
+    root.finish();
+    let mut errors = reading.errors.take();
+    errors.sort();
+    if errors.is_empty() {
+        Ok(value)
+    } else {
+        Err(errors)
+    }
+}
+
+/// A table, and which of its keys were asked for.
+pub struct Section<'a> {
     reading: Rc<Reading<'a>>,
     table: Option<&'a DeTable<'a>>,
     /// What the keys of this table are called in full, with a dot at the end unless it is the file's own.
@@ -56,18 +77,18 @@
     }
 
     /// Notes an error of a key; of the table, where the key is not there.
-    pub(crate) fn error(&self, key: &str, reason: impl Display) {
+    pub fn error(&self, key: &str, reason: impl Display) {
         let here = self.table.and_then(|table| table.iter().find(|(name, _)| name.get_ref().as_ref() == key));
         let at = here.map_or(self.at, |(name, _)| name.span().start);
         let line = self.reading.line(at);
         self.reading.errors.borrow_mut().add(line, format!("{}{key}", self.prefix), reason.to_string());
     }
 
-    pub(crate) fn has(&self, key: &'static str) -> bool {
+    pub fn has(&self, key: &'static str) -> bool {
         self.value(key).is_some()
     }
 
-    pub(crate) fn text(&self, key: &'static str) -> Option<String> {
+    pub fn text(&self, key: &'static str) -> Option<String> {
         match self.value(key)?.get_ref() {
             DeValue::String(text) => Some(text.to_string()),
             _ => {
@@ -78,7 +99,7 @@
     }
 
     /// A text that must be there.
-    pub(crate) fn needed(&self, key: &'static str) -> String {
+    pub fn needed(&self, key: &'static str) -> String {
         if !self.has(key) {
             self.error(key, "is missing");
         }
@@ -86,7 +107,7 @@
     }
 
     /// A text that stands for something else.
-    pub(crate) fn parsed<T: FromStr>(&self, key: &'static str, what: &str) -> Option<T> {
+    pub fn parsed<T: FromStr>(&self, key: &'static str, what: &str) -> Option<T> {
         let text = self.text(key)?;
         let value = text.parse().ok();
         if value.is_none() {
@@ -95,7 +116,7 @@
         value
     }
 
-    pub(crate) fn flag(&self, key: &'static str, usual: bool) -> bool {
+    pub fn flag(&self, key: &'static str, usual: bool) -> bool {
         match self.value(key).map(Spanned::get_ref) {
             None => usual,
             Some(DeValue::Boolean(value)) => *value,
@@ -106,7 +127,7 @@
         }
     }
 
-    pub(crate) fn number(&self, key: &'static str, usual: f64, range: impl RangeBounds<f64>) -> f64 {
+    pub fn number(&self, key: &'static str, usual: f64, range: impl RangeBounds<f64>) -> f64 {
         let value = match self.value(key).map(Spanned::get_ref) {
             None => return usual,
             Some(DeValue::Integer(value)) => value.as_str().replace('_', "").parse::<f64>().ok(),
@@ -121,7 +142,7 @@
         usual
     }
 
-    pub(crate) fn whole(&self, key: &'static str, usual: u64, range: impl RangeBounds<u64>) -> u64 {
+    pub fn whole(&self, key: &'static str, usual: u64, range: impl RangeBounds<u64>) -> u64 {
         let value = match self.value(key).map(Spanned::get_ref) {
             None => return usual,
             Some(DeValue::Integer(value)) if value.radix() == 10 => {
@@ -138,7 +159,7 @@
     }
 
     /// One of a few words.
-    pub(crate) fn word<T: Copy>(&self, key: &'static str, usual: T, known: &[(&str, T)]) -> T {
+    pub fn word<T: Copy>(&self, key: &'static str, usual: T, known: &[(&str, T)]) -> T {
         let Some(text) = self.text(key) else { return usual };
         if let Some((_, value)) = known.iter().find(|(name, _)| *name == text) {
             return *value;
@@ -149,7 +170,7 @@
     }
 
     /// A list of a few words.
-    pub(crate) fn words<T: Copy>(&self, key: &'static str, known: &[(&str, T)]) -> Vec<T> {
+    pub fn words<T: Copy>(&self, key: &'static str, known: &[(&str, T)]) -> Vec<T> {
         let Some(value) = self.value(key) else { return Vec::new() };
         let DeValue::Array(list) = value.get_ref() else {
             self.error(key, "must be a list");
@@ -171,7 +192,7 @@
     }
 
     /// A list of any texts.
-    pub(crate) fn names(&self, key: &'static str) -> Vec<String> {
+    pub fn names(&self, key: &'static str) -> Vec<String> {
         let Some(value) = self.value(key) else { return Vec::new() };
         let DeValue::Array(list) = value.get_ref() else {
             self.error(key, "must be a list of texts");
@@ -188,7 +209,7 @@
     }
 
     /// A table of texts under any keys.
-    pub(crate) fn texts(&self, key: &'static str) -> BTreeMap<String, String> {
+    pub fn texts(&self, key: &'static str) -> BTreeMap<String, String> {
         let Some(value) = self.value(key) else { return BTreeMap::new() };
         let DeValue::Table(table) = value.get_ref() else {
             self.error(key, "must be a table of texts");
@@ -205,7 +226,7 @@
     }
 
     /// A table in this one; an empty one if it is not there.
-    pub(crate) fn section(&self, key: &'static str) -> Section<'a> {
+    pub fn section(&self, key: &'static str) -> Section<'a> {
         let prefix = format!("{}{key}.", self.prefix);
         match self.value(key) {
             None => Section::new(&self.reading, None, prefix, self.at),
@@ -223,7 +244,7 @@
     }
 
     /// A list of tables, `[[key]]` or in line.
-    pub(crate) fn sections(&self, key: &'static str) -> Vec<Section<'a>> {
+    pub fn sections(&self, key: &'static str) -> Vec<Section<'a>> {
         let Some(value) = self.value(key) else { return Vec::new() };
         let DeValue::Array(list) = value.get_ref() else {
             self.error(key, "must be a list of tables");
@@ -243,7 +264,7 @@
     }
 
     /// Notes the keys that nobody asked for.
-    pub(crate) fn finish(self) {
+    pub fn finish(self) {
         let asked = self.asked.borrow();
         for (name, _) in self.table.into_iter().flat_map(|table| table.iter()) {
             let name = name.get_ref().as_ref();
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -4,10 +4,9 @@
 use crate::error::Errors;
 use crate::pool::Pool;
 use crate::ratelimit::RateLimit;
-use crate::section::{Reading, Section};
+use crate::section::{self, Section};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use toml::de::DeTable;
 use violetyoke_routes::{Host, Path, Rule, Table};
 
 /// A service as its file has it, checked.
@@ -41,22 +40,7 @@
 
 /// Reads a file's text; all errors in one go.
 pub fn parse(text: &str) -> Result<Service, Errors> {
-    let reading = Reading::new(text);
-    let (table, syntax) = DeTable::parse_recoverable(text);
-    for error in &syntax {
-        let line = reading.line(error.span().map_or(0, |span| span.start));
-        reading.errors.borrow_mut().add(line, "syntax", error.message());
-    }
-    let root = Section::root(&reading, table.get_ref());
-    let service = read(&root);
-    root.finish();
-    let mut errors = reading.errors.take();
-    errors.sort();
-    if errors.is_empty() {
-        Ok(service)
-    } else {
-        Err(errors)
-    }
+    section::read(text, read)
 }
 
 fn read(root: &Section<'_>) -> Service {
