--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -191,6 +191,27 @@
         list.iter().filter_map(word).collect()
     }
 
+    /// A list of any numbers.
+    pub fn numbers(&self, key: &'static str) -> Vec<f64> {
+        let Some(value) = self.value(key) else { return Vec::new() };
+        let DeValue::Array(list) = value.get_ref() else {
+            self.error(key, "must be a list of numbers");
+            return Vec::new();
+        };
+        let number = |value: &Spanned<DeValue>| {
+            let value = match value.get_ref() {
+                DeValue::Integer(value) => value.as_str().replace('_', "").parse::<f64>().ok(),
+                DeValue::Float(value) => value.as_str().replace('_', "").parse::<f64>().ok(),
+                _ => None,
+            };
+            if value.is_none_or(|value| !value.is_finite()) {
+                self.error(key, "must be a list of numbers");
+            }
+            value
+        };
+        list.iter().filter_map(number).collect()
+    }
+
     /// A list of any texts.
     pub fn names(&self, key: &'static str) -> Vec<String> {
         let Some(value) = self.value(key) else { return Vec::new() };
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,24 @@
+//! The laboratory: a fleet of hundreds of ingresses in virtual time, deterministic by seed, without sockets. Each
+//! emulated ingress runs the shipped decision module and the shipped exchange round it, through one adapter
+//! ([`wires`]); everything that it meets (nodes, counter, discovery, links, clients, faults) is emulated.
+//!
+//! Times are microseconds of the emulated clock, which begins at [`START`].
+
+pub mod account;
+pub mod compare;
+mod counter;
+pub mod demand;
+pub mod experiment;
+pub mod fault;
+mod heap;
+pub mod node;
+pub mod outcome;
+mod reference;
+pub mod run;
+pub mod table;
+pub mod tally;
+mod wires;
+pub mod world;
+
+/// The emulated clock's first instant: past 0, which stands for "long ago" in lists of nodes.
+pub const START: u64 = 1_000_000_000;
--- /dev/null
+++ b/crates/lab/src/table.rs
@@ -0,0 +1,167 @@
+//! Results as text.
+
+use crate::compare::{paired, Figures};
+use crate::outcome::{Amount, Loss, Outcome};
+use crate::run::{Report, Run};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+/// One line a run, and the mean of each variant.
+pub fn results(report: &Report) -> String {
+    let mut text = format!(
+        "{}: {} ingresses, {} nodes, {} s\n\n",
+        report.experiment, report.ingresses, report.nodes, report.seconds
+    );
+    text += "| variant | seed | place | net | oracle | random | served | refused | failed | beyond | handshakes/s \
+             | calls/s | changed | messages/s | open | p99 ms | rules |\n";
+    text += "| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --- |\n";
+    let counted = report.runs.iter().map(|run| run.module.seconds.len().max(1) as f64);
+    for (run, seconds) in report.runs.iter().zip(counted) {
+        let (own, calls) = (&run.module, &run.module.calls);
+        let [served, refused, failed] = own.parts();
+        let all_calls = calls.decide + calls.give_back + calls.read;
+        let _ = writeln!(
+            text,
+            "| {} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {served:.3} | {refused:.3} | {failed:.3} | {:.3} | {:.0} \
+             | {:.0} | {:.2} | {:.0} | {:.0} | {:.0} | {} |",
+            run.variant,
+            run.seed,
+            run.place,
+            own.share(),
+            run.oracle.share(),
+            run.random.share(),
+            own.beyond_units / own.units.max(1.0),
+            own.handshakes as f64 / seconds,
+            all_calls as f64 / seconds,
+            calls.changed as f64 / all_calls.max(1) as f64,
+            own.messages as f64 / seconds,
+            own.connections,
+            own.answer_ms[2],
+            rules(own),
+        );
+    }
+    let _ = writeln!(text, "\nmean place: {:.3}", mean(report.runs.iter().map(|run| run.place)));
+    text
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, many) = values.fold((0.0, 0), |(sum, many), value| (sum + value, many + 1));
+    sum / f64::from(many.max(1))
+}
+
+fn rules(outcome: &Outcome) -> String {
+    let broken = &outcome.broken;
+    if broken.is_none() {
+        return if outcome.defects > 0 {
+            format!("kept, {} defects", outcome.defects)
+        } else {
+            "kept".into()
+        };
+    }
+    let counts = [
+        ("unanswered", broken.unanswered as f64),
+        ("answered again", broken.answered_again as f64),
+        ("ran twice", broken.ran_twice as f64),
+        ("copies", broken.copies as f64),
+        ("after drain", broken.after_drain as f64),
+        ("pushed over", broken.pushed_over as f64),
+        ("past ceiling", broken.past_ceiling),
+    ];
+    let told = counts.iter().filter(|(_, many)| *many > 0.0);
+    told.map(|(what, many)| format!("{what} {many:.0}")).collect::<Vec<_>>().join(", ")
+}
+
+/// Where the worth of a report's runs went: the shares of what was asked, over all runs together.
+pub fn losses(report: &Report) -> String {
+    let asked = report.runs.iter().map(|run| run.module.asked.worth).sum::<f64>().max(f64::MIN_POSITIVE);
+    let mut text = String::from("\n| lost to | worth | quota had room | half unused | fleet had room |\n");
+    text += "| --- | --: | --: | --: | --: |\n";
+    type Part = fn(&Outcome) -> &BTreeMap<String, Loss>;
+    let kinds: [(&str, Part); 2] = [("refused", |own| &own.refused), ("failed", |own| &own.failed)];
+    let mut rows: Vec<(f64, String)> = Vec::new();
+    for (kind, part) in kinds {
+        let names: BTreeSet<&String> = report.runs.iter().flat_map(|run| part(&run.module).keys()).collect();
+        for name in names {
+            let sum = |amount: fn(&Loss) -> &Amount| {
+                let losses = report.runs.iter().filter_map(|run| part(&run.module).get(name));
+                losses.map(|loss| amount(loss).worth).sum::<f64>() / asked
+            };
+            let all = sum(|loss| &loss.all);
+            let row = format!(
+                "| {kind} {name} | {all:.3} | {:.3} | {:.3} | {:.3} |\n",
+                sum(|loss| &loss.quota_had_room),
+                sum(|loss| &loss.quota_half_unused),
+                sum(|loss| &loss.fleet_had_room),
+            );
+            rows.push((all, row));
+        }
+    }
+    rows.sort_by(|one, other| other.0.total_cmp(&one.0));
+    rows.into_iter().for_each(|(_, row)| text += &row);
+    text += "\n| price of | module | oracle |\n| --- | --: | --: |\n";
+    let prices: BTreeSet<&String> = report.runs.iter().flat_map(|run| run.module.prices.keys()).collect();
+    for price in prices {
+        let sum = |outcome: fn(&Run) -> &Outcome| {
+            let prices = report.runs.iter().filter_map(|run| outcome(run).prices.get(price));
+            prices.sum::<f64>() / asked
+        };
+        let _ = writeln!(text, "| {price} | {:.3} | {:.3} |", sum(|run| &run.module), sum(|run| &run.oracle));
+    }
+    let total = |figure: fn(&crate::outcome::Calls) -> u64| {
+        report.runs.iter().map(|run| figure(&run.module.calls)).sum::<u64>()
+    };
+    let _ = writeln!(
+        text,
+        "\ncalls: {} to decide, {} to give back, {} to read; {} turned away, {} lost, {} late; {} changed a decision",
+        total(|calls| calls.decide),
+        total(|calls| calls.give_back),
+        total(|calls| calls.read),
+        total(|calls| calls.turned_away),
+        total(|calls| calls.lost),
+        total(|calls| calls.late),
+        total(|calls| calls.changed),
+    );
+    text
+}
+
+/// The differences of two sets of runs, paired by variant and seed; none: they have none in common.
+pub fn comparison(before: &[Figures], after: &[Figures]) -> Option<String> {
+    let mut text =
+        String::from("| variant | figure | before | after | difference | 95% of resamples | pairs |\n");
+    text += "| --- | --- | --: | --: | --: | --- | --: |\n";
+    let variants: BTreeSet<&str> = before.iter().map(|run| run.variant.as_str()).collect();
+    let mut any = false;
+    for variant in variants {
+        let pairs: Vec<(&Figures, &Figures)> = before
+            .iter()
+            .filter(|run| run.variant == variant)
+            .filter_map(|run| {
+                let same = |other: &&Figures| other.variant == run.variant && other.seed == run.seed;
+                Some((run, after.iter().find(same)?))
+            })
+            .collect();
+        let figures: [(&str, fn(&Figures) -> f64); 4] = [
+            ("place", |run| run.place),
+            ("net", |run| run.net),
+            ("served", |run| run.served),
+            ("beyond", |run| run.beyond),
+        ];
+        for (name, figure) in figures {
+            let values: Vec<(f64, f64)> =
+                pairs.iter().map(|(one, other)| (figure(one), figure(other))).collect();
+            let Some(found) = paired(&values) else { continue };
+            any = true;
+            let _ = writeln!(
+                text,
+                "| {variant} | {name} | {:.3} | {:.3} | {:+.3} | {:+.3} to {:+.3} | {} |",
+                mean(values.iter().map(|pair| pair.0)),
+                mean(values.iter().map(|pair| pair.1)),
+                found.mean,
+                found.low,
+                found.high,
+                found.pairs
+            );
+        }
+    }
+    any.then_some(text)
+}
--- /dev/null
+++ b/crates/lab/src/world/ingresses.rs
@@ -0,0 +1,272 @@
+//! The emulated ingresses: each hands what happens to its decisions, and the world carries out what they ask for.
+
+use super::clients::Got;
+use super::*;
+use crate::reference::Reference;
+use crate::wires::{Command, Wires};
+use std::collections::BTreeSet;
+use violetyoke_exchange::port::Final;
+use violetyoke_exchange::{Exchange, Taken};
+
+/// Serials of attempts: so many for each ingress.
+const SERIALS: u32 = 40;
+
+pub(super) enum Brain {
+    Module(Box<Exchange<Wires>>),
+    Reference(Box<Reference>),
+}
+
+pub(super) struct Ingress {
+    pub zone: u16,
+    /// Rises with each start.
+    pub epoch: u32,
+    pub down_since: Micros,
+    brain: Option<Brain>,
+    next_serial: u64,
+    /// The earliest wake-up that is set.
+    wakes: Micros,
+    /// Its tries that have no answer yet.
+    open: BTreeSet<RequestId>,
+    /// What was known of a try before its call to the counter: whether its quota had room.
+    believed: BTreeMap<RequestId, bool>,
+    /// Messages that it can take in, and as of when.
+    intake: (f64, Micros),
+}
+
+impl Ingress {
+    pub fn new(number: usize, experiment: &Experiment) -> Ingress {
+        Ingress {
+            zone: (number % usize::from(experiment.zones)) as u16,
+            epoch: 0,
+            down_since: 0,
+            brain: None,
+            next_serial: (number as u64) << SERIALS,
+            wakes: Micros::MAX,
+            open: BTreeSet::new(),
+            believed: BTreeMap::new(),
+            intake: (0.0, 0),
+        }
+    }
+
+    pub fn up(&self) -> bool {
+        self.brain.is_some()
+    }
+
+    pub fn idle(&self) -> usize {
+        match &self.brain {
+            Some(Brain::Module(exchange)) => exchange.port.idle(),
+            Some(Brain::Reference(reference)) => reference.wires.idle(),
+            None => 0,
+        }
+    }
+
+    /// Its wires; it must be up.
+    pub fn wires(&mut self) -> &mut Wires {
+        match self.brain.as_mut().expect("it is up") {
+            Brain::Module(exchange) => &mut exchange.port,
+            Brain::Reference(reference) => &mut reference.wires,
+        }
+    }
+
+    /// Whether it takes in one more message: a second's worth at once at most.
+    pub fn takes_message(&mut self, now: Micros, a_second: f64) -> bool {
+        let (level, at) = self.intake;
+        let level = (level + now.saturating_sub(at) as f64 / 1e6 * a_second).min(a_second.max(1.0));
+        let takes = level >= 1.0;
+        self.intake = (level - if takes { 1.0 } else { 0.0 }, now);
+        takes
+    }
+}
+
+impl World<'_> {
+    pub(super) fn ingress_starts(&mut self, number: usize) {
+        if self.ingresses[number].up() {
+            return;
+        }
+        let settings = Settings {
+            index: number as u16,
+            zone: self.ingresses[number].zone,
+            ..self.experiment.settings.clone()
+        };
+        let ingress = &mut self.ingresses[number];
+        let wires = Wires::new(ingress.next_serial);
+        let seed = self.seed ^ ((number as u64) << 20) ^ u64::from(ingress.epoch);
+        ingress.brain = Some(match self.policy {
+            Policy::Module => Brain::Module(Box::new(Exchange::new(self.now, settings, seed, wires))),
+            Policy::Oracle | Policy::Random(_) => Brain::Reference(Box::new(Reference::new(wires))),
+        });
+        ingress.wakes = Micros::MAX;
+        ingress.intake = (0.0, self.now);
+        self.tally.begins(number);
+        let nodes: Vec<usize> = (0..self.nodes.len()).filter(|node| !self.nodes[*node].gone).collect();
+        self.tell_nodes(number, ListKind::Full, &nodes);
+    }
+
+    /// The process is killed: its connections break, and what it had taken has no answer.
+    pub(super) fn ingress_dies(&mut self, number: usize) {
+        let now = self.now;
+        let ingress = &mut self.ingresses[number];
+        if !ingress.up() {
+            return;
+        }
+        ingress.wires().close_all();
+        self.perform(number);
+        let ingress = &mut self.ingresses[number];
+        ingress.next_serial = ingress.wires().next_serial();
+        ingress.brain = None;
+        ingress.epoch += 1;
+        ingress.down_since = now;
+        ingress.believed.clear();
+        let open = std::mem::take(&mut ingress.open);
+        let (first, last) = ((number as u64) << SERIALS, ((number as u64) + 1) << SERIALS);
+        let out: Vec<u64> = self.flights.range(first..last).map(|(serial, _)| *serial).collect();
+        out.into_iter().for_each(|serial| self.withdraw(serial));
+        for request in open {
+            self.tally.orphaned(request);
+            self.got(request, Got::Nothing);
+        }
+    }
+
+    /// Lets an ingress's decisions have their say, and carries out what they ask for.
+    pub(super) fn drive(&mut self, number: usize, say: impl FnOnce(&mut Exchange<Wires>, Micros)) {
+        if let Some(Brain::Module(exchange)) = &mut self.ingresses[number].brain {
+            say(exchange, self.now);
+            exchange.settle(self.now);
+        }
+        self.perform(number);
+    }
+
+    pub(super) fn wake(&mut self, number: usize, epoch: u32) {
+        if self.ingresses[number].epoch != epoch {
+            return;
+        }
+        self.ingresses[number].wakes = Micros::MAX;
+        self.drive(number, |exchange, now| exchange.due(now));
+    }
+
+    pub(super) fn delivered(&mut self, request: RequestId) {
+        let Some(held) = self.tries.get(&request).filter(|held| !held.over) else { return };
+        let number = held.ingress;
+        if !self.ingresses[number].up() {
+            // Refused at once: nobody listens there.
+            return self.got(request, Got::Nothing);
+        }
+        let account = &self.accounts[held.coming.wish.account];
+        let class = &self.experiment.classes[usize::from(held.coming.wish.class)].class;
+        let words = Request {
+            id: request,
+            class: held.coming.wish.class,
+            plan: account.plan,
+            customer: held.coming.wish.account as u64 + 1,
+            units: held.coming.wish.units,
+            spread: f64::from(account.spread),
+            first_gateway: f64::from(account.first),
+            budget: held.deadline - held.arrived,
+            repeat: false,
+            write: class.effect != Effect::Safe,
+        };
+        let until = held.deadline + self.experiment.settings.safety.answer_slack;
+        let (arrived, effect) = (held.arrived, class.effect);
+        self.tally.taken(request, effect, until);
+        self.ingresses[number].open.insert(request);
+        if self.policy == Policy::Module {
+            let (customer, units) = (words.customer, words.units);
+            let mut believed = None;
+            self.drive(number, |exchange, now| {
+                // A customer that nothing is known of is taken to be within its quota.
+                believed = exchange.gateway().standing(customer).map(|standing| standing.left >= units);
+                exchange.take(Taken { request: words, arrived, asks_only: false, claim: None }, (), now);
+            });
+            self.ingresses[number].believed.insert(request, believed.unwrap_or(true));
+        } else {
+            self.reference_takes(number, request);
+            self.perform(number);
+        }
+    }
+
+    pub(super) fn abandoned(&mut self, number: usize, request: RequestId) {
+        self.ingresses[number].open.remove(&request);
+        self.ingresses[number].believed.remove(&request);
+        match &mut self.ingresses[number].brain {
+            Some(Brain::Module(_)) => self.drive(number, |exchange, now| exchange.abandoned(now, request)),
+            Some(Brain::Reference(reference)) => {
+                reference.abandoned(request);
+                self.perform(number);
+            }
+            None => {}
+        }
+    }
+
+    /// The reference that decides at an ingress which runs none of the module.
+    pub(crate) fn reference(&mut self, number: usize) -> Option<&mut Reference> {
+        match &mut self.ingresses[number].brain {
+            Some(Brain::Reference(reference)) => Some(reference),
+            _ => None,
+        }
+    }
+
+    /// Carries out what an ingress has asked for, and sets its next wake-up.
+    pub(super) fn perform(&mut self, number: usize) {
+        if !self.ingresses[number].up() {
+            return;
+        }
+        let epoch = self.ingresses[number].epoch;
+        let mut commands = std::mem::take(&mut self.ingresses[number].wires().out);
+        for command in commands.drain(..) {
+            match command {
+                Command::Attempt { serial, id, node, kept, sent } => {
+                    self.believed(number, id, true);
+                    self.attempt(number, serial, id, (node, kept, sent));
+                }
+                Command::Withdraw { serial } => self.withdraw(serial),
+                Command::Count { call, name, amount, life } => {
+                    self.call(number, epoch, (call, name, amount, life));
+                }
+                Command::Answer { over, answer } => {
+                    let by_total = over.why == Some(Why::Quota);
+                    let id = AttemptId { request: over.request, number: 0 };
+                    self.believed(number, id, !by_total);
+                    self.ingresses[number].open.remove(&over.request);
+                    self.tally.answered(self.now, over.request);
+                    self.got(
+                        over.request,
+                        match answer {
+                            Final::Served(()) | Final::Admitted => Got::Served,
+                            Final::Refused { retry_after } => Got::Refused { retry_after, why: over.why },
+                            Final::Failed => Got::Failed { why: over.why },
+                        },
+                    );
+                }
+                Command::Close { node, epoch, many } => {
+                    let node = &mut self.nodes[node];
+                    if node.epoch == epoch {
+                        node.connections = node.connections.saturating_sub(many);
+                    }
+                }
+                Command::Tell { to, data } => self.send_message(number, to, data),
+                Command::Defect(_) => self.outcome.defects += 1,
+            }
+        }
+        let ingress = &mut self.ingresses[number];
+        // Room that was grown once is used again.
+        if ingress.wires().out.is_empty() {
+            ingress.wires().out = commands;
+        }
+        if let Some(Brain::Module(exchange)) = &mut ingress.brain {
+            if let Some(at) = exchange.next().filter(|at| *at < ingress.wakes) {
+                ingress.wakes = at;
+                self.heap.set(at.max(self.now), Happens::Wake { ingress: number, epoch });
+            }
+        }
+    }
+
+    /// A try's quota has been decided: whether its call to the counter made a difference.
+    fn believed(&mut self, number: usize, id: AttemptId, passes: bool) {
+        if id.number == 0 {
+            let before = self.ingresses[number].believed.remove(&id.request);
+            if self.counts() && before.is_some_and(|before| before != passes) {
+                self.outcome.calls.changed += 1;
+            }
+        }
+    }
+}
--- a/crates/violetyoke/src/bin/violetyoke-service.rs
+++ b/crates/violetyoke/src/bin/violetyoke-service.rs
@@ -8,6 +8,8 @@
 mod demo;
 #[path = "../demo_tenants.rs"]
 mod demo_tenants;
+#[path = "../lab.rs"]
+mod lab;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -53,6 +55,8 @@
     Route(admin::Arguments),
     /// Keys of the administration API: a tenant's, or without one operators' and ingresses'.
     Key(admin::Arguments),
+    /// Experiments on an emulated fleet of hundreds of ingresses, in virtual time.
+    Lab(lab::Arguments),
 }
 
 /// What `check` and `serve` exit with for a bad file.
@@ -77,6 +81,7 @@
         Command::Account(arguments) => administrate("accounts", arguments),
         Command::Route(arguments) => administrate("routes", arguments),
         Command::Key(arguments) => administrate("keys", arguments),
+        Command::Lab(arguments) => lab::run(arguments),
         Command::Demo { listen, tenants } => match start_demo(listen, tenants) {
             Ok((file, config)) => run(|runtime| runtime.block_on(service::serve(file, config))),
             Err(error) => fail(error),
