--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -145,8 +145,8 @@
 
     // ---- Time ----
 
-    /// When [`Exchange::due`] is to be called next.
-    pub fn next(&mut self) -> Option<Micros> {
+    /// When [`Exchange::due`] is to be called again.
+    pub fn next_due(&mut self) -> Option<Micros> {
         let (requests, calls, port) = (&self.requests, &self.calls, &self.port);
         self.timers.next(|timer| is_stale(requests, calls, port, timer))
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -25,6 +25,7 @@
 mod peers;
 pub mod platform;
 mod pool;
+mod port;
 mod questions;
 mod request;
 mod roaming;
@@ -128,18 +129,6 @@
     Admitted,
 }
 
-impl Answer {
-    /// How it ended, in a word.
-    fn word(&self) -> &'static str {
-        match self {
-            Answer::Served(_) | Answer::Long(..) => "served",
-            Answer::Refused { .. } => "refused",
-            Answer::Failed => "failed",
-            Answer::Admitted => "admitted",
-        }
-    }
-}
-
 /// What the sockets report to the driver.
 pub(crate) enum Message {
     Request(ClientRequest),
--- a/crates/lab/src/counter.rs
+++ b/crates/lab/src/counter.rs
@@ -137,7 +137,7 @@
     #[test]
     fn numbers_end_with_their_life_and_are_lost_when_it_is_emptied() {
         let mut counter = Counter::new(1, 1_000.0, 8);
-        let mut total = |counter: &mut Counter, now| {
+        let total = |counter: &mut Counter, now| {
             counter.take(now, call(7, 1.0));
             counter.done(now + 1_000, 0).expect("in line").1
         };
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -209,16 +209,19 @@
     }
     let seeds = run.whole("seeds", 3, 1..=10_000);
     let first_seed = run.whole("first_seed", 1, 0..=1 << 40);
+    // Sizes together, so that a larger fleet is the same fleet, larger.
+    let scale = run.number("scale", 1.0, 0.01..=1_000.0);
+    let scaled = |count: u64| ((count as f64 * scale).round() as usize).max(1);
     run.finish();
 
     let fleet = root.section("fleet");
-    let ingresses = fleet.whole("ingresses", 60, 1..=5_000) as usize;
+    let ingresses = scaled(fleet.whole("ingresses", 60, 1..=5_000));
     let zones = fleet.whole("zones", 3, 1..=64) as u16;
     let ingress_restart = ms(&fleet, "restart_ms", 1_000.0, 1.0..=600_000.0);
 
     let section = root.section("nodes");
     let nodes = Nodes {
-        count: section.whole("count", 40, 1..=10_000) as usize,
+        count: scaled(section.whole("count", 40, 1..=10_000)),
         workers: section.whole("workers", 8, 1..=10_000) as usize,
         queue: section.whole("queue", 32, 0..=1_000_000) as usize,
         connections: section.whole("connections", 200, 1..=1_000_000) as u32,
@@ -259,8 +262,8 @@
 
     let section = root.section("counter");
     let counter = Counter {
-        parts: section.whole("parts", 4, 1..=1_024) as usize,
-        calls_per_second: section.number("calls_per_second", 2_000.0, 0.1..=1e9),
+        parts: scaled(section.whole("parts", 4, 1..=1_024)),
+        calls_per_second: section.number("calls_per_second", 2_000.0, 0.1..=1e9) * scale,
         line: section.whole("line", 64, 1..=1_000_000) as usize,
         delay: ms(&section, "delay_ms", 0.5, 0.001..=10_000.0),
     };
@@ -288,7 +291,7 @@
 
     let section = root.section("clients");
     let clients = Clients {
-        accounts: section.whole("accounts", 400, 1..=10_000_000) as usize,
+        accounts: scaled(section.whole("accounts", 400, 1..=10_000_000)),
         skew: section.number("skew", 0.8, 0.0..=5.0),
         spread: section.whole("spread", 12, 1..=5_000) as u16,
         uneven: section.number("uneven", 1.0, 0.0..=5.0),
@@ -309,7 +312,7 @@
             Arrivals::Open { tries_per_second: 1.0 }
         }
         (true, false) => Arrivals::Closed {
-            clients: section.whole("clients", 1, 1..=1_000_000) as usize,
+            clients: scaled(section.whole("clients", 1, 1..=1_000_000)),
             think: ms(&section, "think_ms", 1_000.0, 1.0..=3_600_000.0),
         },
         _ => {
@@ -317,7 +320,7 @@
             if rate <= 0.0 {
                 section.error("tries_per_second", "a load of nothing shows nothing");
             }
-            Arrivals::Open { tries_per_second: rate }
+            Arrivals::Open { tries_per_second: rate * scale }
         }
     };
     let load = Load { arrivals, unit_skew: section.number("unit_skew", 2.0, 0.1..=10.0) };
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -140,7 +140,8 @@
                 Some((run, after.iter().find(same)?))
             })
             .collect();
-        let figures: [(&str, fn(&Figures) -> f64); 4] = [
+        type Figure = fn(&Figures) -> f64;
+        let figures: [(&str, Figure); 4] = [
             ("place", |run| run.place),
             ("net", |run| run.net),
             ("served", |run| run.served),
--- a/crates/lab/src/wires.rs
+++ b/crates/lab/src/wires.rs
@@ -44,7 +44,7 @@
         to: Option<u16>,
         data: Vec<u8>,
     },
-    Defect(String),
+    Defect,
 }
 
 /// A kept connection: the node's epoch that it goes to, and how long it was unused.
@@ -225,7 +225,7 @@
 
     fn log(&mut self, text: &str) {
         if text.starts_with("defect") || text.contains("broken") {
-            self.out.push(Command::Defect(text.to_string()));
+            self.out.push(Command::Defect);
         }
     }
 
--- a/crates/lab/src/world/hearing.rs
+++ b/crates/lab/src/world/hearing.rs
@@ -27,14 +27,14 @@
 
     /// Tells an ingress how nodes stand now.
     pub(super) fn tell_nodes(&mut self, ingress: usize, kind: ListKind, nodes: &[usize]) {
-        let now = self.now;
+        let (now, blind) = (self.now, self.sabotage == Some(Sabotage::BlindToDrains));
         let wires = self.ingresses[ingress].wires();
         let mut entries = Vec::with_capacity(nodes.len());
         for place in nodes {
             let node = &self.nodes[*place];
             let condition = match node {
-                Node { gone: true, .. } => Condition::Gone,
-                Node { draining: true, .. } => Condition::Draining,
+                Node { gone: true, .. } if !blind => Condition::Gone,
+                Node { draining: true, .. } if !blind => Condition::Draining,
                 _ => Condition::Ready,
             };
             let id = wires.number(&node.name, *place);
@@ -48,7 +48,7 @@
                 share: 1.0,
                 born: node.born,
             });
-            self.tally.told(now, ingress, *place, condition == Condition::Ready);
+            self.tally.told(now, ingress, *place, !node.draining && !node.gone);
         }
         self.drive(ingress, |exchange, _| {
             exchange.tell(Event::Backends { kind, version: now, entries });
--- a/crates/lab/src/world/ingresses.rs
+++ b/crates/lab/src/world/ingresses.rs
@@ -10,6 +10,8 @@
 
 /// Serials of attempts: so many for each ingress.
 const SERIALS: u32 = 40;
+/// Marks the serial of a second copy.
+const TWIN: u64 = 1 << (SERIALS - 1);
 
 pub(super) enum Brain {
     Module(Box<Exchange<Wires>>),
@@ -86,7 +88,7 @@
         let settings = Settings {
             index: number as u16,
             zone: self.ingresses[number].zone,
-            ..self.experiment.settings.clone()
+            ..self.settings.clone()
         };
         let ingress = &mut self.ingresses[number];
         let wires = Wires::new(ingress.next_serial);
@@ -153,6 +155,7 @@
         }
         let account = &self.accounts[held.coming.wish.account];
         let class = &self.experiment.classes[usize::from(held.coming.wish.class)].class;
+        let patience = if self.sabotage == Some(Sabotage::Patience) { PATIENCE } else { 1 };
         let words = Request {
             id: request,
             class: held.coming.wish.class,
@@ -161,7 +164,7 @@
             units: held.coming.wish.units,
             spread: f64::from(account.spread),
             first_gateway: f64::from(account.first),
-            budget: held.deadline - held.arrived,
+            budget: (held.deadline - held.arrived) * patience,
             repeat: false,
             write: class.effect != Effect::Safe,
         };
@@ -216,7 +219,10 @@
             match command {
                 Command::Attempt { serial, id, node, kept, sent } => {
                     self.believed(number, id, true);
-                    self.attempt(number, serial, id, (node, kept, sent));
+                    self.attempt(number, serial, id, (node, kept, sent.clone()));
+                    if self.sabotage == Some(Sabotage::SendsTwice) {
+                        self.attempt(number, serial | TWIN, id, (node, None, sent));
+                    }
                 }
                 Command::Withdraw { serial } => self.withdraw(serial),
                 Command::Count { call, name, amount, life } => {
@@ -228,6 +234,9 @@
                     self.believed(number, id, !by_total);
                     self.ingresses[number].open.remove(&over.request);
                     self.tally.answered(self.now, over.request);
+                    if self.sabotage == Some(Sabotage::AnswersTwice) {
+                        self.tally.answered(self.now, over.request);
+                    }
                     self.got(
                         over.request,
                         match answer {
@@ -244,7 +253,7 @@
                     }
                 }
                 Command::Tell { to, data } => self.send_message(number, to, data),
-                Command::Defect(_) => self.outcome.defects += 1,
+                Command::Defect => self.outcome.defects += 1,
             }
         }
         let ingress = &mut self.ingresses[number];
@@ -253,7 +262,7 @@
             ingress.wires().out = commands;
         }
         if let Some(Brain::Module(exchange)) = &mut ingress.brain {
-            if let Some(at) = exchange.next().filter(|at| *at < ingress.wakes) {
+            if let Some(at) = exchange.next_due().filter(|at| *at < ingress.wakes) {
                 ingress.wakes = at;
                 self.heap.set(at.max(self.now), Happens::Wake { ingress: number, epoch });
             }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -27,6 +27,57 @@
 use violetyoke_decision::interface::*;
 use violetyoke_exchange::port::AttemptId;
 
+/// A rule that is taken out of what the ingresses are told or do, to see that the tally reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Ingresses take clients to wait far longer than they do.
+    Patience,
+    /// Each answer is given a second time.
+    AnswersTwice,
+    /// Each attempt is sent a second time, beside the first.
+    SendsTwice,
+    /// Unsafe classes pass for safe ones.
+    AllSafe,
+    /// No list says that a node drains.
+    BlindToDrains,
+    /// Nodes pass for warm from their start on.
+    BlindToCold,
+    /// Plans have no ceiling.
+    NoCeilings,
+}
+
+impl Sabotage {
+    pub const ALL: [Sabotage; 7] = [
+        Sabotage::Patience,
+        Sabotage::AnswersTwice,
+        Sabotage::SendsTwice,
+        Sabotage::AllSafe,
+        Sabotage::BlindToDrains,
+        Sabotage::BlindToCold,
+        Sabotage::NoCeilings,
+    ];
+
+    /// What ingresses are told in place of the truth.
+    fn twist(self, settings: &mut Settings) {
+        match self {
+            Sabotage::AllSafe => {
+                settings.classes.iter_mut().for_each(|class| class.effect = Effect::Safe);
+            }
+            Sabotage::Patience => settings.classes.iter_mut().for_each(|class| {
+                (class.aim, class.deadline) = (class.aim * PATIENCE, class.deadline * PATIENCE);
+            }),
+            Sabotage::BlindToCold => {
+                (settings.safety.cold_share, settings.safety.cold_time) = (1.0, 0);
+            }
+            Sabotage::NoCeilings => settings.plans.iter_mut().for_each(|plan| plan.ceiling_rate = 0.0),
+            _ => {}
+        }
+    }
+}
+
+/// By how much clients seem to wait longer than they do.
+const PATIENCE: Micros = 20;
+
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Policy {
@@ -129,7 +180,6 @@
 struct Flight {
     id: AttemptId,
     ingress: usize,
-    epoch: u32,
     node: usize,
     node_epoch: u32,
     sent: Rc<Cell<bool>>,
@@ -158,6 +208,8 @@
 pub struct World<'e> {
     experiment: &'e Experiment,
     policy: Policy,
+    sabotage: Option<Sabotage>,
+    settings: Settings,
     rules: Rules,
     now: Micros,
     end: Micros,
@@ -216,6 +268,8 @@
         World {
             experiment,
             policy,
+            sabotage: None,
+            settings: experiment.settings.clone(),
             rules,
             now: START,
             end: START + experiment.length,
@@ -253,6 +307,13 @@
         }
     }
 
+    /// With a rule taken out.
+    pub fn sabotaged(mut self, sabotage: Sabotage) -> World<'e> {
+        sabotage.twist(&mut self.settings);
+        self.sabotage = Some(sabotage);
+        self
+    }
+
     /// Plays the whole run.
     pub fn play(mut self) -> Outcome {
         self.begin();
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -25,7 +25,6 @@
         let flight = Flight {
             id,
             ingress,
-            epoch: self.ingresses[ingress].epoch,
             node,
             node_epoch,
             sent,
