--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -59,7 +59,7 @@
     pub units: f64,
     pub beyond_units: f64,
     pub attempts: u64,
-    /// Attempts that failed by how, as the nodes and the network saw them.
+    /// Attempts by how they ended, as the module hears of it.
     pub ends: BTreeMap<String, u64>,
     /// Worker time (us) in all, and of that for attempts nobody waited for.
     pub work: f64,
--- a/crates/lab/src/wires.rs
+++ b/crates/lab/src/wires.rs
@@ -44,6 +44,8 @@
         to: Option<u16>,
         data: Vec<u8>,
     },
+    /// An attempt has ended, as the decisions hear of it.
+    Ended(Outcome),
     Defect,
 }
 
@@ -234,4 +236,8 @@
             self.close_older(node, idle_since);
         }
     }
+
+    fn attempt_over(&mut self, _: Micros, end: &AttemptEnd) {
+        self.out.push(Command::Ended(end.outcome));
+    }
 }
--- a/crates/lab/src/world/ingresses.rs
+++ b/crates/lab/src/world/ingresses.rs
@@ -85,11 +85,8 @@
         if self.ingresses[number].up() {
             return;
         }
-        let settings = Settings {
-            index: number as u16,
-            zone: self.ingresses[number].zone,
-            ..self.settings.clone()
-        };
+        let settings =
+            Settings { index: number as u16, zone: self.ingresses[number].zone, ..self.settings.clone() };
         let ingress = &mut self.ingresses[number];
         let wires = Wires::new(ingress.next_serial);
         let seed = self.seed ^ ((number as u64) << 20) ^ u64::from(ingress.epoch);
@@ -253,6 +250,11 @@
                     }
                 }
                 Command::Tell { to, data } => self.send_message(number, to, data),
+                Command::Ended(outcome) => {
+                    if self.counts() {
+                        *self.outcome.ends.entry(format!("{outcome:?}")).or_default() += 1;
+                    }
+                }
                 Command::Defect => self.outcome.defects += 1,
             }
         }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -42,7 +42,7 @@
     BlindToDrains,
     /// Nodes pass for warm from their start on.
     BlindToCold,
-    /// Plans have no ceiling.
+    /// Plans have neither quota nor ceiling.
     NoCeilings,
 }
 
@@ -69,7 +69,9 @@
             Sabotage::BlindToCold => {
                 (settings.safety.cold_share, settings.safety.cold_time) = (1.0, 0);
             }
-            Sabotage::NoCeilings => settings.plans.iter_mut().for_each(|plan| plan.ceiling_rate = 0.0),
+            Sabotage::NoCeilings => settings.plans.iter_mut().for_each(|plan| {
+                (plan.rate, plan.ceiling_rate) = (0.0, 0.0);
+            }),
             _ => {}
         }
     }
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -231,9 +231,6 @@
     pub(super) fn ended(&mut self, serial: u64, outcome: Outcome_) {
         let Some(flight) = self.flights.remove(&serial) else { return };
         let now = self.now;
-        if self.counts() {
-            *self.outcome.ends.entry(format!("{outcome:?}")).or_default() += 1;
-        }
         self.tally.ended(flight.id.request, serial);
         let node = &mut self.nodes[flight.node];
         let load = (node.working.len() + node.queue.len()) as f64;
