--- a/crates/lab/tests/common.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -64,6 +64,7 @@
 "#;
 
 /// The small fleet with further text, its faults as a rule.
+#[allow(dead_code, reason = "each file of tests uses its own part")]
 pub fn with(more: &str) -> Experiment {
     parse(&format!("{BASE}\n{more}")).unwrap_or_else(|errors| panic!("{errors}"))
 }
