Prove the emulator beside the real program on loopback: cargo xtask prove lab

Need: the emulator's figures count only if it does what the program does. Three real ingresses over four stand-in nodes get the very tries that the emulated fleet gets, through four scripts (calm, crowd, silent counter, failing node).

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -329,7 +329,7 @@
     let section = root.section("prices");
     let price = |key: &'static str, usual: f64| section.number(key, usual, 0.0..=1e3);
     let prices = Prices {
-        cross_zone: price("cross_zone", 0.0),
+        cross_zone: 0.0,
         waste: price("waste", 0.02),
         probe: 0.0,
         peer: price("message", 0.0002),
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -1,7 +1,7 @@
 //! Results as text.
 
 use crate::compare::{paired, Figures};
-use crate::outcome::{Amount, Loss, Outcome};
+use crate::outcome::{Amount, Calls, Loss, Outcome};
 use crate::run::{Report, Run};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
@@ -40,10 +40,27 @@
             rules(own),
         );
     }
-    let _ = writeln!(text, "\nmean place: {:.3}", mean(report.runs.iter().map(|run| run.place)));
+    text.push('\n');
+    for (variant, runs) in by_variant(report) {
+        let place = mean(runs.iter().map(|run| run.place));
+        let _ =
+            writeln!(text, "mean place{}{variant}: {place:.3}", if variant.is_empty() { "" } else { " " });
+    }
     text
 }
 
+/// The runs of each variant, in the order in which they were played.
+fn by_variant(report: &Report) -> Vec<(&str, Vec<&Run>)> {
+    let mut groups: Vec<(&str, Vec<&Run>)> = Vec::new();
+    for run in &report.runs {
+        match groups.iter_mut().find(|(variant, _)| *variant == run.variant) {
+            Some((_, runs)) => runs.push(run),
+            None => groups.push((&run.variant, vec![run])),
+        }
+    }
+    groups
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> f64 {
     let (sum, many) = values.fold((0.0, 0), |(sum, many), value| (sum + value, many + 1));
     sum / f64::from(many.max(1))
@@ -71,19 +88,24 @@
     told.map(|(what, many)| format!("{what} {many:.0}")).collect::<Vec<_>>().join(", ")
 }
 
-/// Where the worth of a report's runs went: the shares of what was asked, over all runs together.
+/// Where the worth went, variant by variant: shares of what was asked, over all seeds together.
 pub fn losses(report: &Report) -> String {
-    let asked = report.runs.iter().map(|run| run.module.asked.worth).sum::<f64>().max(f64::MIN_POSITIVE);
-    let mut text = String::from("\n| lost to | worth | quota had room | half unused | fleet had room |\n");
+    by_variant(report).into_iter().map(|(variant, runs)| lost(variant, &runs)).collect()
+}
+
+fn lost(variant: &str, runs: &[&Run]) -> String {
+    let asked = runs.iter().map(|run| run.module.asked.worth).sum::<f64>().max(f64::MIN_POSITIVE);
+    let mut text =
+        format!("\n| {variant} lost to | worth | quota had room | half unused | fleet had room |\n");
     text += "| --- | --: | --: | --: | --: |\n";
     type Part = fn(&Outcome) -> &BTreeMap<String, Loss>;
     let kinds: [(&str, Part); 2] = [("refused", |own| &own.refused), ("failed", |own| &own.failed)];
     let mut rows: Vec<(f64, String)> = Vec::new();
     for (kind, part) in kinds {
-        let names: BTreeSet<&String> = report.runs.iter().flat_map(|run| part(&run.module).keys()).collect();
+        let names: BTreeSet<&String> = runs.iter().flat_map(|run| part(&run.module).keys()).collect();
         for name in names {
             let sum = |amount: fn(&Loss) -> &Amount| {
-                let losses = report.runs.iter().filter_map(|run| part(&run.module).get(name));
+                let losses = runs.iter().filter_map(|run| part(&run.module).get(name));
                 losses.map(|loss| amount(loss).worth).sum::<f64>() / asked
             };
             let all = sum(|loss| &loss.all);
@@ -99,17 +121,15 @@
     rows.sort_by(|one, other| other.0.total_cmp(&one.0));
     rows.into_iter().for_each(|(_, row)| text += &row);
     text += "\n| price of | module | oracle |\n| --- | --: | --: |\n";
-    let prices: BTreeSet<&String> = report.runs.iter().flat_map(|run| run.module.prices.keys()).collect();
+    let prices: BTreeSet<&String> = runs.iter().flat_map(|run| run.module.prices.keys()).collect();
     for price in prices {
         let sum = |outcome: fn(&Run) -> &Outcome| {
-            let prices = report.runs.iter().filter_map(|run| outcome(run).prices.get(price));
+            let prices = runs.iter().filter_map(|run| outcome(run).prices.get(price));
             prices.sum::<f64>() / asked
         };
         let _ = writeln!(text, "| {price} | {:.3} | {:.3} |", sum(|run| &run.module), sum(|run| &run.oracle));
     }
-    let total = |figure: fn(&crate::outcome::Calls) -> u64| {
-        report.runs.iter().map(|run| figure(&run.module.calls)).sum::<u64>()
-    };
+    let total = |figure: fn(&Calls) -> u64| runs.iter().map(|run| figure(&run.module.calls)).sum::<u64>();
     let _ = writeln!(
         text,
         "\ncalls: {} to decide, {} to give back, {} to read; {} turned away, {} lost, {} late; {} changed a decision",
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -10,6 +10,7 @@
 mod measure_tenants;
 mod process;
 mod prove_consult;
+mod prove_lab;
 mod prove_ratelimit;
 mod prove_routes;
 mod prove_tenants;
@@ -78,6 +79,8 @@
     Consult,
     /// One tenant's rush leaves another's bookings and quotas whole.
     Tenants,
+    /// The laboratory's emulator says what the real program does on loopback.
+    Lab,
     /// Processes take over from one another under load, with nodes out by hand: nothing is lost or forgotten.
     Upgrade,
 }
@@ -111,6 +114,7 @@
         What::Prove { name: Proof::Tenants, long, without_defence } => {
             prove_tenants::run(long, !without_defence)
         }
+        What::Prove { name: Proof::Lab, long, without_defence } => prove_lab::run(long, !without_defence),
         What::Prove { name: Proof::Upgrade, long, without_defence } => {
             prove_upgrade::run(long, !without_defence)
         }
