--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod grpc;
 mod load;
 mod measure;
+mod measure_lab;
 mod measure_questions;
 mod measure_tenants;
 mod process;
@@ -95,6 +96,8 @@
     Questions,
     /// An ingress of 10 and of 10,000 tenants, side by side.
     Tenants,
+    /// Memory of an emulated fleet, by ingresses and emulated time.
+    Lab,
 }
 
 fn main() -> ExitCode {
@@ -119,6 +122,7 @@
             prove_upgrade::run(long, !without_defence)
         }
         What::Measure { name: Measure::Tenants, .. } => measure_tenants::run(),
+        What::Measure { name: Measure::Lab, .. } => measure_lab::run(),
         What::Measure { name: Measure::Questions, .. } => measure_questions::run(),
         What::Measure { name: Measure::Pools, .. } => measure::pools(),
         What::Measure { name: Measure::Platform, base } => measure::platform(&base),
