--- a/crates/lab/tests/hard.rs
+++ b/crates/lab/tests/hard.rs
@@ -83,11 +83,17 @@
 }
 
 #[test]
-fn all_nodes_restart_together_and_none_is_pushed_over() {
-    let outcome = play("[[fault]]\nkind = \"kill_nodes\"\npart = 1.0\nat_seconds = 4\nfor_seconds = 0.5\n");
+fn sixty_nodes_restart_together_and_none_is_pushed_over() {
+    let words = [
+        ("count = 8", "count = 60"),
+        ("tries_per_second = 260", "tries_per_second = 900"),
+        ("accounts = 40", "accounts = 400"),
+    ];
+    let fault = "[[fault]]\nkind = \"kill_nodes\"\npart = 1.0\nat_seconds = 4\nfor_seconds = 0.5\n";
+    let outcome = World::new(&changed(&words, fault), 5, Policy::Module).play();
     assert!(outcome.broken.is_none(), "{:?}", outcome.broken);
-    assert!(outcome.ends.get("ConnectFailed").is_some_and(|many| *many > 0), "{:?}", outcome.ends);
-    assert!(outcome.served.tries > 300, "{:?}", outcome.parts());
+    assert!(outcome.ends.get("ConnectFailed").is_some_and(|many| *many >= 60), "{:?}", outcome.ends);
+    assert!(outcome.served.tries > 1_000, "{:?}", outcome.parts());
 }
 
 #[test]
