--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -153,3 +153,17 @@
 pub fn ready(address: SocketAddr) -> bool {
     call(address, &mut None, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n") == Some(200)
 }
+
+/// Asks on a connection: the answer's status, and whether the connection ends with it. None: no whole answer came.
+pub async fn ask(open: &mut tokio::net::TcpStream, request: &str) -> Option<(u16, bool)> {
+    open.write_all(request.as_bytes()).await.ok()?;
+    let mut input = Vec::with_capacity(1024);
+    loop {
+        if let Some(answer) = answer(&input) {
+            return Some(answer);
+        }
+        if open.read_buf(&mut input).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
--- a/xtask/src/prove_lab.rs
+++ b/xtask/src/prove_lab.rs
@@ -3,7 +3,7 @@
 //! and failed must come out alike, through four scripts.
 
 use crate::figures::Figures;
-use crate::load::ready;
+use crate::load::{ask, ready};
 use crate::process::{build_for_proof, free_address, Result};
 use serde_json::{json, Value};
 use std::cell::RefCell;
@@ -13,7 +13,6 @@
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout};
@@ -317,17 +316,3 @@
         timeout(longest, sent).await.ok().flatten().unwrap_or(0)
     }
 }
-
-/// Status of the answer, and whether the connection ends with it.
-async fn ask(open: &mut TcpStream, request: &str) -> Option<(u16, bool)> {
-    open.write_all(request.as_bytes()).await.ok()?;
-    let mut input = Vec::with_capacity(1024);
-    loop {
-        if let Some(answer) = crate::load::answer(&input) {
-            return Some(answer);
-        }
-        if open.read_buf(&mut input).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
--- a/xtask/src/prove_upgrade.rs
+++ b/xtask/src/prove_upgrade.rs
@@ -6,7 +6,7 @@
 //! send on untold has to be earned anew.
 
 use crate::figures::Figures;
-use crate::load::ready;
+use crate::load::{ask, ready};
 use crate::process::{build_for_proof, free_address, Result};
 use serde_json::{json, Value};
 use std::cell::RefCell;
@@ -18,7 +18,6 @@
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout};
@@ -207,7 +206,7 @@
                     None => TcpStream::connect(self.address).await,
                 };
                 let Ok(mut open) = open else { return 0 };
-                match exchange(&mut open, &request).await {
+                match ask(&mut open, &request).await {
                     Some((status, closes)) => {
                         *connection = Some(open).filter(|_| !closes);
                         return status;
@@ -224,20 +223,6 @@
     }
 }
 
-/// Status of the answer, and whether the connection ends with it.
-async fn exchange(open: &mut TcpStream, request: &str) -> Option<(u16, bool)> {
-    open.write_all(request.as_bytes()).await.ok()?;
-    let mut input = Vec::with_capacity(1024);
-    loop {
-        if let Some(answer) = crate::load::answer(&input) {
-            return Some(answer);
-        }
-        if open.read_buf(&mut input).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
 /// The load, until `end`.
 async fn load(sender: Rc<Sender>, end: Instant) {
     let mut tasks = Vec::new();
