--- a/crates/violetyoke/tests/lab.rs
+++ b/crates/violetyoke/tests/lab.rs
@@ -43,7 +43,7 @@
     let other = String::from_utf8_lossy(&other.stdout).to_string();
     let served = other.lines().find(|line| line.contains("| served |")).unwrap_or_default();
     assert!(served.contains("| -0."), "{other}");
-    [before, after, json].map(|path| std::fs::remove_file(path).unwrap());
+    [before, after, json].iter().for_each(|path| std::fs::remove_file(path).unwrap());
 }
 
 #[test]
