Count a call as changing a decision only where its total has decided; tell nodes' load

Seen on reading the change once more: what was believed of a try was noted after it had been decided, so tries decided alone, with no call, could count as changed when their answer came, and what was noted of refused ones stayed in memory until their ingress died (world/ingresses.rs, delivered and believed). Now it is noted before, and counts only while a total is heard. Test: with a silent counter nothing counts. Also: nodes' work is told as load (it was counted and never read), and two things nobody used are gone.

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -51,7 +51,8 @@
     pub queue: VecDeque<Job>,
     /// Work that has lately come (us), faded over the fall time.
     pressed: (f64, Micros),
-    pub handshakes: u64,
+    /// When it was first there.
+    pub since: Micros,
     /// Worker time spent (us).
     pub busy: f64,
 }
@@ -75,7 +76,7 @@
             working: Vec::new(),
             queue: VecDeque::new(),
             pressed: (0.0, 0),
-            handshakes: 0,
+            since: born.max(crate::START),
             busy: 0.0,
         }
     }
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -83,6 +83,8 @@
     pub recovered_after: Option<f64>,
     /// Served share of an ingress's own tries: a tenth of them, half of them, nine tenths are below.
     pub spread: [f64; 3],
+    /// The same of nodes: the part of its workers' time that a node has worked, from the run's start on.
+    pub node_load: [f64; 3],
     /// Answer times of what was served (ms): half, nine tenths, 99 of 100.
     pub answer_ms: [f64; 3],
     pub broken: Broken,
@@ -115,14 +117,17 @@
         let at = |part| self.answers.value_at_quantile(part) as f64 / 1e3;
         outcome.answer_ms = if self.answers.is_empty() { [0.0; 3] } else { [at(0.5), at(0.9), at(0.99)] };
         let shares = self.ingresses.iter().filter(|(all, _)| *all > 0);
-        let mut shares: Vec<f64> = shares.map(|(all, served)| *served as f64 / *all as f64).collect();
-        shares.sort_by(f64::total_cmp);
-        let at = |part: f64| shares.get((part * shares.len() as f64) as usize).copied().unwrap_or(0.0);
-        outcome.spread = [at(0.1), at(0.5), at(0.9)];
+        outcome.spread = tenths(shares.map(|(all, served)| *served as f64 / *all as f64).collect());
         outcome.connections = self.connections.0 / self.connections.1.max(1) as f64;
     }
 }
 
+/// Below which a tenth, half and nine tenths of some figures are.
+pub fn tenths(mut figures: Vec<f64>) -> [f64; 3] {
+    figures.sort_by(f64::total_cmp);
+    [0.1, 0.5, 0.9].map(|part| figures.get((part * figures.len() as f64) as usize).copied().unwrap_or(0.0))
+}
+
 /// The name of a reason, as tables have it.
 pub fn reason(why: Option<Why>) -> String {
     why.map_or("Undecided".into(), |why| format!("{why:?}"))
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -25,16 +25,6 @@
     pub fn is_none(&self) -> bool {
         *self == Broken::default()
     }
-
-    pub fn add(&mut self, other: &Broken) {
-        self.unanswered += other.unanswered;
-        self.answered_again += other.answered_again;
-        self.ran_twice += other.ran_twice;
-        self.copies += other.copies;
-        self.after_drain += other.after_drain;
-        self.pushed_over += other.pushed_over;
-        self.past_ceiling += other.past_ceiling;
-    }
 }
 
 /// What is watched of one try.
--- a/crates/lab/src/world/counting.rs
+++ b/crates/lab/src/world/counting.rs
@@ -63,7 +63,9 @@
             self.outcome.calls.late += 1;
         }
         if self.ingresses[call.ingress].epoch == call.epoch {
+            self.by_total = outcome == Outcome_::Ok;
             self.drive(call.ingress, |exchange, now| exchange.counted(now, call.number, outcome, total));
+            self.by_total = false;
         }
     }
 }
--- a/crates/lab/src/world/ingresses.rs
+++ b/crates/lab/src/world/ingresses.rs
@@ -170,14 +170,16 @@
         self.tally.taken(request, effect, until);
         self.ingresses[number].open.insert(request);
         if self.policy == Policy::Module {
-            let (customer, units) = (words.customer, words.units);
-            let mut believed = None;
-            self.drive(number, |exchange, now| {
+            let ingress = &mut self.ingresses[number];
+            if let Some(Brain::Module(exchange)) = &ingress.brain {
                 // A customer that nothing is known of is taken to be within its quota.
-                believed = exchange.gateway().standing(customer).map(|standing| standing.left >= units);
+                let standing = exchange.gateway().standing(words.customer);
+                let believed = standing.is_none_or(|standing| standing.left >= words.units);
+                ingress.believed.insert(request, believed);
+            }
+            self.drive(number, |exchange, now| {
                 exchange.take(Taken { request: words, arrived, asks_only: false, claim: None }, (), now);
             });
-            self.ingresses[number].believed.insert(request, believed.unwrap_or(true));
         } else {
             self.reference_takes(number, request);
             self.perform(number);
@@ -215,7 +217,7 @@
         for command in commands.drain(..) {
             match command {
                 Command::Attempt { serial, id, node, kept, sent } => {
-                    self.believed(number, id, true);
+                    self.believed(number, id, Some(true));
                     self.attempt(number, serial, id, (node, kept, sent.clone()));
                     if self.sabotage == Some(Sabotage::SendsTwice) {
                         self.attempt(number, serial | TWIN, id, (node, None, sent));
@@ -226,9 +228,9 @@
                     self.call(number, epoch, (call, name, amount, life));
                 }
                 Command::Answer { over, answer } => {
-                    let by_total = over.why == Some(Why::Quota);
-                    let id = AttemptId { request: over.request, number: 0 };
-                    self.believed(number, id, !by_total);
+                    // Only this rule speaks of a total.
+                    let refused = (over.why == Some(Why::Quota)).then_some(false);
+                    self.believed(number, AttemptId { request: over.request, number: 0 }, refused);
                     self.ingresses[number].open.remove(&over.request);
                     self.tally.answered(self.now, over.request);
                     if self.sabotage == Some(Sabotage::AnswersTwice) {
@@ -271,13 +273,13 @@
         }
     }
 
-    /// A try's quota has been decided: whether its call to the counter made a difference.
-    fn believed(&mut self, number: usize, id: AttemptId, passes: bool) {
+    /// A try's quota has been decided. If a total did it, and otherwise than what was known when the try came, its
+    /// call has made a difference. One that is let in and then waits for a node is not seen here.
+    fn believed(&mut self, number: usize, id: AttemptId, passes: Option<bool>) {
         if id.number == 0 {
             let before = self.ingresses[number].believed.remove(&id.request);
-            if self.counts() && before.is_some_and(|before| before != passes) {
-                self.outcome.calls.changed += 1;
-            }
+            let differs = before.is_some() && passes.is_some() && before != passes;
+            self.outcome.calls.changed += u64::from(self.by_total && self.counts() && differs);
         }
     }
 }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -231,6 +231,8 @@
     faults_rng: Pcg64Mcg,
     random_rng: Pcg64Mcg,
     seed: u64,
+    /// A total of the counter is being heard.
+    by_total: bool,
     tally: Tally,
     outcome: Outcome,
     gauges: Gauges,
@@ -301,6 +303,7 @@
             faults_rng: stream(seed, Stream::Faults),
             random_rng: stream(seed, Stream::Random),
             seed,
+            by_total: false,
             tally: Tally::new(safety.drain_grace + 50_000),
             outcome: Outcome::default(),
             gauges: Gauges::new(ingresses),
@@ -412,12 +415,24 @@
         ((self.now - START) / 1_000_000) as usize
     }
 
+    /// The part of its workers' time that a node that is there has worked: a tenth of them, half of them, nine tenths
+    /// are below.
+    fn node_load(&self) -> [f64; 3] {
+        let there = self.nodes.iter().filter(|node| !node.gone);
+        let load = |node: &Node| {
+            let time = self.now.saturating_sub(node.since).max(1) as f64;
+            node.busy / (self.rules.workers as f64 * time)
+        };
+        crate::outcome::tenths(there.map(load).collect())
+    }
+
     fn finish(mut self) -> Outcome {
         self.tally.end(self.now);
         let mut outcome = std::mem::take(&mut self.outcome);
         self.gauges.read(&mut outcome);
         outcome.broken = self.tally.broken.clone();
         outcome.events = self.heap.set_so_far();
+        outcome.node_load = self.node_load();
         let prices = &self.experiment.settings.prices;
         let fee = self.experiment.settings.counter.map_or(0.0, |counter| counter.fee);
         let calls = outcome.calls.decide + outcome.calls.give_back + outcome.calls.read;
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -91,7 +91,6 @@
             return self.back(serial, Outcome_::ConnectFailed);
         }
         node.connections += 1;
-        node.handshakes += 1;
         (flight.connected, flight.at_node) = (true, true);
         let place = flight.node;
         self.outcome.handshakes += u64::from(self.counts());
--- a/crates/lab/tests/hard.rs
+++ b/crates/lab/tests/hard.rs
@@ -134,3 +134,15 @@
         run.module.beyond_units
     );
 }
+
+#[test]
+fn a_call_changes_a_decision_only_where_its_total_decided() {
+    // Nobody hears the counter: whatever is decided is decided alone.
+    let alone = play("[[fault]]\nkind = \"silence_counter\"\nat_seconds = 0\nfor_seconds = 60\n");
+    assert!(alone.calls.decide > 0 && alone.units > 0.0, "{:?}", alone.calls);
+    assert_eq!(alone.calls.changed, 0, "{:?}", alone.calls);
+    // With one, calls of accounts that ask beyond their quotas do.
+    let counted = play("");
+    assert!(counted.calls.changed > 0 && counted.calls.changed < counted.calls.decide, "{:?}", counted.calls);
+    assert!(counted.node_load[1] > 0.05 && counted.node_load[2] < 1.0, "{:?}", counted.node_load);
+}
