Find tests' free addresses without listening on them

Ruled out: another test's socket (each address has a host of its own) and ports of outgoing connections (they leave from 127.0.0.1). Cause: free_address in tests/common listened and closed; a process that another thread is just starting holds a copy of that listening socket until it has become its program. Measured by a probe with eight threads that start processes: a closed address could not be listened on again in 29 of 6,000 tries where it had been listened on, in none of 6,000 where it had only been bound. So it is bound only. The tests of violetyoke pass whole.

--- a/crates/violetyoke/tests/common/mod.rs
+++ b/crates/violetyoke/tests/common/mod.rs
@@ -8,8 +8,9 @@
 pub mod held;
 
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -88,16 +89,27 @@
 }
 
 /// An address that no other test listens on.
+///
+/// It is bound to find it, and never listened on: a process that another thread is just starting holds copies of all
+/// sockets until it has become its program, and a copy that listens would keep the address from whom it is meant for.
 pub fn free_address() -> SocketAddr {
-    free_listener().local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&SocketAddr::new(own_host(), 0).into()).unwrap();
+    socket.local_addr().unwrap().as_socket().unwrap()
 }
 
 /// The same, held at once: nobody can take it before it is listened on.
 pub fn free_listener() -> TcpListener {
+    TcpListener::bind((own_host(), 0)).unwrap()
+}
+
+/// A host that no other test uses at the time.
+fn own_host() -> IpAddr {
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let process = std::process::id();
-    let host = format!("127.{}.{}.{}", 1 + process % 250, process / 250 % 250, 1 + number % 250);
-    TcpListener::bind((host.as_str(), 0)).unwrap()
+    let part = |number: u32| (number % 250) as u8;
+    Ipv4Addr::new(127, 1 + part(process), part(process / 250), 1 + part(number)).into()
 }
 
 impl Ingress {
