--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod consult;
 mod control;
+mod duties;
 mod error;
 mod pool;
 mod ratelimit;
@@ -15,6 +16,7 @@
 
 pub use consult::Consult;
 pub use control::Control;
+pub use duties::Duties;
 pub use error::Errors;
 pub use pool::{only_once, plan, Class, Fields, Node, Nodes, Pool};
 pub use ratelimit::RateLimit;
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -1,6 +1,7 @@
 //! The whole file: what all pools share, the pools, and the routes to them.
 
 use crate::control::Control;
+use crate::duties::Duties;
 use crate::error::Errors;
 use crate::pool::Pool;
 use crate::ratelimit::RateLimit;
@@ -26,6 +27,8 @@
     pub ratelimit: Option<RateLimit>,
     /// Where tenants come from, where there are any.
     pub control: Option<Control>,
+    /// What of the fleet's work this process takes part in.
+    pub duties: Option<Duties>,
 }
 
 /// A route to a pool.
@@ -109,6 +112,13 @@
         section.finish();
         read
     });
+    let duties = root.has("duties").then(|| {
+        let section = root.section("duties");
+        if !root.has("control") {
+            section.error("take", "needs [control]: leases come from there");
+        }
+        Duties::read(section)
+    });
     let read = Service {
         listen,
         descriptors,
@@ -119,6 +129,7 @@
         routes,
         ratelimit,
         control: root.has("control").then(|| Control::read(root.section("control"))),
+        duties,
     };
     service.finish();
     read
--- a/crates/control/src/api/endpoints.rs
+++ b/crates/control/src/api/endpoints.rs
@@ -1,7 +1,7 @@
 //! The table of all that can be called, and who may.
 
 use super::resources::{create, list, patch, read, remove, replace};
-use super::{keys, openapi, snapshots, tenants, Answer, Call, Outcome};
+use super::{findings, keys, leases, openapi, snapshots, tenants, Answer, Call, Outcome};
 use crate::keys::Role;
 use violetyoke_tenants::model::{Account, Plan, Route};
 
@@ -121,6 +121,18 @@
     endpoint!("DELETE" "/v1/keys/{key}" Operator "Withdraws a key", NONE, NONE, keys::remove),
     endpoint!("GET" "/v1/audit" Operator "Who changed what", NONE, Some("AuditPage"), snapshots::audit),
     endpoint!("GET" "/v1/snapshot" Ingress "All tenants, or what has changed since `held`; with Prefer: wait=SECONDS, once something has", NONE, Some("Snapshot"), snapshots::snapshot),
+    endpoint!("POST" "/v1/leases" Ingress "Renews, releases and gets leases of duties", Some("Ask"), Some("Leases"), leases::ask),
+    endpoint!("GET" "/v1/leases" Ingress "With Prefer: wait=SECONDS, once there is a lease for `holder` to ask for", NONE, NONE, leases::watch),
+    endpoint!("POST" "/v1/leases/mark" Ingress "Notes how far a shard's work has come, under its newest epoch", Some("Mark"), NONE, leases::mark),
+    endpoint!("POST" "/v1/use" Ingress "Tells what tenants have used, in numbered batches", Some("Use"), NONE, leases::take_use),
+    endpoint!("GET" "/v1/use/{duty}/{shard}" Ingress "The use in `span`, or the span to be closed after `after`", NONE, NONE, leases::read_use),
+    endpoint!("GET" "/v1/duties" Operator "Lists duties, with how many of their shards are owned", NONE, NONE, leases::duties),
+    endpoint!("GET" "/v1/duties/{duty}" Ingress "Reads a duty as it is declared", NONE, NONE, leases::duty),
+    endpoint!("PUT" "/v1/findings/{duty}/{shard}" Ingress "What a shard's probes have found, under its newest epoch", Some("Findings"), NONE, findings::put),
+    endpoint!("GET" "/v1/findings/{duty}" Ingress "What a duty's probes have found", NONE, NONE, findings::read),
+    endpoint!("GET" "/v1/duties/{duty}/shards" Operator "Lists a duty's shards and their owners", NONE, Some("Page"), leases::shards),
+    endpoint!("GET" "/v1/duties/{duty}/shards/{shard}" Operator "Reads a shard and its owner", NONE, Some("Shard"), leases::read),
+    endpoint!("PUT" "/v1/duties/{duty}/shards/{shard}" Operator "Says who is to have a shard, or that nobody is; nothing lets it go", Some("Word"), Some("Word"), leases::say),
     endpoint!("GET" "/v1/ingresses" Operator "What each ingress holds", NONE, Some("Ingresses"), snapshots::ingresses),
 ];
 
--- /dev/null
+++ b/crates/control/src/api/findings.rs
@@ -0,0 +1,52 @@
+//! What probes of nodes on behalf of all have found. One owner a shard writes it, under its epoch.
+
+use super::{Answer, Call, Outcome, Problem};
+use crate::duties::desk::fenced;
+use crate::store::Writes;
+use serde::Deserialize;
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use utoipa::ToSchema;
+use violetyoke_ownership::{Claim, Name};
+
+/// Findings of one shard.
+#[derive(Debug, Deserialize, ToSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Findings {
+    holder: String,
+    epoch: u64,
+    /// Nodes by their addresses: whether the last probe was answered.
+    #[schema(value_type = BTreeMap<String, bool>)]
+    nodes: BTreeMap<SocketAddr, bool>,
+}
+
+fn path(duty: &str, shard: u32) -> String {
+    format!("-finding/{duty}/{shard:05}")
+}
+
+pub fn put(call: &Call<'_>) -> Outcome {
+    let Findings { holder, epoch, nodes } = call.json()?;
+    let shard = call.param("shard").parse().map_err(|_| Problem::field("shard", "must be a whole number"))?;
+    let claim = Claim { name: Name::new(call.param("duty"), shard), epoch };
+    call.change(|read| match fenced(read, &holder, &claim)? {
+        Err(newest) => Err(Problem::fenced(newest)),
+        Ok(_) => {
+            let body = json!({ "epoch": epoch, "at": call.now, "nodes": nodes });
+            Ok((Writes::default().put(path(&claim.name.duty, shard), body), Answer::none()))
+        }
+    })
+}
+
+pub fn read(call: &Call<'_>) -> Outcome {
+    let list =
+        call.read(|read| Ok(read.list(&format!("-finding/{}/", call.param("duty")), "", usize::MAX)?))?;
+    let mut nodes = Map::new();
+    for document in list {
+        let (epoch, at) = (document.body["epoch"].clone(), document.body["at"].clone());
+        for (node, well) in document.body["nodes"].as_object().into_iter().flatten() {
+            nodes.insert(node.clone(), json!({ "well": well, "epoch": epoch, "at": at }));
+        }
+    }
+    Ok(Answer::ok(json!({ "nodes": Value::Object(nodes) })))
+}
--- a/crates/control/src/api/keys.rs
+++ b/crates/control/src/api/keys.rs
@@ -1,7 +1,7 @@
 //! Keys: made, listed, rotated, withdrawn. A secret is shown in the answer that makes it, and never again.
 
 use super::resources::page;
-use super::{active, stored, tenant, value, Answer, Call, Outcome, Problem};
+use super::{active, stored, tenant, value, Answer, Call, Outcome, Problem, Wait};
 use crate::keys::{index, path, split, Role, ShownKey, StoredKey};
 use crate::store::{Read, Revision, Writes};
 use serde::{Deserialize, Serialize};
@@ -114,7 +114,7 @@
         }
         let body = value(&key.shown(Some(secret.clone())))?;
         let location = Some(format!("/v1/{}", path(&key.role, &key.id)));
-        let answer = Answer { status: 201, body: Some(body), version: Some(next), location, wait: false };
+        let answer = Answer { status: 201, body: Some(body), version: Some(next), location, wait: Wait::No };
         Ok((put(Writes::default(), &key)?, answer))
     })
 }
@@ -164,7 +164,10 @@
         let writes = put(put(Writes::default(), &old)?, &new)?;
         let body: ShownKey = new.shown(Some(secret));
         let location = Some(format!("/v1/{}", path(&new.role, &new.id)));
-        Ok((writes, Answer { status: 201, body: Some(value(&body)?), version: None, location, wait: false }))
+        Ok((
+            writes,
+            Answer { status: 201, body: Some(value(&body)?), version: None, location, wait: Wait::No },
+        ))
     })
 }
 
--- a/crates/control/src/api/mod.rs
+++ b/crates/control/src/api/mod.rs
@@ -2,26 +2,32 @@
 //! OpenAPI page are made from that table, so nothing can be reached that is not in it. Handlers are plain functions
 //! of a [`Call`]; [`http`] brings them on the wire.
 
+mod app;
+mod creation;
 mod endpoints;
+mod findings;
 mod http;
 mod keys;
+mod leases;
 mod openapi;
 mod problem;
 mod resources;
 mod snapshots;
 mod sweep;
 mod tenants;
+mod wire;
 
+pub use app::{App, Mark, Options};
 pub use endpoints::{Access, Endpoint, ENDPOINTS};
-pub use http::{serve, App, Options};
+pub use http::serve;
 pub use openapi::document as openapi;
 pub use problem::Problem;
+pub(crate) use tenants::purge;
 
 use crate::keys::Role;
 use crate::store::{Author, Read, Revision, Store, Writes};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use violetyoke_tenants::model::{Resource, State, StoredTenant};
 
@@ -57,17 +63,26 @@
     /// The version, for `ETag`.
     pub version: Option<Revision>,
     pub location: Option<String>,
-    /// Nothing new yet: to be asked again when something has changed, as long as the client waits.
-    pub wait: bool,
+    pub wait: Wait,
+}
+
+/// Nothing new yet: to be asked again when something has changed, as long as the client waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    No,
+    /// For a change of the store.
+    Change,
+    /// For a lease that may be had.
+    Stir,
 }
 
 impl Answer {
     pub fn ok(body: Value) -> Answer {
-        Answer { status: 200, body: Some(body), version: None, location: None, wait: false }
+        Answer { status: 200, body: Some(body), version: None, location: None, wait: Wait::No }
     }
 
     pub fn none() -> Answer {
-        Answer { status: 204, body: None, version: None, location: None, wait: false }
+        Answer { status: 204, body: None, version: None, location: None, wait: Wait::No }
     }
 
     fn at(self, version: Revision) -> Answer {
@@ -125,55 +140,6 @@
         Ok(answer)
     }
 
-    /// A creation, done once for each `Idempotency-Key`: whoever sends it again gets the first answer.
-    fn create(&self, decide: impl Fn(&dyn Read, Revision) -> Decided) -> Outcome {
-        let Some(key) = &self.idempotency_key else {
-            return self.change(|read| decide(read, read.revision()? + 1));
-        };
-        if key.is_empty() || key.len() > 255 {
-            return Err(Problem::field("Idempotency-Key", "must be 1 to 255 characters"));
-        }
-        let name = hex(&Sha256::digest(key.as_bytes()));
-        let path = format!("-idempotency/{}/{name}", self.caller.id);
-        let mut hasher = Sha256::new();
-        hasher.update(self.path.as_bytes());
-        hasher.update([0]);
-        hasher.update(self.body);
-        let print = hex(&hasher.finalize());
-        self.change(|read| {
-            if let Some(first) = read.get(&path)? {
-                if first.body["print"] != print.as_str() {
-                    return Err(Problem::new(
-                        422,
-                        "idempotency-key-reused",
-                        "the key was used for another request",
-                    ));
-                }
-                let answer = Answer {
-                    status: 201,
-                    body: Some(first.body["body"].clone()),
-                    version: None,
-                    location: first.body["location"].as_str().map(String::from),
-                    wait: false,
-                };
-                // The version of then: it may have been changed since.
-                let version = first.body["version"].as_u64();
-                return Ok((Writes::default(), Answer { version: None, ..answer }.maybe(version)));
-            }
-            let next = read.revision()? + 1;
-            let (writes, answer) = decide(read, next)?;
-            let mut body = answer.body.clone().unwrap_or_default();
-            if let Some(body) = body.as_object_mut() {
-                // A secret is shown once, and kept nowhere.
-                body.remove("key");
-            }
-            let kept = serde_json::json!({
-                "print": print, "body": body, "location": answer.location, "version": next, "at": self.now,
-            });
-            Ok((writes.put(path.clone(), kept), answer))
-        })
-    }
-
     /// Refuses where the caller has seen another version, or none.
     fn must_match(&self, now: Revision) -> Result<(), Problem> {
         match &self.if_match {
@@ -188,7 +154,11 @@
     }
 
     fn json<T: DeserializeOwned>(&self) -> Result<T, Problem> {
-        serde_json::from_slice(self.body).map_err(|error| Problem::body(&error))
+        let mut reader = serde_json::Deserializer::from_slice(self.body);
+        let read = serde_path_to_error::deserialize(&mut reader);
+        let value = read.map_err(|error| Problem::body(&error.path().to_string(), error.inner()))?;
+        reader.end().map_err(|error| Problem::body(".", &error))?;
+        Ok(value)
     }
 
     /// A resource from the body, checked.
--- a/crates/control/src/api/openapi.rs
+++ b/crates/control/src/api/openapi.rs
@@ -1,7 +1,9 @@
 //! The OpenAPI page, from the table of endpoints and the types' own schemas.
 
 use super::endpoints::{Access, Endpoint, ENDPOINTS};
+use super::findings::Findings;
 use super::keys::{NewKey, Rotation};
+use super::leases::{Mark, Use};
 use super::snapshots::IngressState;
 use super::Problem;
 use crate::keys::{Role, ShownKey};
@@ -37,17 +39,89 @@
     items: std::collections::BTreeMap<String, IngressState>,
 }
 
+/// A lease as it is claimed.
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct Claim {
+    duty: String,
+    shard: u32,
+    epoch: u64,
+}
+
+/// One call of a holder, which is a candidate for those duties' shards while it calls.
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct Ask {
+    /// Of one life of a process: `NAME#LIFE`.
+    holder: String,
+    duties: Vec<String>,
+    /// With `acts`, how many were done under the epoch; only where the work has gone on.
+    renew: Vec<Claim>,
+    /// Work that has ended.
+    release: Vec<Claim>,
+    /// The newest epoch that it has heard of.
+    seen: u64,
+    /// It ends: nothing is to be given to it.
+    leaving: bool,
+}
+
+/// What a holder gets: leases that are good for `length_ms` from before the call was sent.
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct Leases {
+    /// Each with `length_ms`, `mark` and `hand_over`.
+    given: Vec<Claim>,
+    /// Claims that are none, each with why.
+    lost: Vec<Value>,
+    /// When to call again, in milliseconds.
+    again_ms: u64,
+    newest: u64,
+    /// What was left out of the call: field and reason.
+    faults: Vec<Vec<String>>,
+}
+
+/// A shard and its owner. Times are Unix times in milliseconds.
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct Shard {
+    duty: String,
+    shard: u32,
+    holder: Option<String>,
+    epoch: u64,
+    since: u64,
+    /// The last sign that its work goes on.
+    worked: u64,
+    mark: u64,
+    /// Who is to have it, by an operator's word.
+    next: Option<String>,
+    held_back: Option<String>,
+    /// Owners whose lease ran out in their hands, one after the other.
+    fallen: Vec<String>,
+}
+
+/// An operator's word on a shard.
+#[derive(utoipa::ToSchema)]
+#[allow(dead_code)]
+struct Word {
+    next: Option<String>,
+    held_back: Option<String>,
+}
+
 #[derive(OpenApi)]
 #[openapi(
     info(title = "violetyoke administration", version = "1", description = "Tenants of a hosted ingress"),
     components(schemas(
         Account,
         AuditEntry,
+        Ask,
         AuditPage,
         Fault,
+        Findings,
         IngressState,
         Ingresses,
+        Leases,
         Limits,
+        Mark,
         NewKey,
         Page,
         Part,
@@ -56,12 +130,15 @@
         Role,
         Rotation,
         Route,
+        Shard,
         ShownKey,
         Snapshot,
         State,
         StoredTenant,
         Tenant,
-        TenantView
+        TenantView,
+        Use,
+        Word
     ))
 )]
 struct Schemas;
@@ -84,21 +161,26 @@
     let in_path =
         |name: &str| json!({ "name": name, "in": "path", "required": true, "schema": { "type": "string" } });
     let header = |name: &str, about: &str| json!({ "name": name, "in": "header", "required": false, "description": about, "schema": { "type": "string" } });
-    let mut parameters: Vec<Value> = ["tenant", "name", "key"]
+    let mut parameters: Vec<Value> = ["tenant", "name", "key", "duty", "shard"]
         .into_iter()
         .filter(|name| endpoint.path.contains(&format!("{{{name}}}")))
         .map(in_path)
         .collect();
     let changes =
         ["PUT", "PATCH", "DELETE"].contains(&endpoint.method) || endpoint.path.ends_with("/restore");
+    let changes = changes && endpoint.access != Access::Ingress;
     if changes {
         parameters.push(header("If-Match", "the ETag that was read, or *"));
-    } else if endpoint.method == "POST" && !endpoint.path.ends_with("/rotate") {
+    } else if endpoint.method == "POST"
+        && endpoint.access != Access::Ingress
+        && !endpoint.path.ends_with("/rotate")
+    {
         parameters
             .push(header("Idempotency-Key", "sent again with the same body, the first answer comes again"));
     }
     let success = match (endpoint.method, endpoint.path) {
-        ("POST", path) if !path.ends_with("/restore") => "201",
+        ("POST", "/v1/leases/mark") | ("PUT", "/v1/findings/{duty}/{shard}") => "204",
+        ("POST", path) if endpoint.access != Access::Ingress && !path.ends_with("/restore") => "201",
         ("DELETE", "/v1/tenants/{tenant}") => "202",
         ("DELETE", _) => "204",
         _ => "200",
--- a/crates/control/src/api/problem.rs
+++ b/crates/control/src/api/problem.rs
@@ -2,6 +2,7 @@
 
 use crate::store::{Error, Revision};
 use serde::Serialize;
+use std::num::NonZeroU64;
 use utoipa::ToSchema;
 use violetyoke_tenants::model::Fault;
 
@@ -18,6 +19,10 @@
     /// What the thing is at now, where the caller has seen another version.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub current_version: Option<Revision>,
+    /// The newest epoch, where a write was under an older one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<u64>)]
+    pub newest: Option<NonZeroU64>,
     /// Seconds after which to come back.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after: Option<f64>,
@@ -26,7 +31,15 @@
 impl Problem {
     pub fn new(status: u16, kind: &str, title: impl Into<String>) -> Problem {
         let (kind, title) = (format!("/problems/{kind}"), title.into());
-        Problem { kind, title, status, errors: Vec::new(), current_version: None, retry_after: None }
+        Problem {
+            kind,
+            title,
+            status,
+            errors: Vec::new(),
+            current_version: None,
+            newest: None,
+            retry_after: None,
+        }
     }
 
     /// Not there, or not for the caller to know of.
@@ -42,16 +55,33 @@
         Problem::faults(vec![Fault::new(field, reason)])
     }
 
-    /// A body that is no JSON, or not of the shape: the message names the field where there is one.
-    pub fn body(error: &serde_json::Error) -> Problem {
+    /// A body that is no JSON, or not of the shape: `path` is where in it, `.` for the whole.
+    pub fn body(path: &str, error: &serde_json::Error) -> Problem {
         let text = error.to_string();
-        let field = text.split('`').nth(1).filter(|_| error.is_data()).unwrap_or("body").to_string();
+        let named = text.split('`').nth(1).filter(|_| error.is_data());
+        let missing = text.starts_with("missing field");
+        let field = match (path, named) {
+            _ if !error.is_data() => "body".to_string(),
+            (".", named) => named.unwrap_or("body").to_string(),
+            (path, Some(named)) if missing => format!("{path}.{named}"),
+            (path, _) => path.to_string(),
+        };
         Problem {
             errors: vec![Fault::new(field, text)],
             ..Problem::new(400, "unreadable", "the body is not readable")
         }
     }
 
+    /// A write under a lease that is not the newest.
+    pub fn fenced(newest: u64) -> Problem {
+        let errors = vec![Fault::new("epoch", format!("a newer one has been given out: {newest}"))];
+        Problem {
+            errors,
+            newest: NonZeroU64::new(newest.max(1)),
+            ..Problem::new(409, "fenced", "the lease is another's")
+        }
+    }
+
     pub fn changed(now: Revision) -> Problem {
         let title = "it has been changed since it was read";
         Problem { current_version: Some(now), ..Problem::new(412, "changed", title) }
--- a/crates/control/src/api/resources.rs
+++ b/crates/control/src/api/resources.rs
@@ -1,6 +1,6 @@
 //! What a tenant has: plans, accounts and routes, all alike but for what they need of each other.
 
-use super::{active, checked, stored, tenant, value, Answer, Call, Outcome, Problem};
+use super::{active, checked, stored, tenant, value, Answer, Call, Outcome, Problem, Wait};
 use crate::store::{Document, Read};
 use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde_json::{json, Value};
@@ -83,7 +83,7 @@
         let writes = crate::store::Writes::default().put(path.clone(), body.clone());
         let name = utf8_percent_encode(resource.name(), PLAIN);
         let location = Some(format!("/v1/tenants/{owner}/{}/{name}", R::COLLECTION));
-        Ok((writes, Answer { status: 201, body: Some(body), version: Some(next), location, wait: false }))
+        Ok((writes, Answer { status: 201, body: Some(body), version: Some(next), location, wait: Wait::No }))
     })
 }
 
@@ -135,7 +135,7 @@
     let change: Value = call.json()?;
     put::<R>(call, |mut body| {
         json_patch::merge(&mut body, &change);
-        serde_json::from_value(body).map_err(|error| Problem::body(&error))
+        serde_json::from_value(body).map_err(|error| Problem::body(".", &error))
     })
 }
 
--- a/crates/control/src/api/snapshots.rs
+++ b/crates/control/src/api/snapshots.rs
@@ -1,7 +1,7 @@
 //! What ingresses get, what each of them holds, and the audit log.
 
 use super::resources::all;
-use super::{stored, tenant, value, Answer, Call, Outcome, Problem};
+use super::{stored, tenant, value, Answer, Call, Outcome, Problem, Wait};
 use crate::store::{AuditEntry, Read};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -85,7 +85,7 @@
     let changes = if held == 0 { None } else { Some(call.store().changes(held, MOST_CHANGES)?) };
     call.read(|read| {
         let revision = read.revision()?;
-        let nothing = Answer { status: 304, wait: true, ..Answer::none() };
+        let nothing = Answer { status: 304, wait: Wait::Change, ..Answer::none() };
         // One that could not take the newest waits for the next.
         if held == revision || rejected == Some(revision) {
             return Ok(nothing);
--- a/crates/control/src/api/tenants.rs
+++ b/crates/control/src/api/tenants.rs
@@ -1,7 +1,7 @@
 //! Tenants: made, read, changed, drained, restored. Only operators change one.
 
 use super::resources::{all, page};
-use super::{checked, tenant, value, Answer, Call, Outcome, Problem};
+use super::{checked, tenant, value, Answer, Call, Outcome, Problem, Wait};
 use crate::store::{Read, Writes};
 use serde_json::Value;
 use violetyoke_tenants::model::{check_routes, Fault, Route, State, StoredTenant, Tenant};
@@ -47,7 +47,7 @@
         let body = value(&stored)?;
         let writes = hosts(Writes::default().put(path.clone(), body.clone()), read, &[], &new)?;
         let location = Some(format!("/v1/{path}"));
-        Ok((writes, Answer { status: 201, body: Some(body), version: Some(next), location, wait: false }))
+        Ok((writes, Answer { status: 201, body: Some(body), version: Some(next), location, wait: Wait::No }))
     })
 }
 
@@ -76,7 +76,7 @@
         let (tenant, version) = tenant(read, call.param("tenant"))?;
         let answer = Answer::ok(value(&tenant)?).at(version);
         if call.if_none_match == Some(version) {
-            return Ok(Answer { status: 304, body: None, wait: true, ..answer });
+            return Ok(Answer { status: 304, body: None, wait: Wait::Change, ..answer });
         }
         Ok(answer)
     })
@@ -92,7 +92,7 @@
     put(call, |old| {
         let mut body = value(old)?;
         json_patch::merge(&mut body, &change);
-        serde_json::from_value(body).map_err(|error| Problem::body(&error))
+        serde_json::from_value(body).map_err(|error| Problem::body(".", &error))
     })
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! says who may do what, and [`api`] answers administrators and ingresses over HTTP.
 
 pub mod api;
+pub mod duties;
 pub mod keys;
 pub mod limit;
 pub mod store;
--- a/crates/control/src/store/mod.rs
+++ b/crates/control/src/store/mod.rs
@@ -114,6 +114,9 @@
     fn list(&self, prefix: &str, after: &str, most: usize) -> Result<Vec<Document>>;
 
     fn revision(&self) -> Result<Revision>;
+
+    /// The newest revision that has audit entries: what has been written since is bookkeeping.
+    fn audited(&self) -> Result<Revision>;
 }
 
 /// What a transaction does: none of the writes: it has seen that it must not.
--- a/crates/control/src/store/sqlite.rs
+++ b/crates/control/src/store/sqlite.rs
@@ -31,6 +31,12 @@
         Ok(Sqlite { connection: Mutex::new(connection) })
     }
 
+    /// All of it, as it is at one moment, in a file that is not there yet.
+    pub fn copy_to(&self, path: &Path) -> Result<()> {
+        self.lock().execute("VACUUM INTO ?1", [path.to_string_lossy()])?;
+        Ok(())
+    }
+
     fn lock(&self) -> MutexGuard<'_, Connection> {
         // A thread that failed in the middle has rolled its transaction back.
         self.connection.lock().unwrap_or_else(PoisonError::into_inner)
@@ -139,6 +145,11 @@
     fn revision(&self) -> Result<Revision> {
         Ok(self.query_row("SELECT revision FROM state", [], |row| row.get::<_, i64>(0))? as Revision)
     }
+
+    fn audited(&self) -> Result<Revision> {
+        let newest = "SELECT coalesce(max(revision), 0) FROM audit";
+        Ok(self.query_row(newest, [], |row| row.get::<_, i64>(0))? as Revision)
+    }
 }
 
 impl Store for Sqlite {
--- a/crates/ingress/src/follow.rs
+++ b/crates/ingress/src/follow.rs
@@ -2,7 +2,7 @@
 //! ready; what is no good is told back and leaves what is in force as it is. Without the control plane nothing
 //! changes.
 
-use crate::tenants::Prepared;
+use crate::prepared::Prepared;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
--- a/crates/ingress/src/tenants.rs
+++ b/crates/ingress/src/tenants.rs
@@ -1,8 +1,8 @@
-//! Tenants as the service runs them: what a snapshot becomes before it is put in force, and each tenant's room,
-//! turns and plans.
+//! Tenants as the service runs them: each tenant's room, turns and plans, and what it has used.
 
 use crate::guest::{Admitted, Guest};
 use crate::pool::Shared;
+use crate::prepared::{slot, Prepared};
 use crate::request::{bad, Rejection};
 use crate::sets::Sets;
 use crate::tasks::Set;
@@ -10,117 +10,15 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use violetyoke_config as file;
-use violetyoke_decision::interface::Plan;
-use violetyoke_routes::{Rule, Table};
+use violetyoke_duties::uses::Uses;
 use violetyoke_shares::{Member, Stock};
 use violetyoke_tenants::account_number;
 use violetyoke_tenants::model::{self, Part};
 use violetyoke_tenants::snapshot::{Held, TenantView};
 
-/// Plans that a pool's module can have; it knows them by 16 bits.
-const MOST_PLANS: usize = 60_000;
-
-/// A file and what is held, checked together and with all that takes long done: putting it in force is quick. It is
-/// made on another thread.
-pub struct Prepared {
-    /// The file that it was checked with.
-    pub file: Arc<file::Service>,
-    pub held: Arc<Held>,
-    /// Of the file's routes, and behind them the tenants'.
-    pub table: Arc<Table>,
-    pub routes: Vec<HostedRoute>,
-    /// Each pool's plans that are tenants', by names that no file has.
-    pub plans: BTreeMap<String, Vec<(String, Plan)>>,
-}
-
-pub struct HostedRoute {
-    pub tenant: String,
-    /// Number of the pool in the file.
-    pub pool: usize,
-    pub class: Option<String>,
-}
-
-/// The name of a tenant's plan among a pool's. One of a tenant made anew is another.
-pub fn slot(tenant: &TenantView, plan: &str) -> String {
-    format!("{}\u{1f}{}\u{1f}{plan}", tenant.name, tenant.epoch)
-}
-
-fn figures(plan: &model::Plan) -> Plan {
-    Plan {
-        rate: plan.rate,
-        burst: plan.burst,
-        open_cap: f64::from(plan.open),
-        worth: plan.worth,
-        ceiling_rate: plan.ceiling_rate,
-        ceiling_burst: plan.ceiling_burst,
-        ..Plan::default()
-    }
-}
-
-impl Prepared {
-    /// Why not, in words that name the tenant.
-    pub fn new(config: &Arc<file::Service>, held: Arc<Held>) -> Result<Prepared, String> {
-        let mut rules: Vec<Rule> = config.routes.iter().map(|route| route.rule.clone()).collect();
-        let (mut routes, mut plans) = (Vec::new(), BTreeMap::<String, Vec<(String, Plan)>>::new());
-        let [mut descriptors, mut bytes, mut open] = [0u64; 3];
-        for tenant in held.tenants.values() {
-            let wrong = |what: String| format!("tenant {:?}: {what}", tenant.name);
-            for route in &tenant.routes {
-                let number = config.pools.iter().position(|pool| pool.name == route.pool);
-                let number =
-                    number.ok_or_else(|| wrong(format!("there is no pool {:?} here", route.pool)))?;
-                let known =
-                    |name: &String| config.pools[number].classes.iter().any(|class| class.name == *name);
-                if route.default_class.as_ref().is_some_and(|class| !known(class)) {
-                    return Err(wrong(format!("route {:?}: the pool has no such class", route.name)));
-                }
-                rules.push(route.rule().map_err(wrong)?);
-                let (tenant, class) = (tenant.name.clone(), route.default_class.clone());
-                routes.push(HostedRoute { tenant, pool: number, class });
-            }
-            let pools: BTreeSet<&String> = tenant.routes.iter().map(|route| &route.pool).collect();
-            for pool in pools {
-                let list = tenant.plans.iter().map(|plan| (slot(tenant, &plan.name), figures(plan)));
-                plans.entry(pool.clone()).or_default().extend(list);
-            }
-            descriptors += tenant.limits.descriptors.guaranteed;
-            bytes += tenant.limits.buffered_bytes.guaranteed;
-            open += tenant.limits.open_requests.guaranteed;
-        }
-        if let Some((pool, list)) = plans.iter().find(|(_, list)| list.len() > MOST_PLANS) {
-            return Err(format!(
-                "pool {pool:?} would have {} plans, and {MOST_PLANS} is the most",
-                list.len()
-            ));
-        }
-        let most_open = config.control.as_ref().map_or(u64::MAX, |control| control.open_requests);
-        let kept: u64 = config.pools.iter().map(|pool| pool.descriptors).sum();
-        let kept_bytes: u64 = config.pools.iter().map(|pool| pool.buffered_bytes).sum();
-        for (what, asked, there) in [
-            ("descriptors", descriptors, config.descriptors.saturating_sub(kept + 32)),
-            ("buffered_bytes", bytes, config.buffered_bytes.saturating_sub(kept_bytes)),
-            ("open_requests", open, most_open),
-        ] {
-            if asked > there {
-                return Err(format!(
-                    "limits.{what}: tenants are guaranteed {asked}, and {there} can be given"
-                ));
-            }
-        }
-        let table = Table::build(&rules).map_err(|ties| {
-            let name = |number: usize| match number.checked_sub(config.routes.len()) {
-                Some(number) => format!("tenant {:?}", routes[number].tenant),
-                None => format!("route[{number}] of the file"),
-            };
-            let (first, second) = ties.first().map_or((0, 0), |tie| (tie.first, tie.second));
-            format!("{} and {} have routes that match the same requests", name(first), name(second))
-        })?;
-        Ok(Prepared { file: config.clone(), held, table: Arc::new(table), routes, plans })
-    }
-}
-
 /// A tenant as it runs.
 pub struct Tenant {
     member: Member,
@@ -131,6 +29,8 @@
     sets: Option<Rc<Sets>>,
     /// Made when its first request comes: most tenants are quiet.
     set: RefCell<Option<Rc<Set>>>,
+    /// Tries that were let in, until they are told of.
+    used: Arc<AtomicU64>,
 }
 
 /// An open request's place, given back when it is over.
@@ -182,6 +82,7 @@
         if !tenant.requests.borrow_mut().take(tenant.member, 1) {
             return Err(FULL);
         }
+        tenant.used.fetch_add(1, Ordering::Relaxed);
         let customer = account_number(&view.name, view.epoch, account);
         Ok(Admitted { plan: *plan, customer, place: Box::new(Place(tenant.clone())) })
     }
@@ -195,15 +96,22 @@
     descriptors: Shared,
     bytes: Shared,
     sets: Option<Rc<Sets>>,
+    uses: Uses,
 }
 
 /// What pools know of a tenant's plans: from a pool's number and a plan's name among that pool's to its number.
 pub type PlanOf<'a> = &'a dyn Fn(Member, &str) -> Option<u16>;
 
 impl Tenancy {
-    pub fn new(open_requests: u64, descriptors: Shared, bytes: Shared, sets: Option<Rc<Sets>>) -> Tenancy {
+    pub fn new(
+        open_requests: u64,
+        descriptors: Shared,
+        bytes: Shared,
+        sets: Option<Rc<Sets>>,
+        uses: Uses,
+    ) -> Tenancy {
         let requests = Rc::new(RefCell::new(Stock::new(open_requests)));
-        Tenancy { running: BTreeMap::new(), held: Arc::default(), requests, descriptors, bytes, sets }
+        Tenancy { running: BTreeMap::new(), held: Arc::default(), requests, descriptors, bytes, sets, uses }
     }
 
     /// Puts what is held in force. `member` gives numbers to new tenants; `pools` are each tenant's pools. Returns
@@ -238,6 +146,7 @@
                     requests: self.requests.clone(),
                     sets: self.sets.clone(),
                     set: RefCell::default(),
+                    used: self.uses.of(name),
                 })
             });
             let changed = fresh || !Arc::ptr_eq(&tenant.view.borrow(), view);
--- /dev/null
+++ b/crates/rig/src/history.rs
@@ -0,0 +1,143 @@
+//! Judgements over what receivers have noted. Pure functions: the same history, the same verdict.
+
+use std::collections::{BTreeMap, BTreeSet};
+use violetyoke_ownership::Name;
+use violetyoke_standin::sink::{Noted, Verdict};
+
+/// An effect of an older epoch that a receiver let through after one of a newer epoch.
+pub fn older_after_newer(history: &[Noted]) -> Vec<&Noted> {
+    let mut newest: BTreeMap<&Name, u64> = BTreeMap::new();
+    let mut found = Vec::new();
+    for noted in history {
+        let newest = newest.entry(&noted.lease).or_default();
+        if noted.epoch < *newest && noted.verdict != Verdict::Stale {
+            found.push(noted);
+        }
+        *newest = (*newest).max(noted.epoch);
+    }
+    found
+}
+
+/// Effects that a fence had to refuse, but for those of epochs that the test itself has kept back.
+pub fn refused_unprovoked<'a>(history: &'a [Noted], provoked: &BTreeSet<u64>) -> Vec<&'a Noted> {
+    history
+        .iter()
+        .filter(|noted| noted.verdict == Verdict::Stale && !provoked.contains(&noted.epoch))
+        .collect()
+}
+
+/// Two effects by two holders under one epoch.
+pub fn shared_epochs(history: &[Noted]) -> Vec<u64> {
+    let mut holders: BTreeMap<(&Name, u64), BTreeSet<&str>> = BTreeMap::new();
+    for noted in history {
+        holders.entry((&noted.lease, noted.epoch)).or_default().insert(&noted.holder);
+    }
+    holders.into_iter().filter(|(_, holders)| holders.len() > 1).map(|((_, epoch), _)| epoch).collect()
+}
+
+/// What is wrong with the order of a report's spans: each is to be taken once, and none left out.
+pub fn spans_out_of_order(history: &[Noted]) -> Vec<String> {
+    let mut last: BTreeMap<&Name, u64> = BTreeMap::new();
+    let mut wrong = Vec::new();
+    for noted in history.iter().filter(|noted| noted.verdict == Verdict::Taken) {
+        let Some(span) = noted.span else { continue };
+        if let Some(last) = last.insert(&noted.lease, span) {
+            if span != last + 1 {
+                wrong.push(format!("{}: span {span} after {last}", noted.lease));
+            }
+        }
+    }
+    let gaps = history.iter().filter(|noted| noted.verdict == Verdict::Gap);
+    wrong.extend(gaps.map(|noted| format!("{}: span {:?} left some out", noted.lease, noted.span)));
+    wrong
+}
+
+/// A span that was sent again with other figures than the first time.
+pub fn changed_spans(history: &[Noted]) -> Vec<String> {
+    let mut first: BTreeMap<(&Name, u64), &Noted> = BTreeMap::new();
+    let mut changed = Vec::new();
+    for noted in history.iter().filter(|noted| matches!(noted.verdict, Verdict::Taken | Verdict::Had)) {
+        let Some(span) = noted.span else { continue };
+        let before = first.entry((&noted.lease, span)).or_insert(noted);
+        if before.tries != noted.tries {
+            changed.push(format!("{} span {span}: {} and {}", noted.lease, before.tries, noted.tries));
+        }
+    }
+    changed
+}
+
+/// The sum of a tenant's tries in all spans that were taken.
+pub fn tries(history: &[Noted], tenant: &str) -> u64 {
+    let taken = history.iter().filter(|noted| noted.verdict == Verdict::Taken);
+    taken.filter_map(|noted| noted.tries[tenant].as_u64()).sum()
+}
+
+/// The longest time between two effects of a lease that were let through, in microseconds, from one moment to
+/// another; that of a lease without any is the whole time.
+pub fn longest_gap(history: &[Noted], lease: &Name, from: u64, to: u64) -> u64 {
+    let times = history
+        .iter()
+        .filter(|noted| noted.lease == *lease && noted.verdict != Verdict::Stale)
+        .map(|noted| noted.at)
+        .filter(|at| (from..to).contains(at));
+    let (last, longest) = times.fold((from, 0), |(last, longest), at| (at, longest.max(at - last)));
+    longest.max(to - last)
+}
+
+/// The newest epoch of a lease that has been let through, and whose it is.
+pub fn newest<'a>(history: &'a [Noted], lease: &Name) -> Option<&'a Noted> {
+    let of = history.iter().filter(|noted| noted.lease == *lease && noted.verdict != Verdict::Stale);
+    of.max_by_key(|noted| (noted.epoch, noted.at))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn noted(at: u64, epoch: u64, span: u64, verdict: Verdict) -> Noted {
+        let (lease, holder, tries) = (Name::new("report", 0), format!("i{epoch}"), json!({ "acme": span }));
+        Noted { at, lease, epoch, holder, span: Some(span), tries, verdict }
+    }
+
+    #[test]
+    fn an_older_epoch_let_through_after_a_newer_is_found_and_a_refused_one_is_not() {
+        let good =
+            [noted(1, 5, 1, Verdict::Taken), noted(2, 6, 2, Verdict::Taken), noted(3, 5, 2, Verdict::Stale)];
+        assert!(older_after_newer(&good).is_empty());
+        let bad = [noted(1, 6, 1, Verdict::Taken), noted(2, 5, 1, Verdict::Had)];
+        assert_eq!(older_after_newer(&bad).len(), 1);
+        assert_eq!(refused_unprovoked(&good, &BTreeSet::new()).len(), 1);
+        assert!(refused_unprovoked(&good, &BTreeSet::from([5])).is_empty());
+    }
+
+    #[test]
+    fn spans_that_are_left_out_doubled_or_changed_are_found() {
+        let good =
+            [noted(1, 5, 1, Verdict::Taken), noted(2, 5, 1, Verdict::Had), noted(3, 5, 2, Verdict::Taken)];
+        assert!(spans_out_of_order(&good).is_empty() && changed_spans(&good).is_empty());
+        assert_eq!(tries(&good, "acme"), 3);
+        let twice = [noted(1, 5, 1, Verdict::Taken), noted(2, 5, 1, Verdict::Taken)];
+        assert_eq!(spans_out_of_order(&twice).len(), 1);
+        let out =
+            [noted(1, 5, 1, Verdict::Taken), noted(2, 5, 3, Verdict::Taken), noted(2, 5, 9, Verdict::Gap)];
+        assert_eq!(spans_out_of_order(&out).len(), 2);
+        let mut changed = noted(2, 6, 1, Verdict::Had);
+        changed.tries = json!({ "acme": 7 });
+        assert_eq!(changed_spans(&[noted(1, 5, 1, Verdict::Taken), changed]).len(), 1);
+    }
+
+    #[test]
+    fn the_longest_time_without_an_effect_counts_from_the_first_moment_to_the_last() {
+        let history = [
+            noted(10, 5, 1, Verdict::Taken),
+            noted(40, 6, 2, Verdict::Taken),
+            noted(90, 5, 2, Verdict::Stale),
+        ];
+        let lease = Name::new("report", 0);
+        assert_eq!(longest_gap(&history, &lease, 0, 100), 60);
+        assert_eq!(longest_gap(&history, &lease, 0, 50), 30);
+        assert_eq!(longest_gap(&history, &Name::new("report", 1), 0, 50), 50);
+        assert_eq!(newest(&history, &lease).map(|noted| noted.epoch), Some(6));
+    }
+}
--- a/crates/standin/src/bin/violetyoke-standin.rs
+++ b/crates/standin/src/bin/violetyoke-standin.rs
@@ -1,4 +1,4 @@
-//! Stand-ins from the command line: `violetyoke-standin node`, `discovery`, `counter` or `limiter`. Each serves until
+//! Stand-ins from the command line: `violetyoke-standin node`, `discovery`, `counter`, `limiter` or `sink`. Each serves until
 //! its standard input ends, and takes words from there: a node the name of a fault, a counter nothing.
 
 use clap::{Parser, Subcommand};
@@ -10,6 +10,7 @@
 use violetyoke_standin::discovery::{member, Discovery};
 use violetyoke_standin::limiter::{self, Limiter};
 use violetyoke_standin::node::{Fault, Node, Shape};
+use violetyoke_standin::sink::Sink;
 
 /// Stand-ins for what an ingress meets, on loopback addresses.
 #[derive(Parser)]
@@ -64,6 +65,14 @@
         #[arg(long)]
         bare: bool,
     },
+    /// A receiver of reports and probes, which refuses those of older epochs. GET /history tells what came.
+    Sink {
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// It refuses none: to see what that would cost.
+        #[arg(long)]
+        without_fence: bool,
+    },
     /// A counter.
     Counter {
         #[arg(long, default_value = "127.0.0.1:0")]
@@ -124,6 +133,11 @@
                 _ => line.parse().map(|mode| limiter.set(mode)),
             })
         }
+        What::Sink { listen, without_fence } => {
+            let sink = Sink::start(listen, !without_fence)?;
+            println!("{}", sink.address);
+            each_line(|_| Err("a sink takes no words".to_string()))
+        }
         What::Counter { listen } => {
             let counter = Counter::start_at(listen)?;
             println!("{}", counter.address);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod limiter;
 pub mod node;
 pub mod scripted;
+pub mod sink;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/violetyoke/src/admin.rs
+++ b/crates/violetyoke/src/admin.rs
@@ -1,37 +1,18 @@
 //! `violetyoke tenant`, `plan`, `account`, `route` and `key`: calls of the administration API, printed as a table or
 //! as JSON.
 
+use crate::client::{segment, Access};
 use clap::{Args, Subcommand};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Bytes;
-use hyper::client::conn::http1;
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, ETAG, HOST, IF_MATCH};
-use hyper::{Method, Request};
-use hyper_util::rt::TokioIo;
-use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
+use hyper::Method;
 use serde_json::{json, Map, Value};
-use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
-
-/// For how long an answer is waited for.
-const WAIT: Duration = Duration::from_secs(30);
 
 #[derive(Args)]
 pub struct Arguments {
-    /// Where the control plane is; else VIOLETYOKE_CONTROL, else 127.0.0.1:8070.
-    #[arg(long)]
-    server: Option<SocketAddr>,
-    /// A file that holds the key; else VIOLETYOKE_KEY holds it. Never an argument: those are seen by others.
-    #[arg(long)]
-    key_file: Option<std::path::PathBuf>,
+    #[command(flatten)]
+    access: Access,
     /// Whose it is, for what a tenant has.
-    #[arg(long)]
+    #[arg(long, global = true)]
     tenant: Option<String>,
-    /// The answers as they came.
-    #[arg(long)]
-    json: bool,
     #[command(subcommand)]
     action: Action,
 }
@@ -71,23 +52,8 @@
 }
 
 pub async fn run(collection: &'static str, arguments: Arguments) -> Result<(), String> {
-    let Arguments { server, key_file, tenant, json, action } = arguments;
-    let server = match (server, std::env::var("VIOLETYOKE_CONTROL")) {
-        (Some(server), _) => server,
-        (None, Ok(text)) => {
-            text.parse().map_err(|_| format!("VIOLETYOKE_CONTROL: {text:?} is not an address"))?
-        }
-        (None, Err(_)) => SocketAddr::from(([127, 0, 0, 1], 8070)),
-    };
-    let key = match key_file {
-        Some(path) => {
-            std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?
-        }
-        None => {
-            std::env::var("VIOLETYOKE_KEY").map_err(|_| "no key: --key-file or VIOLETYOKE_KEY".to_string())?
-        }
-    };
-    let client = Client { server, key: key.trim().to_string() };
+    let Arguments { access, tenant, action } = arguments;
+    let client = access.client()?;
     let base = match (collection, &tenant) {
         ("tenants", None) => "/v1/tenants".to_string(),
         ("tenants", Some(_)) => return Err("--tenant is for what a tenant has".into()),
@@ -126,11 +92,7 @@
             client.call(Method::POST, &format!("{}/rotate", one(name)), Some(body), None).await?.body
         }
     };
-    if json {
-        println!("{answer}");
-    } else {
-        print!("{}", table(&answer));
-    }
+    access.print(&answer);
     Ok(())
 }
 
@@ -143,124 +105,3 @@
     };
     fields.iter().map(field).collect()
 }
-
-fn segment(name: &str) -> String {
-    utf8_percent_encode(name, NON_ALPHANUMERIC).to_string()
-}
-
-pub struct Client {
-    pub server: SocketAddr,
-    pub key: String,
-}
-
-pub struct Answered {
-    pub body: Value,
-    version: Option<String>,
-}
-
-impl Client {
-    /// One call on a connection of its own: nothing is ever sent twice.
-    pub async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<Value>,
-        version: Option<String>,
-    ) -> Result<Answered, String> {
-        let told = |error: &dyn std::fmt::Display| format!("{}: {error}", self.server);
-        let work = async {
-            let stream = TcpStream::connect(self.server).await.map_err(|error| told(&error))?;
-            let (mut sender, connection) =
-                http1::handshake(TokioIo::new(stream)).await.map_err(|error| told(&error))?;
-            let body = body.map_or(Bytes::new(), |body| Bytes::from(body.to_string()));
-            let mut request = Request::builder()
-                .method(method)
-                .uri(path)
-                .header(HOST, self.server.to_string())
-                .header(AUTHORIZATION, format!("Bearer {}", self.key))
-                .header(CONTENT_LENGTH, body.len());
-            if let Some(version) = version {
-                request = request.header(IF_MATCH, version);
-            }
-            let request = request.body(Full::new(body)).map_err(|error| told(&error))?;
-            let server = self.server;
-            let answered = async move {
-                let told = |error: &dyn std::fmt::Display| format!("{server}: {error}");
-                let response = sender.send_request(request).await.map_err(|error| told(&error))?;
-                let (head, body) = response.into_parts();
-                let body = body.collect().await.map_err(|error| told(&error))?.to_bytes();
-                Ok::<_, String>((head, body))
-            };
-            // The sender goes with its work, and the connection ends with the sender.
-            let (answered, _) = tokio::join!(answered, connection);
-            answered
-        };
-        let (head, body) = timeout(WAIT, work).await.map_err(|error| told(&error))??;
-        let version = head.headers.get(ETAG).and_then(|value| value.to_str().ok()).map(String::from);
-        let body: Value = match body.is_empty() {
-            true => Value::Null,
-            false => serde_json::from_slice(&body).map_err(|error| told(&error))?,
-        };
-        if head.status.is_success() {
-            return Ok(Answered { body, version });
-        }
-        let mut text = format!("{}: {}", head.status.as_u16(), body["title"].as_str().unwrap_or_default());
-        for error in body["errors"].as_array().into_iter().flatten() {
-            let (field, reason) = (error["field"].as_str(), error["reason"].as_str());
-            text += &format!("\n  {}: {}", field.unwrap_or_default(), reason.unwrap_or_default());
-        }
-        Err(text)
-    }
-
-    /// All pages of a list.
-    async fn list(&self, base: &str) -> Result<Value, String> {
-        let (mut items, mut after) = (Vec::new(), String::new());
-        loop {
-            let path = format!("{base}?limit=1000&after={}", segment(&after));
-            let mut page = self.call(Method::GET, &path, None, None).await?.body;
-            if let Some(list) = page["items"].as_array_mut() {
-                items.append(list);
-            }
-            match page["next"].as_str() {
-                Some(next) => after = next.to_string(),
-                None => return Ok(Value::Array(items)),
-            }
-        }
-    }
-}
-
-/// Rows of things, or the fields of one.
-fn table(answer: &Value) -> String {
-    let text = |value: &Value| match value {
-        Value::Null => "-".to_string(),
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    };
-    let rows: Vec<Vec<String>> = match answer {
-        Value::Array(items) => {
-            let mut columns: Vec<&String> = Vec::new();
-            for name in items.iter().filter_map(Value::as_object).flat_map(Map::keys) {
-                if !columns.contains(&name) {
-                    columns.push(name);
-                }
-            }
-            // What names a row comes first.
-            columns.sort_by_key(|name| !["name", "id"].contains(&name.as_str()));
-            let head = columns.iter().map(|name| name.to_uppercase()).collect();
-            let row = |item: &Value| columns.iter().map(|name| text(&item[name.as_str()])).collect();
-            std::iter::once(head).chain(items.iter().map(row)).collect()
-        }
-        Value::Object(fields) => fields.iter().map(|(name, value)| vec![name.clone(), text(value)]).collect(),
-        _ => Vec::new(),
-    };
-    let columns = rows.first().map_or(0, Vec::len);
-    let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0);
-    let widths: Vec<usize> = (0..columns).map(width).collect();
-    let mut out = String::new();
-    for row in &rows {
-        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
-        out += cells.collect::<Vec<_>>().join("  ").trim_end();
-        out.push('\n');
-    }
-    out
-}
--- a/crates/violetyoke/src/bin/violetyoke-service.rs
+++ b/crates/violetyoke/src/bin/violetyoke-service.rs
@@ -2,14 +2,20 @@
 
 #[path = "../admin.rs"]
 mod admin;
+#[path = "../client.rs"]
+mod client;
 #[path = "../control.rs"]
 mod control;
 #[path = "../demo.rs"]
 mod demo;
 #[path = "../demo_tenants.rs"]
 mod demo_tenants;
+#[path = "../duties.rs"]
+mod duties;
 #[path = "../lab.rs"]
 mod lab;
+#[path = "../table.rs"]
+mod table;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -22,7 +28,7 @@
 ///
 /// Without a command, `violetyoke` is one ingress of the platform, configured by EDGE_CONFIG.
 #[derive(Parser)]
-#[command(name = "violetyoke", version)]
+#[command(name = "violetyoke", bin_name = "violetyoke", version)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -55,6 +61,8 @@
     Route(admin::Arguments),
     /// Keys of the administration API: a tenant's, or without one operators' and ingresses'.
     Key(admin::Arguments),
+    /// What the fleet does on its own behalf: who owns it, and handing it over.
+    Duties(duties::Arguments),
     /// Experiments on an emulated fleet of hundreds of ingresses, in virtual time.
     Lab(lab::Arguments),
 }
@@ -63,6 +71,7 @@
 const BAD_FILE: u8 = 2;
 
 fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     match Cli::parse().command {
         Command::Check { file } => match service::read(&file) {
             Ok(config) => {
@@ -81,6 +90,9 @@
         Command::Account(arguments) => administrate("accounts", arguments),
         Command::Route(arguments) => administrate("routes", arguments),
         Command::Key(arguments) => administrate("keys", arguments),
+        Command::Duties(arguments) => {
+            run(|runtime| runtime.block_on(duties::run(arguments)).map_err(std::io::Error::other))
+        }
         Command::Lab(arguments) => lab::run(arguments),
         Command::Demo { listen, tenants } => match start_demo(listen, tenants) {
             Ok((file, config)) => run(|runtime| runtime.block_on(service::serve(file, config))),
--- a/crates/violetyoke/src/control.rs
+++ b/crates/violetyoke/src/control.rs
@@ -1,18 +1,27 @@
 //! `violetyoke control`: the control plane as a process.
 
 use clap::Args;
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use violetyoke_control::api::{self, App, Options};
+use tokio::sync::watch;
+use violetyoke_control::api::{self, App, Mark, Options};
+use violetyoke_control::duties::backup::Backups;
+use violetyoke_control::duties::declared;
+use violetyoke_control::duties::upkeep::{Here, Upkeep};
 use violetyoke_control::keys::Pepper;
 use violetyoke_control::limit::Rates;
-use violetyoke_control::store::Sqlite;
+use violetyoke_control::store::{Sqlite, Store};
+use violetyoke_duties::office::{self, Work};
+use violetyoke_ownership::duty::Kind;
 
 #[derive(Args)]
 pub struct Arguments {
@@ -29,28 +38,119 @@
     rate: f64,
     #[arg(long, default_value_t = 400.0)]
     burst: f64,
+    /// The duties of the fleet; SIGHUP reads the file again. Without it those of the last start stay.
+    #[arg(long)]
+    duties: Option<PathBuf>,
+    /// A directory for backups of the store; none: no backups are made.
+    #[arg(long)]
+    backups: Option<PathBuf>,
+    #[arg(long, default_value_t = 3_600)]
+    backup_seconds: u64,
+    /// How many backups are kept.
+    #[arg(long, default_value_t = 24)]
+    backups_kept: usize,
+    /// A file whose number of milliseconds is added to the wall clock, looked at ten times a second: for tests of
+    /// a clock that is wrong.
+    #[arg(long, hide = true)]
+    clock_offset: Option<PathBuf>,
 }
 
 pub async fn serve(arguments: Arguments) -> io::Result<()> {
-    let Arguments { store: file, listen, drain_ms, rate, burst } = arguments;
+    let Arguments { store: file, listen, drain_ms, rate, burst, .. } = arguments;
     if !(rate > 0.0 && burst >= 1.0 && rate.is_finite() && burst.is_finite()) {
         return Err(io::Error::new(io::ErrorKind::InvalidInput, "rate must be over 0, and burst 1 or more"));
     }
     let mut terminate = signal(SignalKind::terminate())?;
     let fresh = !file.exists();
     let pepper = pepper(&file, fresh)?;
-    let store = Sqlite::open(&file).map_err(io::Error::other)?;
-    let options = Options { drain_ms, rates: Rates { rate, burst }, pepper };
-    let app = App::new(Arc::new(store), options);
+    let store = Arc::new(Sqlite::open(&file).map_err(io::Error::other)?);
+    let offset = Arc::new(AtomicI64::new(0));
+    if let Some(path) = arguments.clock_offset.clone() {
+        follow_offset(&path, &offset);
+        let offset = offset.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                follow_offset(&path, &offset);
+            }
+        });
+    }
+    declare(&*store, arguments.duties.as_deref())?;
+    let options = Options {
+        drain_ms,
+        rates: Rates { rate, burst },
+        pepper,
+        epochs: Mark::beside(&file),
+        clock_offset_ms: offset,
+    };
+    let app = App::new(store.clone(), options).map_err(io::Error::other)?;
     let listener = TcpListener::bind(listen).await?;
     if let Some(key) = app.first_key().map_err(io::Error::other)? {
         println!("The first operator's key, shown once: {key}");
     }
     eprintln!("violetyoke: control plane on {}", listener.local_addr()?);
-    let end = async move {
+    let Arguments { backups, backup_seconds, backups_kept, duties, .. } = arguments;
+    let backups = backups.map(|folder| {
+        (Backups { folder, every_ms: backup_seconds * 1_000, keep: backups_kept }, store.clone())
+    });
+    let work: Arc<dyn Work> = Arc::new(Upkeep { app: app.clone(), backups });
+    let names = app.desk.duties().into_iter().filter(|duty| duty.kind == Kind::Upkeep).map(|duty| duty.name);
+    let works: BTreeMap<String, Arc<dyn Work>> = names.map(|name| (name, work.clone())).collect();
+    let holder =
+        office::holder(office::life("control").map_err(io::Error::other)?, works.keys().cloned().collect());
+    let (ending, ended) = watch::channel(false);
+    let mut leaving = ended.clone();
+    let office = tokio::spawn(office::run(Arc::new(Here(app.clone())), holder, works, async move {
+        let _ = leaving.wait_for(|ending| *ending).await;
+    }));
+    if let Some(path) = duties {
+        let (store, mut again) = (store.clone(), signal(SignalKind::hangup())?);
+        tokio::spawn(async move {
+            while again.recv().await.is_some() {
+                if let Err(error) = declare(&*store, Some(&path)) {
+                    eprintln!("violetyoke: the duties in force stay: {error}");
+                }
+            }
+        });
+    }
+    tokio::spawn(async move {
         terminate.recv().await;
-    };
-    api::serve(listener, app, end).await
+        ending.send_replace(true);
+    });
+    let mut end = ended;
+    api::serve(listener, app, async move {
+        let _ = end.wait_for(|ending| *ending).await;
+    })
+    .await?;
+    // What it owns goes back before it ends.
+    office.await.map_err(io::Error::other)
+}
+
+/// Puts the file's duties in force; what is wrong with one is told, and the rest stands.
+fn declare(store: &dyn Store, path: Option<&Path>) -> io::Result<()> {
+    let mut declared = None;
+    if let Some(path) = path {
+        let name = path.display();
+        let text = fs::read_to_string(path).map_err(|error| io::Error::other(format!("{name}: {error}")))?;
+        let (duties, faults) =
+            declared::parse(&text).map_err(|error| io::Error::other(format!("{name}: {error}")))?;
+        for fault in faults {
+            eprintln!("violetyoke: {name}: {}: {}", fault.field, fault.reason);
+        }
+        declared = Some(duties);
+    }
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    for fault in declared::declare(store, declared, now).map_err(io::Error::other)? {
+        eprintln!("violetyoke: {}: {}", fault.field, fault.reason);
+    }
+    Ok(())
+}
+
+fn follow_offset(path: &Path, offset: &AtomicI64) {
+    let text = fs::read_to_string(path).unwrap_or_default();
+    if let Ok(ms) = text.trim().parse() {
+        offset.store(ms, Ordering::Relaxed);
+    }
 }
 
 /// Reads the pepper; makes one for a store that is not there yet. A store without its pepper knows no key.
--- a/crates/violetyoke/src/demo_tenants.rs
+++ b/crates/violetyoke/src/demo_tenants.rs
@@ -1,7 +1,7 @@
 //! `violetyoke demo --tenants`: a control plane and a service with two tenants on this machine. One floods; what the
 //! other sees of it is printed every second.
 
-use crate::admin::Client;
+use crate::client::Client;
 use crate::demo::chosen;
 use hyper::Method;
 use serde_json::{json, Value};
@@ -14,7 +14,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use violetyoke_config::Service;
-use violetyoke_control::api::{self, App, Options};
+use violetyoke_control::api::{self, App, Mark, Options};
 use violetyoke_control::keys::Pepper;
 use violetyoke_control::limit::Rates;
 use violetyoke_control::store::Sqlite;
@@ -79,8 +79,14 @@
             let begin = async {
                 let store = Sqlite::open(&store).map_err(|error| error.to_string())?;
                 let rates = Rates { rate: 200.0, burst: 400.0 };
-                let options = Options { drain_ms: 5_000, rates, pepper: Pepper::random()? };
-                let app = App::new(Arc::new(store), options);
+                let options = Options {
+                    drain_ms: 5_000,
+                    rates,
+                    pepper: Pepper::random()?,
+                    epochs: Mark(None),
+                    clock_offset_ms: Arc::default(),
+                };
+                let app = App::new(Arc::new(store), options)?;
                 let key = app.first_key()?.ok_or("the demonstration's store is not new")?;
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
                 let listener = listener.map_err(|error| error.to_string())?;
--- a/crates/violetyoke/tests/common/control.rs
+++ b/crates/violetyoke/tests/common/control.rs
@@ -1,7 +1,7 @@
 //! The control plane as a process, and a client of its API.
 
 use super::{until, Client, Http, NEXT};
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,7 +22,7 @@
 
 impl Drop for StoreFile {
     fn drop(&mut self) {
-        for end in ["", "-wal", "-shm", ".pepper"] {
+        for end in ["", "-wal", "-shm", ".pepper", ".epochs"] {
             let _ = std::fs::remove_file(format!("{}{end}", self.0.display()));
         }
     }
@@ -155,3 +155,22 @@
     let body = serde_json::from_slice(&http.body).unwrap_or_default();
     Told { status: http.status(), body, version: http.headers.get("etag").cloned(), http }
 }
+
+pub const PLAN: &str = r#"{"name": "basic", "rate": 2, "burst": 8}"#;
+
+pub fn tenant(api: &Api, name: &str) {
+    let body = json!({"name": name, "hosts": [format!("{name}.example.org")], "pools": ["reservations"]});
+    api.make("/v1/tenants", body);
+}
+
+pub fn key(api: &Api, path: &str, body: Value) -> Api {
+    let made = api.make(path, body);
+    Api { address: api.address, key: made["key"].as_str().unwrap().to_string() }
+}
+
+/// Many calls: the quota of keys is not what most tests are about.
+pub const FREE: &[&str] = &["--rate", "1000000", "--burst", "1000000"];
+
+pub fn start(file: &StoreFile) -> Control {
+    Control::start(file, FREE)
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -12,6 +12,7 @@
 mod process;
 mod prove_consult;
 mod prove_lab;
+mod prove_owners;
 mod prove_ratelimit;
 mod prove_routes;
 mod prove_tenants;
@@ -41,6 +42,12 @@
         /// Takes the defence out: the proof is to fail.
         #[arg(long)]
         without_defence: bool,
+        /// Of `owners`: what is taken out.
+        #[arg(long)]
+        without: Option<prove_owners::Without>,
+        /// Of `owners --long`: what the faults are drawn from.
+        #[arg(long)]
+        seed: Option<u64>,
     },
     /// Prints what a tier's logs say was lost, by which rule, where and when.
     Account {
@@ -82,6 +89,8 @@
     Tenants,
     /// The laboratory's emulator says what the real program does on loopback.
     Lab,
+    /// One owner at a time for the fleet's work, with faults between real processes.
+    Owners,
     /// Processes take over from one another under load, with nodes out by hand: nothing is lost or forgotten.
     Upgrade,
 }
@@ -105,20 +114,23 @@
         // A table has no verdict.
         What::Account { logs, span } => return ended(account::run(&logs, span).map(|()| true)),
         What::Replay { base, seeds, steps } => return ended(replay::run(&base, seeds, steps)),
-        What::Prove { name: Proof::Routes, long, without_defence } => {
+        What::Prove { name: Proof::Routes, long, without_defence, .. } => {
             prove_routes::run(long, !without_defence)
         }
-        What::Prove { name: Proof::Ratelimit, long, without_defence } => {
+        What::Prove { name: Proof::Ratelimit, long, without_defence, .. } => {
             prove_ratelimit::run(long, !without_defence)
         }
-        What::Prove { name: Proof::Consult, long, without_defence } => {
+        What::Prove { name: Proof::Consult, long, without_defence, .. } => {
             prove_consult::run(long, !without_defence)
         }
-        What::Prove { name: Proof::Tenants, long, without_defence } => {
+        What::Prove { name: Proof::Tenants, long, without_defence, .. } => {
             prove_tenants::run(long, !without_defence)
         }
-        What::Prove { name: Proof::Lab, long, without_defence } => prove_lab::run(long, !without_defence),
-        What::Prove { name: Proof::Upgrade, long, without_defence } => {
+        What::Prove { name: Proof::Lab, long, without_defence, .. } => prove_lab::run(long, !without_defence),
+        What::Prove { name: Proof::Owners, long, without, seed, .. } => {
+            prove_owners::run(long, seed, without)
+        }
+        What::Prove { name: Proof::Upgrade, long, without_defence, .. } => {
             prove_upgrade::run(long, !without_defence)
         }
         What::Measure { name: Measure::Tenants, .. } => measure_tenants::run(),
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -2,12 +2,13 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+pub use violetyoke_rig::free_address;
+
 pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
 /// The root of the repository.
@@ -25,6 +26,22 @@
     build_in(&root(), "violetyoke", "proof")
 }
 
+/// Builds the program with ways to be wrong, in a folder of its own.
+pub fn build_weakened() -> Result<PathBuf> {
+    let folder = root().join("target/weakened");
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let status = Command::new(cargo)
+        .args(["build", "--quiet", "--profile", "proof", "--locked", "--package", "violetyoke", "--bins"])
+        .args(["--features", "weakened"])
+        .current_dir(root())
+        .env("CARGO_TARGET_DIR", &folder)
+        .status()?;
+    if !status.success() {
+        return Err("the weakened build failed".into());
+    }
+    Ok(folder.join("proof/violetyoke"))
+}
+
 /// Builds the stand-ins in their released form.
 pub fn build_standin() -> Result<PathBuf> {
     build_in(&root(), "violetyoke-standin", "release")?;
@@ -73,15 +90,6 @@
     Ok(tree)
 }
 
-/// An address that nobody listens on just now, on a host of its own: on one that connections go out from, the port
-/// may be taken by one of them before a program listens there.
-pub fn free_address() -> Result<SocketAddr> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let (number, process) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
-    let host = format!("127.{}.{}.{}", 1 + process % 250, 1 + process / 250 % 250, 2 + number % 250);
-    Ok(TcpListener::bind((host.as_str(), 0))?.local_addr()?)
-}
-
 /// A running program; killed when dropped.
 pub struct Program {
     child: Child,
--- /dev/null
+++ b/xtask/src/prove_owners.rs
@@ -0,0 +1,285 @@
+//! `prove owners`: a control plane, six ingresses and a sink as processes, faults between them, and what the sink has
+//! noted judged: one owner at a time, every span of the report once and in order, no shard left without an owner.
+
+use crate::figures::{quantile, Figures};
+use crate::load::{paced, Answered};
+use crate::process::{build_for_proof, build_standin, build_weakened, Result};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::time::{Duration, Instant};
+use violetyoke_ownership::Name;
+use violetyoke_rig::cause::{self, Causes};
+use violetyoke_rig::fleet::{Fleet, Plan};
+use violetyoke_rig::history;
+use violetyoke_rig::schedule::{draw, Fault};
+
+const INGRESSES: usize = 6;
+const LENGTH: Duration = Duration::from_millis(2_000);
+const SPAN: Duration = Duration::from_millis(500);
+const REPORT_SHARDS: u32 = 3;
+const PROBE_SHARDS: u32 = 3;
+const TENANTS: [&str; 4] = ["acme", "bern", "como", "dorf"];
+/// Beyond a length, how long a shard may be nobody's.
+const BEYOND: Duration = Duration::from_secs(1);
+const CALM: Duration = Duration::from_secs(4);
+const PACE: Duration = Duration::from_millis(20);
+
+/// What is taken out, to see that it is found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Without {
+    /// The receiver's check.
+    Fence,
+    /// Counting from before the call is sent.
+    Sending,
+    /// Renewal by the work's own progress.
+    Progress,
+}
+
+/// The short form's faults: each kind once, in an order in which none hides another.
+fn each_kind() -> Vec<Fault> {
+    vec![
+        Fault::StopInAct { shard: 0 },
+        Fault::LateAnswers { shard: 0 },
+        Fault::HeldAct { shard: 1 },
+        Fault::Hang { shard: 2 },
+        Fault::HeldWrite { shard: 0 },
+        Fault::SilentUp { shard: 1 },
+        Fault::SilentDown { shard: 2 },
+        Fault::Slow { shard: 0 },
+        Fault::Kill { shard: 1 },
+        Fault::Drain { shard: 2 },
+        Fault::HandOver { shard: 0, to: 2 },
+        Fault::KillBoth { shard: 1 },
+        Fault::Clock { by: 1_500 },
+        Fault::Clock { by: -1_500 },
+        Fault::AllCut,
+        // The last: what was told since the backup is told no more.
+        Fault::PutBack,
+    ]
+}
+
+fn kind(fault: Fault) -> String {
+    let text = format!("{fault:?}");
+    text.split(' ').next().unwrap_or_default().to_lowercase()
+}
+
+fn plan(program: &Path, standin: &Path, take: &[&str], without: Option<Without>) -> Plan {
+    let duties = format!(
+        r#"[[duty]]
+name = "report"
+kind = "report"
+shards = {REPORT_SHARDS}
+length_ms = {length}
+span_ms = {span}
+[[duty]]
+name = "probe"
+kind = "probe"
+shards = {PROBE_SHARDS}
+length_ms = {length}
+every_ms = 100
+nodes = [{nodes}]
+"#,
+        length = LENGTH.as_millis(),
+        span = SPAN.as_millis(),
+        nodes = vec!["\"SINK\""; PROBE_SHARDS as usize].join(", "),
+    );
+    let weakness = match without {
+        Some(Without::Sending) => Some("from-answer"),
+        Some(Without::Progress) => Some("by-timer"),
+        Some(Without::Fence) | None => None,
+    };
+    Plan {
+        program: program.into(),
+        standin: standin.into(),
+        ingresses: INGRESSES,
+        tenants: TENANTS.iter().map(|name| name.to_string()).collect(),
+        duties,
+        take: take.iter().map(|name| name.to_string()).collect(),
+        fenced: without != Some(Without::Fence),
+        environment: weakness
+            .map(|ways| ("VIOLETYOKE_WEAKNESS".to_string(), ways.to_string()))
+            .into_iter()
+            .collect(),
+    }
+}
+
+fn leases() -> Vec<Name> {
+    let of = |duty: &'static str, shards| (0..shards).map(move |shard| Name::new(duty, shard));
+    of("report", REPORT_SHARDS).chain(of("probe", PROBE_SHARDS)).collect()
+}
+
+/// Paced clients, one an ingress and tenant in turn; returns all answers.
+fn load(fleet: &Fleet, time: Duration) -> Vec<(&'static str, Vec<Answered>)> {
+    let end = Instant::now() + time;
+    let clients: Vec<_> = (fleet.ingresses.iter().enumerate())
+        .map(|(number, ingress)| {
+            let (address, tenant) = (ingress.address, TENANTS[number % TENANTS.len()]);
+            let request = format!(
+                "POST /bookings HTTP/1.1\r\nHost: {tenant}.example.org\r\nX-Account: hotel-7\r\n\
+                 Content-Length: 6\r\n\r\nroom=4"
+            );
+            (tenant, paced(address, number, request, PACE, end))
+        })
+        .collect();
+    clients.into_iter().map(|(tenant, client)| (tenant, client.join().unwrap_or_default())).collect()
+}
+
+fn p99(answers: &[(&'static str, Vec<Answered>)]) -> f64 {
+    let mut times: Vec<f64> = answers.iter().flat_map(|(_, list)| list.iter().map(|one| one.took)).collect();
+    quantile(&mut times, 0.99)
+}
+
+/// Tenants are in force everywhere.
+fn serve_all(fleet: &Fleet) -> Result<()> {
+    let end = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < end {
+        let answers = load(fleet, Duration::from_millis(100));
+        if answers.iter().all(|(_, list)| list.iter().all(|one| one.status == 200)) {
+            return Ok(());
+        }
+    }
+    Err("the tenants were not put in force".into())
+}
+
+pub fn run(long: bool, seed: Option<u64>, without: Option<Without>) -> Result<Figures> {
+    let program = match without {
+        Some(Without::Sending | Without::Progress) => build_weakened()?,
+        _ => build_for_proof()?,
+    };
+    let standin = build_standin()?;
+    let mut figures = Figures::default();
+    let plain = {
+        let fleet = Fleet::start(&plan(&program, &standin, &[], without))?;
+        serve_all(&fleet)?;
+        p99(&load(&fleet, CALM))
+    };
+    let mut fleet = Fleet::start(&plan(&program, &standin, &["report", "probe"], without))?;
+    serve_all(&fleet)?;
+    let everywhere = |history: &[violetyoke_standin::sink::Noted]| {
+        leases().iter().all(|lease| history::newest(history, lease).is_some())
+    };
+    if !fleet.noted(Duration::from_secs(20), everywhere) {
+        return Err("not every shard has got an owner".into());
+    }
+    calm(&mut fleet, &mut figures, plain)?;
+    let seed = seed.unwrap_or_else(|| if long { Instant::now().elapsed().subsec_nanos().into() } else { 1 });
+    let faults = if long { draw(seed, 110) } else { each_kind() };
+    if long {
+        figures.tell("seed", seed);
+    }
+    let end = Instant::now() + Duration::from_secs(600);
+    let (mut landed, mut provoked) = (BTreeMap::<String, (u32, u32)>::new(), BTreeSet::new());
+    let (mut late, mut never, mut unrefused, mut put_back) = (Vec::new(), 0, 0, None);
+    let mut gaps = Vec::new();
+    for fault in faults {
+        if Instant::now() > end {
+            break;
+        }
+        let before = fleet.history().last().map_or(0, |noted| noted.at);
+        if fault == Fault::PutBack && put_back.is_none() {
+            put_back = Some(fleet.history().len());
+        }
+        let shape = cause::Figures {
+            length: LENGTH,
+            span: SPAN,
+            report_shards: REPORT_SHARDS,
+            probe_shards: PROBE_SHARDS,
+        };
+        let outcome = Causes { fleet: &mut fleet, figures: shape }.cause(fault)?;
+        let reached = !matches!(fault, Fault::KillBoth { .. } | Fault::PutBack | Fault::AllCut);
+        let took = outcome.went_on_after.map(|time| time.as_secs_f64());
+        println!("fault={fault:?} landed={} went_on_after_s={took:?} {:?}", outcome.landed, outcome.missed);
+        let counts = landed.entry(kind(fault)).or_default();
+        counts.0 += 1;
+        counts.1 += u32::from(outcome.landed && outcome.missed.is_none());
+        provoked.extend(outcome.provoked);
+        unrefused += u32::from(outcome.refused == Some(false));
+        let counted = !matches!(fault, Fault::Clock { .. } | Fault::Slow { .. } | Fault::SilentDown { .. });
+        match took {
+            Some(took) if counted => late.push(took),
+            None if counted && outcome.missed.is_none() => never += 1,
+            _ => {}
+        }
+        if reached {
+            let history = fleet.history();
+            let after = history.last().map_or(before, |noted| noted.at);
+            let probes = leases().into_iter().filter(|lease| lease.duty == "probe");
+            gaps.extend(
+                probes.map(|lease| history::longest_gap(history, &lease, before, after) as f64 / 1e6),
+            );
+        }
+    }
+    for (kind, (caused, landed)) in &landed {
+        figures.tell(&format!("faults_{kind}"), format!("{caused} landed={landed}"));
+    }
+    let missed: u32 = landed.values().map(|(caused, landed)| caused - landed).sum();
+    let all: u32 = landed.values().map(|(caused, _)| caused).sum();
+    figures.at_most("faults_that_missed", f64::from(missed), f64::from(all) * 0.1);
+    let within = (LENGTH + BEYOND).as_secs_f64();
+    for part in [0.5, 0.9] {
+        figures.tell(&format!("work_went_on_after_s_p{:.0}", part * 100.0), quantile(&mut late, part));
+    }
+    figures.at_most("work_went_on_after_s_most", quantile(&mut late, 1.0), within + SPAN.as_secs_f64());
+    figures.at_most("work_never_went_on", f64::from(never), 0.0);
+    figures.at_most("probes_rested_s_most", quantile(&mut gaps, 1.0), within);
+    figures.at_most("kept_back_and_not_refused", f64::from(unrefused), 0.0);
+    let history = fleet.history().to_vec();
+    figures.tell("effects", history.len());
+    let accepted = history::older_after_newer(&history);
+    accepted.iter().take(5).for_each(|noted| println!("older_after_newer={noted:?}"));
+    figures.at_most("older_after_newer", accepted.len() as f64, 0.0);
+    let refused = history::refused_unprovoked(&history, &provoked);
+    refused.iter().take(5).for_each(|noted| println!("refused_unprovoked={noted:?}"));
+    figures.at_most("refused_unprovoked", refused.len() as f64, 0.0);
+    figures.at_most("epochs_of_two_holders", history::shared_epochs(&history).len() as f64, 0.0);
+    let wrong = history::spans_out_of_order(&history);
+    wrong.iter().take(5).for_each(|wrong| println!("out_of_order={wrong}"));
+    figures.at_most("spans_out_of_order", wrong.len() as f64, 0.0);
+    let changed = history::changed_spans(&history[..put_back.unwrap_or(history.len())]);
+    changed.iter().take(5).for_each(|changed| println!("changed={changed}"));
+    figures.at_most("spans_changed", changed.len() as f64, 0.0);
+    Ok(figures)
+}
+
+/// No fault: requests beside those of a fleet without duties, and every try in the report, also those of a time in
+/// which nobody could reach the control plane.
+fn calm(fleet: &mut Fleet, figures: &mut Figures, plain: f64) -> Result<()> {
+    let mut answers = load(fleet, CALM);
+    let duties = p99(&answers);
+    figures.tell("p99_without_duties_ms", format!("{plain:.2}"));
+    figures.tell("p99_with_duties_ms", format!("{duties:.2}"));
+    // Below a few milliseconds the machine's own noise decides.
+    figures.at_most("p99_of_without", duties.max(5.0) / plain.max(5.0), 1.5);
+    fleet.ingresses.iter().for_each(|ingress| ingress.to_control.cut(true));
+    let cut_off = load(fleet, LENGTH * 2);
+    fleet.ingresses.iter().for_each(|ingress| ingress.to_control.cut(false));
+    let served = |list: &[Answered]| list.iter().filter(|one| one.status == 200).count();
+    let all: usize = cut_off.iter().map(|(_, list)| list.len()).sum();
+    let good: usize = cut_off.iter().map(|(_, list)| served(list)).sum();
+    figures.tell("cut_off_requests", all);
+    figures.at_least("cut_off_served", good as f64 / all.max(1) as f64, 1.0);
+    answers.extend(cut_off);
+    let sent = |tenant: &str| -> u64 {
+        answers.iter().filter(|(of, _)| *of == tenant).map(|(_, list)| list.len() as u64).sum()
+    };
+    let end = Instant::now() + Duration::from_secs(15);
+    let mut before: Option<BTreeMap<&str, u64>> = None;
+    while Instant::now() < end {
+        let history = fleet.history();
+        let told: BTreeMap<&str, u64> =
+            TENANTS.iter().map(|name| (*name, history::tries(history, name))).collect();
+        // What came before the calm is in it too: more is found out below.
+        let done = TENANTS.iter().all(|name| told[name] >= sent(name));
+        let settled = before.as_ref() == Some(&told);
+        before = Some(told);
+        if done && settled {
+            break;
+        }
+        std::thread::sleep(SPAN * 3);
+    }
+    let told: u64 = before.into_iter().flat_map(BTreeMap::into_values).sum();
+    let sent: u64 = TENANTS.iter().map(|name| sent(name)).sum();
+    figures.tell("tries_sent", sent);
+    figures.at_least("tries_reported_of_sent", told as f64 / sent.max(1) as f64, 1.0);
+    Ok(())
+}
