--- a/crates/control/src/api/leases.rs
+++ b/crates/control/src/api/leases.rs
@@ -27,7 +27,7 @@
     if !plain(&ask.holder) {
         return Err(Problem::field("holder", "must be 1 to 128 letters, digits, -, _, . or #"));
     }
-    if ask.renew.len() + ask.release.len() > MOST_LEASES {
+    if ask.renew.len() + ask.release.len() + ask.gave_up.len() > MOST_LEASES {
         return Err(Problem::field("renew", format!("with release it must be {MOST_LEASES} at most")));
     }
     let answer = call.app.desk.ask(call.store(), &ask, Who::Ingress, call.now)?;
--- a/crates/control/src/api/openapi.rs
+++ b/crates/control/src/api/openapi.rs
@@ -59,6 +59,8 @@
     renew: Vec<Claim>,
     /// Work that has ended.
     release: Vec<Claim>,
+    /// Work left where it was, its time being over.
+    gave_up: Vec<Claim>,
     /// The newest epoch that it has heard of.
     seen: u64,
     /// It ends: nothing is to be given to it.
--- a/crates/control/src/duties/desk.rs
+++ b/crates/control/src/duties/desk.rs
@@ -158,9 +158,11 @@
             }
         }
         let mut release = Vec::new();
-        for (number, claim) in ask.release.iter().enumerate() {
-            if fit("release", number, claim, &mut answer.faults) {
-                release.push(claim);
+        for (list, claims, ended) in [("release", &ask.release, true), ("gave_up", &ask.gave_up, false)] {
+            for (number, claim) in claims.iter().enumerate() {
+                if fit(list, number, claim, &mut answer.faults) {
+                    release.push((claim, ended));
+                }
             }
         }
         grantor.heard(&ask.holder, &duties, ask.leaving, now);
@@ -182,8 +184,13 @@
                     Err(lost) => answer.lost.push((renewal.claim.clone(), lost)),
                 }
             }
-            for claim in &release {
-                match grantor.release(record(read, &claim.name)?.as_ref(), &ask.holder, claim) {
+            for (claim, ended) in &release {
+                let old = record(read, &claim.name)?;
+                let freed_record = match ended {
+                    true => grantor.release(old.as_ref(), &ask.holder, claim),
+                    false => grantor.give_up(old.as_ref(), &ask.holder, claim),
+                };
+                match freed_record {
                     Ok(new) => {
                         writes = put(writes, &new)?;
                         changed.push(new);
--- a/crates/ownership/src/deal.rs
+++ b/crates/ownership/src/deal.rs
@@ -28,7 +28,7 @@
 }
 
 /// The shards of one duty, dealt to its candidates.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Deal {
     /// For each shard its candidates, the first first.
     orders: Vec<Vec<String>>,
@@ -56,11 +56,12 @@
         deal
     }
 
-    /// Who is to have a shard, leaving out those.
-    pub fn owner(&self, shard: u32, without: &[String]) -> Option<&str> {
+    /// Who is to have a shard: the first that has not fallen, or else the one that fell longest ago. `fallen` has the
+    /// newest last.
+    pub fn owner(&self, shard: u32, fallen: &[String]) -> Option<&str> {
         let order = self.orders.get(shard as usize)?;
-        let fit = order.iter().find(|candidate| !without.contains(candidate));
-        // Where all have fallen, the first is tried again.
-        fit.or(order.first()).map(String::as_str)
+        // None is before all: who has not fallen comes first, and of those the first of the order.
+        let fell = |candidate: &&String| fallen.iter().position(|fallen| fallen == *candidate);
+        order.iter().min_by_key(fell).map(String::as_str)
     }
 }
--- a/crates/ownership/src/grantor.rs
+++ b/crates/ownership/src/grantor.rs
@@ -44,7 +44,7 @@
     last: Micros,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Grantor {
     began: Micros,
     /// No epoch was ever given out from this store: there is nobody to wait for.
@@ -260,6 +260,13 @@
         Ok(Record { holder: None, falls: 0, ..record.clone() })
     }
 
+    /// The holder's own clock has ended it: nobody need wait for the grantor's.
+    pub fn give_up(&self, record: Option<&Record>, holder: &str, claim: &Claim) -> Result<Record, Lost> {
+        let mut record = self.held(record, holder, claim)?.clone();
+        record.fall();
+        Ok(record)
+    }
+
     fn held<'a>(&self, record: Option<&'a Record>, holder: &str, claim: &Claim) -> Result<&'a Record, Lost> {
         if self.duty(&claim.name).is_none() {
             return Err(Lost::Gone);
--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -67,6 +67,10 @@
     name: String,
     duties: Vec<String>,
     owns: BTreeMap<Name, Own>,
+    /// Whose time was over here before the grantor has taken them back: it may, and need not wait.
+    gave_up: Vec<Claim>,
+    /// The newest epoch of each shard that was ever held here: one that is over never comes back.
+    had: BTreeMap<Name, Epoch>,
     /// Calls by their numbers.
     calls: BTreeMap<u64, Call>,
     next_call: u64,
@@ -82,6 +86,8 @@
             name: name.into(),
             duties,
             owns: BTreeMap::new(),
+            gave_up: Vec::new(),
+            had: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 1,
             answered: 0,
@@ -116,10 +122,15 @@
                 renew.push(Renewal { claim, acts: own.acts });
             }
         }
+        let gave_up = self.gave_up.clone();
         let renews = renew.iter().map(|renewal: &Renewal| renewal.claim.clone()).collect();
-        self.calls.insert(number, Call { sent: now, renews, releases: release.clone() });
+        self.calls.insert(
+            number,
+            Call { sent: now, renews, releases: [release.clone(), gave_up.clone()].concat() },
+        );
         let (holder, duties) = (self.name.clone(), self.duties.clone());
-        (number, Ask { holder, duties, renew, release, seen: self.seen, leaving: self.leaving })
+        let (seen, leaving) = (self.seen, self.leaving);
+        (number, Ask { holder, duties, renew, release, gave_up, seen, leaving })
     }
 
     /// A call's answer has come.
@@ -133,6 +144,7 @@
         let mut changes = Vec::new();
         for claim in releases {
             // Whether it was taken back or had been lost: it is not held any more.
+            self.gave_up.retain(|gave_up| *gave_up != claim);
             self.drop_claim(&claim, Why::OverTime, &mut changes);
         }
         let from = if self.weakness.from_answer { now } else { sent };
@@ -154,7 +166,10 @@
                     }
                 }
                 Some(own) if own.epoch > epoch => {}
+                // A late answer brings nothing back that was over.
+                _ if self.had.get(&name).is_some_and(|had| *had >= epoch) => {}
                 _ if !given.hand_over && !self.leaving => {
+                    self.had.insert(name.clone(), epoch);
                     let own = Own { epoch, until, acts: 0, moved: true, ending: false, ended: false };
                     if let Some(old) = self.owns.insert(name.clone(), own) {
                         let claim = Claim { name, epoch: old.epoch };
@@ -204,6 +219,7 @@
         let mut changes = Vec::new();
         for claim in over {
             self.drop_claim(&claim, Why::OverTime, &mut changes);
+            self.gave_up.push(claim);
         }
         changes
     }
@@ -250,7 +266,7 @@
 
     /// Whether there is something to tell at once: work that has ended.
     pub fn urgent(&self) -> bool {
-        self.owns.values().any(|own| own.ended)
+        !self.gave_up.is_empty() || self.owns.values().any(|own| own.ended)
     }
 
     pub fn owned(&self) -> impl Iterator<Item = Claim> + '_ {
--- a/crates/ownership/src/words.rs
+++ b/crates/ownership/src/words.rs
@@ -53,6 +53,9 @@
     /// Work that has ended.
     #[serde(default)]
     pub release: Vec<Claim>,
+    /// Work that was left where it was, as its time was over by the holder's own clock.
+    #[serde(default)]
+    pub gave_up: Vec<Claim>,
     /// The newest epoch that it has heard of, from whomever.
     #[serde(default)]
     pub seen: Epoch,
--- a/crates/ownership/tests/leases.rs
+++ b/crates/ownership/tests/leases.rs
@@ -77,6 +77,11 @@
                 Err(lost) => answer.lost.push((claim, lost)),
             }
         }
+        for claim in ask.gave_up {
+            if let Ok(record) = self.grantor.give_up(self.store.get(&claim.name), &ask.holder, &claim) {
+                self.put(record, now);
+            }
+        }
         if !ask.leaving {
             for name in self.grantor.wanted(&ask.holder, now) {
                 let old = self.store.get(&name).cloned().unwrap_or_else(|| Record::new(name));
--- a/xtask/src/prove_owners.rs
+++ b/xtask/src/prove_owners.rs
@@ -188,7 +188,7 @@
         let outcome = Causes { fleet: &mut fleet, figures: shape }.cause(fault)?;
         let reached = !matches!(fault, Fault::KillBoth { .. } | Fault::PutBack | Fault::AllCut);
         let took = outcome.went_on_after.map(|time| time.as_secs_f64());
-        println!("fault={fault:?} landed={} went_on_after_s={took:?} {:?}", outcome.landed, outcome.missed);
+        println!("fault={fault:?} {outcome:?}");
         let counts = landed.entry(kind(fault)).or_default();
         counts.0 += 1;
         counts.1 += u32::from(outcome.landed && outcome.missed.is_none());
