--- a/crates/control/src/api/findings.rs
+++ b/crates/control/src/api/findings.rs
@@ -1,7 +1,7 @@
 //! What probes of nodes on behalf of all have found. One owner a shard writes it, under its epoch.
 
 use super::{Answer, Call, Outcome, Problem};
-use crate::duties::desk::fenced;
+use crate::duties::kept::fenced;
 use crate::store::Writes;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
--- a/crates/control/src/api/leases.rs
+++ b/crates/control/src/api/leases.rs
@@ -1,7 +1,7 @@
 //! Duties and their leases on the wire: holders ask, operators look and say.
 
 use super::{value, Answer, Call, Outcome, Problem, Wait};
-use crate::duties::desk::{word_path, Desk};
+use crate::duties::kept::{self, word_path};
 use crate::duties::uses;
 use crate::store::{Read, Writes};
 use serde::Deserialize;
@@ -58,7 +58,7 @@
 pub fn mark(call: &Call<'_>) -> Outcome {
     let Mark { holder, duty, shard, epoch, mark } = call.json()?;
     let claim = Claim { name: Name::new(duty, shard), epoch };
-    match call.app.desk.mark(call.store(), &holder, &claim, mark, call.now)? {
+    match kept::mark(call.store(), &holder, &claim, mark, call.now)? {
         Ok(()) => Ok(Answer::none()),
         Err((Some(newest), _)) => Err(Problem::fenced(newest)),
         Err((None, there)) => Err(Problem::field("mark", format!("must not go back: it is {there}"))),
@@ -71,7 +71,7 @@
 }
 
 pub fn duties(call: &Call<'_>) -> Outcome {
-    let records = call.read(|read| Ok(Desk::records(read, None)?))?;
+    let records = call.read(|read| Ok(kept::records(read, None)?))?;
     let mut items = Vec::new();
     for duty in call.app.desk.duties() {
         let of = |record: &&Record| record.name.duty == duty.name && record.name.shard < duty.shards;
@@ -118,7 +118,7 @@
         text => text.parse::<u32>().map_err(|_| Problem::field("after", "must be a shard's number"))? + 1,
     };
     call.read(|read| {
-        let mut records: BTreeMap<u32, Record> = Desk::records(read, Some(&duty.name))?
+        let mut records: BTreeMap<u32, Record> = kept::records(read, Some(&duty.name))?
             .into_iter()
             .map(|record| (record.name.shard, record))
             .collect();
@@ -143,7 +143,7 @@
 pub fn read(call: &Call<'_>) -> Outcome {
     let name = shard(call)?;
     call.read(|read| {
-        let records = Desk::records(read, Some(&name.duty))?;
+        let records = kept::records(read, Some(&name.duty))?;
         let record = records.into_iter().find(|record| record.name == name);
         let (word, version) = word(read, &name)?;
         Ok(Answer::ok(shown(record, word, &name)?).at(version))
@@ -170,8 +170,8 @@
             false => writes.put(word_path(&name), body.clone()),
         };
         if said.held_back.is_none() {
-            if let Some(record) = Desk::forgive(read, &name)? {
-                writes = Desk::put(writes, &record)?;
+            if let Some(record) = kept::forgive(read, &name)? {
+                writes = kept::put(writes, &record)?;
             }
         }
         Ok((writes, Answer::ok(body).at(version)))
--- a/crates/control/src/duties/mod.rs
+++ b/crates/control/src/duties/mod.rs
@@ -6,6 +6,7 @@
 pub mod declared;
 pub mod desk;
 mod epochs;
+pub mod kept;
 pub mod upkeep;
 pub mod uses;
 
--- a/crates/control/src/duties/upkeep.rs
+++ b/crates/control/src/duties/upkeep.rs
@@ -3,7 +3,7 @@
 //! store where its epoch is not the newest.
 
 use super::backup::Backups;
-use super::{declared, desk, uses};
+use super::{declared, kept, uses};
 use crate::api::App;
 use crate::store::{Author, Read, Result, Sqlite, Writes};
 use futures_util::future::BoxFuture;
@@ -103,7 +103,7 @@
         let author = Author { who: "control".into(), at: self.app.now() };
         let mut refused = None;
         let written = self.app.store.transact(&author, &mut |read| {
-            refused = desk::fenced(read, self.holder, self.claim)?.err();
+            refused = kept::fenced(read, self.holder, self.claim)?.err();
             if refused.is_some() {
                 return Ok(None);
             }
--- a/crates/control/src/duties/uses.rs
+++ b/crates/control/src/duties/uses.rs
@@ -3,7 +3,7 @@
 //! Every process tells what it has counted in numbered batches. A batch counts once, in the span in which it comes,
 //! or in the first that is not closed; so a span that has been closed never changes.
 
-use super::desk;
+use super::kept;
 use crate::store::{Author, Read, Result, Store, Writes};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -36,7 +36,7 @@
 }
 
 fn mark(read: &dyn Read, name: &Name) -> Result<u64> {
-    let record = read.get(&desk::path(name))?;
+    let record = read.get(&kept::path(name))?;
     Ok(record.and_then(|document| serde_json::from_value::<Record>(document.body).ok()).map_or(0, |r| r.mark))
 }
 
--- a/crates/ownership/src/grantor.rs
+++ b/crates/ownership/src/grantor.rs
@@ -8,42 +8,14 @@
 //! All that changes a record is a function from the record to the next one, to be called in the store's transaction;
 //! [`Grantor::observe`] is told once that is committed.
 
-use crate::deal::Deal;
+use crate::candidates::Candidates;
 use crate::duty::Duty;
 use crate::record::{Record, FORGIVEN};
+use crate::seen::Seen;
+pub use crate::seen::Word;
 use crate::{Claim, Epoch, Given, Lost, Micros, Name};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An operator's word on one shard.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Word {
-    /// Who is to have it while it lives.
-    #[serde(default)]
-    pub next: Option<String>,
-    /// Why nobody is to have it.
-    #[serde(default)]
-    pub held_back: Option<String>,
-}
-
-/// A record as it was last seen, and since when it has been like that.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Seen {
-    holder: Option<String>,
-    epoch: Epoch,
-    beat: u64,
-    fallen: Vec<String>,
-    held_back: bool,
-    length: Micros,
-    at: Micros,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Session {
-    duties: BTreeSet<String>,
-    last: Micros,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Grantor {
     began: Micros,
@@ -52,16 +24,15 @@
     duties: BTreeMap<String, Duty>,
     words: BTreeMap<Name, Word>,
     seen: BTreeMap<Name, Seen>,
-    sessions: BTreeMap<String, Session>,
-    deals: BTreeMap<String, Deal>,
+    candidates: Candidates,
 }
 
 impl Grantor {
     pub fn new(duties: Vec<Duty>, fresh: bool, now: Micros) -> Grantor {
         let duties = duties.into_iter().map(|duty| (duty.name.clone(), duty)).collect();
-        let (words, seen, sessions, deals) = Default::default();
-        let mut grantor = Grantor { began: now, fresh, duties, words, seen, sessions, deals };
-        grantor.deal();
+        let (words, seen, candidates) = Default::default();
+        let mut grantor = Grantor { began: now, fresh, duties, words, seen, candidates };
+        grantor.candidates.deal(&grantor.duties);
         grantor
     }
 
@@ -70,7 +41,7 @@
         self.duties = duties.into_iter().map(|duty| (duty.name.clone(), duty)).collect();
         let duties = &self.duties;
         self.seen.retain(|name, _| duties.get(&name.duty).is_some_and(|duty| name.shard < duty.shards));
-        self.deal();
+        self.candidates.deal(&self.duties);
     }
 
     pub fn duties(&self) -> impl Iterator<Item = &Duty> {
@@ -81,40 +52,22 @@
         self.duties.get(&name.duty).filter(|duty| name.shard < duty.shards)
     }
 
-    fn deal(&mut self) {
-        let deal = |duty: &Duty| {
-            let may = |session: &Session| session.duties.contains(&duty.name);
-            let candidates: Vec<&str> = self
-                .sessions
-                .iter()
-                .filter(|(_, session)| may(session))
-                .map(|(name, _)| name.as_str())
-                .collect();
-            Deal::new(duty, &candidates)
-        };
-        self.deals = self.duties.values().map(|duty| (duty.name.clone(), deal(duty))).collect();
-    }
-
     /// A holder has called: it is a candidate for a while. Duties that are not declared are left out.
     pub fn heard(&mut self, holder: &str, duties: &[String], leaving: bool, now: Micros) {
-        if leaving {
-            if self.sessions.remove(holder).is_some() {
-                self.deal();
-            }
-            return;
-        }
         let known = |duty: &&String| self.duties.contains_key(*duty);
         let duties: BTreeSet<String> = duties.iter().filter(known).cloned().collect();
-        let before = self.sessions.insert(holder.to_string(), Session { duties: duties.clone(), last: now });
-        if before.is_none_or(|before| before.duties != duties) {
-            self.deal();
+        let changed = match leaving {
+            true => self.candidates.leaves(holder),
+            false => self.candidates.calls(holder, duties, now),
+        };
+        if changed {
+            self.candidates.deal(&self.duties);
         }
     }
 
     /// Who may have a duty's shards just now.
     pub fn candidates(&self, duty: &str) -> Vec<&str> {
-        let of = |(_, session): &(&String, &Session)| session.duties.contains(duty);
-        self.sessions.iter().filter(of).map(|(name, _)| name.as_str()).collect()
+        self.candidates.of(duty)
     }
 
     /// How soon a candidate for those duties has to call again, in milliseconds: three calls a length.
@@ -143,20 +96,7 @@
 
     /// A record as it stands in the store now.
     pub fn observe(&mut self, record: &Record, now: Micros) {
-        let known = self.seen.get(&record.name);
-        let same = |seen: &&Seen| {
-            (&seen.holder, seen.epoch, seen.beat) == (&record.holder, record.epoch, record.beat)
-        };
-        let at = known.filter(same).map_or(now, |seen| seen.at);
-        let seen = Seen {
-            holder: record.holder.clone(),
-            epoch: record.epoch,
-            beat: record.beat,
-            fallen: record.fallen.clone(),
-            held_back: record.held_back.is_some(),
-            length: record.length_ms * 1_000,
-            at,
-        };
+        let seen = Seen::new(record, self.seen.get(&record.name), now);
         self.seen.insert(record.name.clone(), seen);
     }
 
@@ -166,16 +106,9 @@
         if seen.held_back || word.is_some_and(|word| word.held_back.is_some()) {
             return None;
         }
-        // An operator names a process as it is called, not one of its lives.
-        let named = word.and_then(|word| word.next.as_deref()).and_then(|next| {
-            let fit = |candidate: &&str| {
-                let life =
-                    candidate.strip_prefix(next).is_some_and(|rest| rest.is_empty() || rest.starts_with('#'));
-                life && !seen.fallen.iter().any(|fallen| fallen == candidate)
-            };
-            self.candidates(&name.duty).into_iter().find(fit)
-        });
-        named.or_else(|| self.deals.get(&name.duty)?.owner(name.shard, &seen.fallen))
+        let named =
+            word.and_then(|word| self.candidates.named(word.next.as_deref()?, &name.duty, &seen.fallen));
+        named.or_else(|| self.candidates.owner(name, &seen.fallen))
     }
 
     /// Shards that are nobody's, and that this holder is to have.
@@ -299,15 +232,8 @@
 
     /// Candidates that have not called for a length are none any more.
     pub fn forget(&mut self, now: Micros) {
-        let before = self.sessions.len();
-        let duties = &self.duties;
-        self.sessions.retain(|_, session| {
-            let lengths = session.duties.iter().filter_map(|duty| duties.get(duty));
-            let length = lengths.map(|duty| duty.length_ms).max().unwrap_or(10_000) * 1_000;
-            now.saturating_sub(session.last) < length
-        });
-        if self.sessions.len() != before {
-            self.deal();
+        if self.candidates.forget(&self.duties, now) {
+            self.candidates.deal(&self.duties);
         }
     }
 }
--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -6,21 +6,14 @@
 //! only where the work has gone on since the last one: a worker that hangs loses its lease while the rest of its
 //! process lives.
 
+pub use crate::change::{Change, Why};
+pub use crate::weakness::Weakness;
 use crate::{Answer, Ask, Claim, Epoch, Lost, Micros, Name, Renewal, DRIFT};
 use std::collections::BTreeMap;
 
 /// Calls whose answers are still waited for; an older one is given up.
 pub const MOST_CALLS: usize = 4;
 
-/// Ways in which a holder could be wrong, for the proof that each is found out. The program never sets them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Weakness {
-    /// Counts from the answer.
-    pub from_answer: bool,
-    /// Renews whether or not the work goes on.
-    pub by_timer: bool,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Own {
     epoch: Epoch,
@@ -41,27 +34,6 @@
     releases: Vec<Claim>,
 }
 
-/// What has changed, for whoever runs the work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// Work begins, from that mark on.
-    Gained { claim: Claim, mark: u64 },
-    /// Work is to end in order, and to be told of with [`Holder::ended`].
-    HandOver(Claim),
-    /// Work is to stop where it is.
-    Lost { claim: Claim, why: Why },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
-    /// The grantor has said so.
-    Told(Lost),
-    /// Its time is over, by the holder's own clock.
-    OverTime,
-    /// A receiver has seen a newer epoch.
-    Fenced { newest: Epoch },
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
     name: String,
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -9,6 +9,8 @@
 //! Nothing here does I/O or reads a clock: times are microseconds of the caller's own monotonic clock, and grantor
 //! and holder never compare theirs.
 
+mod candidates;
+mod change;
 pub mod deal;
 pub mod duty;
 pub mod epochs;
@@ -16,6 +18,8 @@
 pub mod grantor;
 pub mod holder;
 pub mod record;
+mod seen;
+mod weakness;
 mod words;
 
 pub use record::Record;
--- a/xtask/src/prove_owners.rs
+++ b/xtask/src/prove_owners.rs
@@ -1,15 +1,18 @@
 //! `prove owners`: a control plane, six ingresses and a sink as processes, faults between them, and what the sink has
 //! noted judged: one owner at a time, every span of the report once and in order, no shard left without an owner.
 
+mod calm;
+mod plan;
+
 use crate::figures::{quantile, Figures};
-use crate::load::{paced, Answered};
 use crate::process::{build_for_proof, build_standin, build_weakened, Result};
+use calm::{calm, load, p99, serve_all};
+use plan::plan;
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
 use std::time::{Duration, Instant};
 use violetyoke_ownership::Name;
 use violetyoke_rig::cause::{self, Causes};
-use violetyoke_rig::fleet::{Fleet, Plan};
+use violetyoke_rig::fleet::Fleet;
 use violetyoke_rig::history;
 use violetyoke_rig::schedule::{draw, Fault};
 
@@ -63,84 +66,11 @@
     text.split(' ').next().unwrap_or_default().to_lowercase()
 }
 
-fn plan(program: &Path, standin: &Path, take: &[&str], without: Option<Without>) -> Plan {
-    let duties = format!(
-        r#"[[duty]]
-name = "report"
-kind = "report"
-shards = {REPORT_SHARDS}
-length_ms = {length}
-span_ms = {span}
-[[duty]]
-name = "probe"
-kind = "probe"
-shards = {PROBE_SHARDS}
-length_ms = {length}
-every_ms = 100
-nodes = [{nodes}]
-"#,
-        length = LENGTH.as_millis(),
-        span = SPAN.as_millis(),
-        nodes = vec!["\"SINK\""; PROBE_SHARDS as usize].join(", "),
-    );
-    let weakness = match without {
-        Some(Without::Sending) => Some("from-answer"),
-        Some(Without::Progress) => Some("by-timer"),
-        Some(Without::Fence) | None => None,
-    };
-    Plan {
-        program: program.into(),
-        standin: standin.into(),
-        ingresses: INGRESSES,
-        tenants: TENANTS.iter().map(|name| name.to_string()).collect(),
-        duties,
-        take: take.iter().map(|name| name.to_string()).collect(),
-        fenced: without != Some(Without::Fence),
-        environment: weakness
-            .map(|ways| ("VIOLETYOKE_WEAKNESS".to_string(), ways.to_string()))
-            .into_iter()
-            .collect(),
-    }
-}
-
 fn leases() -> Vec<Name> {
     let of = |duty: &'static str, shards| (0..shards).map(move |shard| Name::new(duty, shard));
     of("report", REPORT_SHARDS).chain(of("probe", PROBE_SHARDS)).collect()
 }
 
-/// Paced clients, one an ingress and tenant in turn; returns all answers.
-fn load(fleet: &Fleet, time: Duration) -> Vec<(&'static str, Vec<Answered>)> {
-    let end = Instant::now() + time;
-    let clients: Vec<_> = (fleet.ingresses.iter().enumerate())
-        .map(|(number, ingress)| {
-            let (address, tenant) = (ingress.address, TENANTS[number % TENANTS.len()]);
-            let request = format!(
-                "POST /bookings HTTP/1.1\r\nHost: {tenant}.example.org\r\nX-Account: hotel-7\r\n\
-                 Content-Length: 6\r\n\r\nroom=4"
-            );
-            (tenant, paced(address, number, request, PACE, end))
-        })
-        .collect();
-    clients.into_iter().map(|(tenant, client)| (tenant, client.join().unwrap_or_default())).collect()
-}
-
-fn p99(answers: &[(&'static str, Vec<Answered>)]) -> f64 {
-    let mut times: Vec<f64> = answers.iter().flat_map(|(_, list)| list.iter().map(|one| one.took)).collect();
-    quantile(&mut times, 0.99)
-}
-
-/// Tenants are in force everywhere.
-fn serve_all(fleet: &Fleet) -> Result<()> {
-    let end = Instant::now() + Duration::from_secs(20);
-    while Instant::now() < end {
-        let answers = load(fleet, Duration::from_millis(100));
-        if answers.iter().all(|(_, list)| list.iter().all(|one| one.status == 200)) {
-            return Ok(());
-        }
-    }
-    Err("the tenants were not put in force".into())
-}
-
 pub fn run(long: bool, seed: Option<u64>, without: Option<Without>) -> Result<Figures> {
     let program = match without {
         Some(Without::Sending | Without::Progress) => build_weakened()?,
@@ -240,46 +170,3 @@
     figures.at_most("spans_changed", changed.len() as f64, 0.0);
     Ok(figures)
 }
-
-/// No fault: requests beside those of a fleet without duties, and every try in the report, also those of a time in
-/// which nobody could reach the control plane.
-fn calm(fleet: &mut Fleet, figures: &mut Figures, plain: f64) -> Result<()> {
-    let mut answers = load(fleet, CALM);
-    let duties = p99(&answers);
-    figures.tell("p99_without_duties_ms", format!("{plain:.2}"));
-    figures.tell("p99_with_duties_ms", format!("{duties:.2}"));
-    // Below a few milliseconds the machine's own noise decides.
-    figures.at_most("p99_of_without", duties.max(5.0) / plain.max(5.0), 1.5);
-    fleet.ingresses.iter().for_each(|ingress| ingress.to_control.cut(true));
-    let cut_off = load(fleet, LENGTH * 2);
-    fleet.ingresses.iter().for_each(|ingress| ingress.to_control.cut(false));
-    let served = |list: &[Answered]| list.iter().filter(|one| one.status == 200).count();
-    let all: usize = cut_off.iter().map(|(_, list)| list.len()).sum();
-    let good: usize = cut_off.iter().map(|(_, list)| served(list)).sum();
-    figures.tell("cut_off_requests", all);
-    figures.at_least("cut_off_served", good as f64 / all.max(1) as f64, 1.0);
-    answers.extend(cut_off);
-    let sent = |tenant: &str| -> u64 {
-        answers.iter().filter(|(of, _)| *of == tenant).map(|(_, list)| list.len() as u64).sum()
-    };
-    let end = Instant::now() + Duration::from_secs(15);
-    let mut before: Option<BTreeMap<&str, u64>> = None;
-    while Instant::now() < end {
-        let history = fleet.history();
-        let told: BTreeMap<&str, u64> =
-            TENANTS.iter().map(|name| (*name, history::tries(history, name))).collect();
-        // What came before the calm is in it too: more is found out below.
-        let done = TENANTS.iter().all(|name| told[name] >= sent(name));
-        let settled = before.as_ref() == Some(&told);
-        before = Some(told);
-        if done && settled {
-            break;
-        }
-        std::thread::sleep(SPAN * 3);
-    }
-    let told: u64 = before.into_iter().flat_map(BTreeMap::into_values).sum();
-    let sent: u64 = TENANTS.iter().map(|name| sent(name)).sum();
-    figures.tell("tries_sent", sent);
-    figures.at_least("tries_reported_of_sent", told as f64 / sent.max(1) as f64, 1.0);
-    Ok(())
-}
--- /dev/null
+++ b/xtask/src/prove_owners/plan.rs
@@ -0,0 +1,45 @@
+//! The fleet under proof.
+
+use super::{Without, INGRESSES, LENGTH, PROBE_SHARDS, REPORT_SHARDS, SPAN, TENANTS};
+use std::path::Path;
+use violetyoke_rig::fleet::Plan;
+
+pub fn plan(program: &Path, standin: &Path, take: &[&str], without: Option<Without>) -> Plan {
+    let duties = format!(
+        r#"[[duty]]
+name = "report"
+kind = "report"
+shards = {REPORT_SHARDS}
+length_ms = {length}
+span_ms = {span}
+[[duty]]
+name = "probe"
+kind = "probe"
+shards = {PROBE_SHARDS}
+length_ms = {length}
+every_ms = 100
+nodes = [{nodes}]
+"#,
+        length = LENGTH.as_millis(),
+        span = SPAN.as_millis(),
+        nodes = vec!["\"SINK\""; PROBE_SHARDS as usize].join(", "),
+    );
+    let weakness = match without {
+        Some(Without::Sending) => Some("from-answer"),
+        Some(Without::Progress) => Some("by-timer"),
+        Some(Without::Fence) | None => None,
+    };
+    Plan {
+        program: program.into(),
+        standin: standin.into(),
+        ingresses: INGRESSES,
+        tenants: TENANTS.iter().map(|name| name.to_string()).collect(),
+        duties,
+        take: take.iter().map(|name| name.to_string()).collect(),
+        fenced: without != Some(Without::Fence),
+        environment: weakness
+            .map(|ways| ("VIOLETYOKE_WEAKNESS".to_string(), ways.to_string()))
+            .into_iter()
+            .collect(),
+    }
+}
