Measure what leases cost at 10, 100 and 300 holders: cargo xtask measure owners

Need: the cost for the control plane, and how few shards move, is to be known before 300 ingresses share thousands.

Seen, not changed: the first that calls gets all, and hands over as the others come.

--- a/crates/ownership/tests/desk/mod.rs
+++ b/crates/ownership/tests/desk/mod.rs
@@ -1,5 +1,7 @@
 //! A grantor and its store in virtual time, and calls to it without delay.
 
+#![allow(dead_code)] // Each test uses a part of it.
+
 use violetyoke_ownership::duty::{Duty, Kind};
 use violetyoke_ownership::grantor::Grantor;
 use violetyoke_ownership::holder::{Change, Holder};
@@ -126,3 +128,11 @@
     assert_eq!(gained.len(), 1, "one lease is to be had");
     gained[0].clone()
 }
+
+pub fn handed_over(changes: &[Change]) -> Vec<Claim> {
+    let claim = |change: &Change| match change {
+        Change::HandOver(claim) => Some(claim.clone()),
+        _ => None,
+    };
+    changes.iter().filter_map(claim).collect()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod measure;
 mod measure_lab;
+mod measure_owners;
 mod measure_questions;
 mod measure_tenants;
 mod process;
@@ -105,6 +106,8 @@
     Questions,
     /// An ingress of 10 and of 10,000 tenants, side by side.
     Tenants,
+    /// What leases cost at 10, 100 and 300 holders, in virtual time.
+    Owners,
     /// Memory of an emulated fleet, by ingresses and emulated time.
     Lab,
 }
@@ -134,6 +137,7 @@
             prove_upgrade::run(long, !without_defence)
         }
         What::Measure { name: Measure::Tenants, .. } => measure_tenants::run(),
+        What::Measure { name: Measure::Owners, .. } => measure_owners::run(),
         What::Measure { name: Measure::Lab, .. } => measure_lab::run(),
         What::Measure { name: Measure::Questions, .. } => measure_questions::run(),
         What::Measure { name: Measure::Pools, .. } => measure::pools(),
