Drive the rig's links on one thread: its runtime feature had grown the platform's program

Its symbols that had come were tokio's multi-threaded scheduler: a build of the whole workspace gives every crate the features that any asks for, and the rig asked for rt-multi-thread.

The links' runtime is a current-thread one on a thread of its own now: 2,775,976 bytes.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -3,6 +3,7 @@
 mod begin;
 
 use crate::client::call;
+use crate::driven::Driven;
 use crate::gate::Gate;
 use crate::link::Link;
 use crate::process::Process;
@@ -13,7 +14,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tokio::runtime::Runtime;
 use violetyoke_ownership::Name;
 use violetyoke_standin::node::Node;
 use violetyoke_standin::sink::{self, Noted};
@@ -54,7 +54,7 @@
     history: Vec<Noted>,
     _sink: Process,
     _node: Node,
-    _runtime: Runtime,
+    links: Driven,
 }
 
 /// How long a process may take to be ready.
--- a/crates/rig/src/fleet/begin.rs
+++ b/crates/rig/src/fleet/begin.rs
@@ -1,6 +1,7 @@
 //! A fleet's start.
 
 use super::{failed, Fleet, Ingress, Plan, READY};
+use crate::driven::Driven;
 use crate::free_address;
 use crate::gate::Gate;
 use crate::link::Link;
@@ -15,7 +16,7 @@
 
 impl Fleet {
     pub fn start(plan: &Plan) -> io::Result<Fleet> {
-        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+        let links = Driven::start()?;
         let control_address = free_address()?;
         let folder = std::env::temp_dir().join(format!(
             "violetyoke-rig-{}-{}",
@@ -63,7 +64,7 @@
             history: Vec::new(),
             _sink: sink,
             _node: node,
-            _runtime: runtime,
+            links,
         };
         for tenant in &plan.tenants {
             fleet.make_tenant(tenant)?;
@@ -101,7 +102,7 @@
 
     fn ingress(&self, plan: &Plan, name: &str) -> io::Result<Ingress> {
         let address = free_address()?;
-        let runtime = self._runtime.handle();
+        let runtime = self.links.handle();
         let to_control = Link::start(runtime, self.control_address)?;
         let to_sink = Link::start(runtime, self.sink_address)?;
         let gate = Gate::start()?;
