Judge a slow link's rest by the link's own delay, and tell the proof's figures

Seen: in the short proof, which held, probes rested 2.88 s of at most 3.0 while each call of an owner took 0.9 of a length, and 1.96 s at most otherwise. That an owner gave up takes as long to be heard of as its link is slow, so that fault has a bound of its own, a length, a second and the way there and back. The others' bound stays.

--- a/xtask/src/prove_owners.rs
+++ b/xtask/src/prove_owners.rs
@@ -103,7 +103,7 @@
     let end = Instant::now() + Duration::from_secs(600);
     let (mut landed, mut provoked) = (BTreeMap::<String, (u32, u32)>::new(), BTreeSet::new());
     let (mut late, mut never, mut unrefused, mut put_back) = (Vec::new(), 0, 0, None);
-    let mut gaps = Vec::new();
+    let (mut gaps, mut slow) = (Vec::new(), vec![0.0]);
     for fault in faults {
         if Instant::now() > end {
             break;
@@ -140,7 +140,10 @@
             let rests = probes.map(|lease| history::longest_gap(history, &lease, before, after) as f64 / 1e6);
             let most = rests.fold(0.0, f64::max);
             println!("probes_rested_s={most:.3}");
-            gaps.push(most);
+            match fault {
+                Fault::Slow { .. } => slow.push(most),
+                _ => gaps.push(most),
+            }
         }
     }
     for (kind, (caused, landed)) in &landed {
@@ -156,6 +159,9 @@
     figures.at_most("work_went_on_after_s_most", quantile(&mut late, 1.0), within + SPAN.as_secs_f64());
     figures.at_most("work_never_went_on", f64::from(never), 0.0);
     figures.at_most("probes_rested_s_most", quantile(&mut gaps, 1.0), within);
+    // That its owner has given up takes as long to be heard of as the link is slow.
+    let there_and_back = LENGTH.mul_f64(0.9).as_secs_f64();
+    figures.at_most("probes_rested_slow_s_most", quantile(&mut slow, 1.0), within + there_and_back);
     figures.at_most("kept_back_and_not_refused", f64::from(unrefused), 0.0);
     let history = fleet.history().to_vec();
     figures.tell("effects", history.len());
