--- a/crates/ownership/src/grantor.rs
+++ b/crates/ownership/src/grantor.rs
@@ -11,8 +11,8 @@
 use crate::candidates::Candidates;
 use crate::duty::Duty;
 use crate::record::{Record, FORGIVEN};
-use crate::seen::Seen;
 pub use crate::seen::Word;
+use crate::seen::{token, Seen};
 use crate::{Answer, Ask, Claim, Epoch, Given, Lost, Micros, Name};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,11 +27,6 @@
     candidates: Candidates,
 }
 
-/// A moment as holders send it back; never none.
-fn token(now: Micros) -> u64 {
-    now + 1
-}
-
 impl Grantor {
     pub fn new(duties: Vec<Duty>, fresh: bool, now: Micros) -> Grantor {
         let duties = duties.into_iter().map(|duty| (duty.name.clone(), duty)).collect();
--- a/crates/ownership/src/seen.rs
+++ b/crates/ownership/src/seen.rs
@@ -44,3 +44,8 @@
         }
     }
 }
+
+/// A moment as holders send it back; never none.
+pub(crate) fn token(now: Micros) -> u64 {
+    now + 1
+}
