Count all acts that a held link keeps back as kept back by the test

The link to the sink that holds one act holds those of the owner's other shards too, and only the one was named.

--- a/crates/rig/src/cause.rs
+++ b/crates/rig/src/cause.rs
@@ -77,6 +77,13 @@
         Name::new("probe", shard % self.figures.probe_shards)
     }
 
+    /// The epochs of all reports that an ingress owns: a link that holds one act of its holds all of them.
+    fn epochs_of(&self, owner: usize) -> BTreeSet<u64> {
+        let leases = (0..self.figures.report_shards).map(|shard| Name::new("report", shard));
+        let its = leases.filter_map(|lease| self.fleet.owner(&lease)).filter(|(of, _)| *of == owner);
+        its.map(|(_, epoch)| epoch).collect()
+    }
+
     fn goes_on(&mut self, lease: &Name, epoch: u64, since: Instant) -> Option<Duration> {
         let patience = self.patience();
         self.fleet.noted(patience, |history| newer(history, lease, epoch) > 0).then(|| since.elapsed())
--- a/crates/rig/src/cause/acts.rs
+++ b/crates/rig/src/cause/acts.rs
@@ -27,6 +27,8 @@
     pub(super) fn held_act(&mut self, shard: u32) -> Outcome {
         let lease = self.report(shard);
         let Some((owner, epoch)) = self.in_act("send", &lease) else { return Outcome::missed("no act") };
+        let mut provoked = self.epochs_of(owner);
+        provoked.insert(epoch);
         let since = Instant::now();
         let (link, control) =
             (self.fleet.ingresses[owner].to_sink.clone(), self.fleet.ingresses[owner].to_control.clone());
@@ -39,7 +41,7 @@
         self.fleet.noted(patience, |history| newer(history, &lease, epoch) >= 3);
         link.heal();
         let refused = self.fleet.noted(patience, |history| stale(history, &lease, epoch));
-        Outcome { landed, refused: Some(refused), went_on_after, provoked: [epoch].into(), missed: None }
+        Outcome { landed, refused: Some(refused), went_on_after, provoked, missed: None }
     }
 
     pub(super) fn held_write(&mut self, shard: u32) -> Outcome {
