Take each answer by its own call, and wake nobody for findings of probes

A holder dropped every answer that came after a later call's. A grant that was overtaken so was lost: its shard rested for a length and the holder counted as fallen. The rule kept nothing safe that counting from the answer's own call and never taking an epoch back does not keep: it is taken out, with its state. Findings of probes were written by the path that wakes all who wait for a change of the store; they are bookkeeping. The rig named one epoch as kept back where it stops a whole process: all that the process owns are, probes too. Gone: an answer that nobody gave (held back), a signal that no test sent; a flag that said the opposite of its name.

--- a/crates/control/src/api/findings.rs
+++ b/crates/control/src/api/findings.rs
@@ -29,13 +29,15 @@
     let Findings { holder, epoch, nodes } = call.json()?;
     let shard = call.param("shard").parse().map_err(|_| Problem::field("shard", "must be a whole number"))?;
     let claim = Claim { name: Name::new(call.param("duty"), shard), epoch };
-    call.change(|read| match fenced(read, &holder, &claim)? {
-        Err(newest) => Err(Problem::fenced(newest)),
-        Ok(_) => {
-            let body = json!({ "epoch": epoch, "at": call.now, "nodes": nodes });
-            Ok((Writes::default().put(path(&claim.name.duty, shard), body), Answer::none()))
-        }
-    })
+    let mut refused = None;
+    // Bookkeeping: nobody who waits for a change is woken by it.
+    call.store().transact(&call.author(), &mut |read| {
+        refused = fenced(read, &holder, &claim)?.err();
+        let body = json!({ "epoch": epoch, "at": call.now, "nodes": nodes });
+        let writes = Writes::default().put(path(&claim.name.duty, shard), body);
+        Ok(refused.is_none().then_some(writes))
+    })?;
+    refused.map_or(Ok(Answer::none()), |newest| Err(Problem::fenced(newest)))
 }
 
 pub fn read(call: &Call<'_>) -> Outcome {
--- a/crates/control/src/duties/desk.rs
+++ b/crates/control/src/duties/desk.rs
@@ -200,8 +200,8 @@
         })?;
         let now = boottime();
         let grantor = &mut state.grantor;
-        let changed = grantor.words_are(&said) && grantor.duties().eq(&duties);
-        if !changed {
+        let same = grantor.words_are(&said) && grantor.duties().eq(&duties);
+        if !same {
             grantor.declare(duties.clone());
             grantor.words(said);
         }
@@ -240,7 +240,7 @@
                 tracing::error!(lease = %record.name, reason, "set aside: an operator is to let it go");
             }
         }
-        if !fallen.is_empty() || !changed || grantor.has_free() {
+        if !fallen.is_empty() || !same || grantor.has_free() {
             self.stir();
         }
         Ok(())
--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -1,10 +1,10 @@
 //! The holder's side: what is this process's, and until when.
 //!
 //! A lease is good for its length from *before the call was sent* that brought it, less what clocks may differ by: by
-//! then the grantor, who counts from when it got the call, still keeps it. An answer is taken once, and only if no
-//! later call has been answered, so nothing that comes late or twice makes a lease longer. A renewal is asked for
-//! only where the work has gone on since the last one: a worker that hangs loses its lease while the rest of its
-//! process lives.
+//! then the grantor, who counts from when it got the call, still keeps it. An answer is taken once, and counts from its
+//! own call in whatever order answers come, so nothing that comes late or twice makes a lease longer. A renewal is
+//! asked for only where the work has gone on since the last one: a worker that hangs loses its lease while the rest of
+//! its process lives.
 
 pub use crate::change::{Change, Why};
 pub use crate::weakness::Weakness;
@@ -46,7 +46,6 @@
     /// Calls by their numbers.
     calls: BTreeMap<u64, Call>,
     next_call: u64,
-    answered: u64,
     seen: Epoch,
     echo: u64,
     leaving: bool,
@@ -63,7 +62,6 @@
             had: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: 1,
-            answered: 0,
             seen: 0,
             echo: 0,
             leaving: false,
@@ -110,10 +108,6 @@
     /// A call's answer has come.
     pub fn answer(&mut self, number: u64, answer: Answer, now: Micros) -> Vec<Change> {
         let Some(Call { sent, releases, .. }) = self.calls.remove(&number) else { return Vec::new() };
-        if number <= self.answered {
-            return Vec::new();
-        }
-        self.answered = number;
         self.hear(answer.newest);
         self.echo = self.echo.max(answer.token);
         let mut changes = Vec::new();
--- a/crates/ownership/src/words.rs
+++ b/crates/ownership/src/words.rs
@@ -91,8 +91,6 @@
     RanOut,
     /// The duty, or the shard of it, is no more.
     Gone,
-    /// An operator holds it back.
-    HeldBack,
 }
 
 /// What the grantor answers.
--- a/crates/ownership/tests/leases.rs
+++ b/crates/ownership/tests/leases.rs
@@ -183,6 +183,22 @@
     assert_eq!(a.ask(300_000).1.renew.len(), 0);
 }
 
+#[test]
+fn a_grant_that_is_overtaken_by_a_later_answer_is_taken_all_the_same() {
+    let (mut desk, mut a) = (Desk::new(1), Holder::new("a", duties()));
+    let (hello, ask) = a.ask(0);
+    let answer = desk.ask(ask, 0);
+    a.answer(hello, answer, 0);
+    let (first, ask) = a.ask(1_000);
+    let grant = desk.ask(ask, 1_000);
+    let (second, ask) = a.ask(2_000);
+    let nothing = desk.ask(ask, 2_000);
+    assert!(a.answer(second, nothing, 3_000).is_empty());
+    let claim = gained(&a.answer(first, grant, 4_000)).remove(0);
+    // It counts from its own call, not from the later one.
+    assert!(a.may(&claim, 980_999) && !a.may(&claim, 981_000));
+}
+
 #[test]
 fn who_hears_no_answers_is_given_nothing() {
     let (mut desk, mut a, mut b) = (Desk::new(4), Holder::new("a", duties()), Holder::new("b", duties()));
--- a/crates/rig/src/cause.rs
+++ b/crates/rig/src/cause.rs
@@ -77,10 +77,12 @@
         Name::new("probe", shard % self.figures.probe_shards)
     }
 
-    /// The epochs of all reports that an ingress owns: a link that holds one act of its holds all of them.
+    /// The epochs of all that an ingress owns: a stop, or a link that holds one act of its, holds all of them.
     fn epochs_of(&self, owner: usize) -> BTreeSet<u64> {
-        let leases = (0..self.figures.report_shards).map(|shard| Name::new("report", shard));
-        let its = leases.filter_map(|lease| self.fleet.owner(&lease)).filter(|(of, _)| *of == owner);
+        let reports = (0..self.figures.report_shards).map(|shard| Name::new("report", shard));
+        let probes = (0..self.figures.probe_shards).map(|shard| Name::new("probe", shard));
+        let its =
+            reports.chain(probes).filter_map(|lease| self.fleet.owner(&lease)).filter(|(of, _)| *of == owner);
         its.map(|(_, epoch)| epoch).collect()
     }
 
--- a/crates/rig/src/cause/acts.rs
+++ b/crates/rig/src/cause/acts.rs
@@ -10,6 +10,8 @@
     pub(super) fn stop_in_act(&mut self, shard: u32) -> io::Result<Outcome> {
         let lease = self.report(shard);
         let Some((owner, epoch)) = self.in_act("send", &lease) else { return Ok(Outcome::missed("no act")) };
+        let mut provoked = self.epochs_of(owner);
+        provoked.insert(epoch);
         let since = Instant::now();
         self.fleet.ingresses[owner].process.stop()?;
         // What lets it through waits in its socket.
@@ -21,7 +23,7 @@
         let line = format!("lost lease={lease} epoch={epoch} why=OverTime");
         let left = self.fleet.ingresses[owner].process.count(&line) > 0;
         let refused = (refused || !left).then_some(refused);
-        Ok(Outcome { landed: true, refused, went_on_after, provoked: [epoch].into(), missed: None })
+        Ok(Outcome { landed: true, refused, went_on_after, provoked, missed: None })
     }
 
     pub(super) fn held_act(&mut self, shard: u32) -> Outcome {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -80,10 +80,6 @@
         self.signal(Signal::TERM)
     }
 
-    pub fn hang_up(&self) -> io::Result<()> {
-        self.signal(Signal::HUP)
-    }
-
     pub fn kill(&mut self) -> io::Result<()> {
         if let Some(mut child) = self.child.take() {
             child.kill()?;
