--- /dev/null
+++ b/crates/anemometer/src/attempts.rs
@@ -0,0 +1,193 @@
+//! A request's attempts: one backend after another, as the verdicts, the budget and the time allow.
+
+use crate::backend::{attempt, Answer, Try};
+use crate::figures::add;
+use crate::state::Proxy;
+use bytes::{Bytes, BytesMut};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+use violetyoke_ceilometer::backend::Showed;
+use violetyoke_ceilometer::{Choice, Millis, Wanted};
+use violetyoke_station::verdict::{Ending, Verdict};
+
+/// A request with all that its attempts need.
+pub struct Job {
+    pub service: String,
+    pub homes: [Vec<String>; 2],
+    pub repeatable: bool,
+    pub attempts: u32,
+    pub priority: i64,
+    pub head_only: bool,
+    pub attempt: String,
+    /// The head up to the headers that each attempt sets.
+    pub head: Bytes,
+    pub body: Bytes,
+    pub arrived: Instant,
+    pub target: Duration,
+    /// When the client, or the operator, waits no longer.
+    pub until: Instant,
+}
+
+/// What became of it.
+pub enum Outcome {
+    Answer(Answer),
+    /// Given up on; whether there is a time to come back at (ms).
+    Ended {
+        verdict: Verdict,
+        ending: Ending,
+        retry_ms: Option<Millis>,
+    },
+}
+
+/// A request waits for room no longer than this part of its target.
+const WAITS: f64 = 0.22;
+/// What the way back takes of the time that is left.
+const WAY: Duration = Duration::from_millis(5);
+/// Less than this is not worth an attempt.
+const LEAST: Duration = Duration::from_millis(20);
+/// Who is turned away for want of room is told to come back after this (ms).
+const COME_BACK: Millis = 120;
+
+pub async fn run(proxy: &Rc<Proxy>, job: &Job) -> Outcome {
+    let mut verdict = Verdict::NeverRan;
+    let mut tried: Vec<String> = Vec::new();
+    proxy.budget(&job.service, |budget| budget.request(proxy.now()));
+    let ended = |verdict, ending, retry_ms| Outcome::Ended { verdict, ending, retry_ms };
+    loop {
+        let left = job.until.saturating_duration_since(Instant::now());
+        if left < LEAST {
+            return ended(verdict, Ending::TimeUp, None);
+        }
+        let Some(id) = choose(proxy, job, &tried).await else {
+            return ended(verdict, Ending::Overload, Some(COME_BACK));
+        };
+        if !tried.is_empty() {
+            if !proxy.budget(&job.service, |budget| budget.further(proxy.now(), proxy.ingresses())) {
+                add(&proxy.figures.no_budget);
+                return ended(verdict, Ending::Overload, None);
+            }
+            add(&proxy.figures.further);
+        }
+        let Some(one) = prepare(proxy, job, &id) else { continue };
+        tried.push(id.clone());
+        let guard = Open { proxy, id, service: &job.service, showed: Showed::Nothing };
+        proxy.fleet.borrow_mut().sent(proxy.now(), &guard.id);
+        let end = attempt(proxy, &one).await;
+        guard.ended(end.showed);
+        verdict = verdict.and(end.verdict);
+        let again = verdict.may_repeat(job.repeatable) && (tried.len() as u32) < job.attempts;
+        match end.answer {
+            // A backend's own failure of a request that may run again is worth another backend.
+            Some(answer) if answer.status >= 500 && job.repeatable && again && may(proxy, job) => {}
+            Some(answer) => return Outcome::Answer(answer),
+            None if !again => {
+                let time_up = job.until.saturating_duration_since(Instant::now()) < LEAST;
+                let ending = if time_up { Ending::TimeUp } else { Ending::Overload };
+                return ended(verdict, ending, (verdict == Verdict::NeverRan).then_some(COME_BACK));
+            }
+            None => {}
+        }
+    }
+}
+
+/// There is time for one more.
+fn may(proxy: &Rc<Proxy>, job: &Job) -> bool {
+    let _ = proxy;
+    job.until.saturating_duration_since(Instant::now()) > LEAST * 2
+}
+
+/// A backend with room; waits for one as long as that is worth it.
+async fn choose(proxy: &Rc<Proxy>, job: &Job, tried: &[String]) -> Option<String> {
+    let wanted = Wanted { service: &job.service, tried, homes: [&job.homes[0], &job.homes[1]] };
+    let look = || proxy.fleet.borrow().choose(proxy.now(), wanted);
+    // Those who wait already go first.
+    let first = if proxy.waiting.borrow().anybody(&job.service) { Choice::Full } else { look() };
+    match first {
+        Choice::Backend(id) => return Some(id),
+        Choice::Nobody => return None,
+        Choice::Full => {}
+    }
+    let until = (job.arrived + job.target.mul_f64(WAITS)).min(job.until);
+    let left = until.saturating_duration_since(Instant::now()).as_millis() as Millis;
+    let mut place = proxy.waiting.borrow_mut().wait(&job.service, job.priority, proxy.now() + left)?;
+    let mut found = None;
+    loop {
+        match look() {
+            Choice::Backend(id) => found = Some(id),
+            Choice::Nobody => {}
+            Choice::Full => {
+                // Told loads fade, and cold backends' parts come back, without a word: look now and then.
+                let again = until.min(Instant::now() + Duration::from_millis(20));
+                let woken = timeout_at(again, &mut place.woken).await;
+                if Instant::now() < until {
+                    if woken.is_ok() {
+                        proxy.waiting.borrow_mut().again(&mut place);
+                    }
+                    continue;
+                }
+            }
+        }
+        break;
+    }
+    proxy.waiting.borrow_mut().leave(&job.service, job.priority, &place);
+    found
+}
+
+fn prepare(proxy: &Rc<Proxy>, job: &Job, id: &str) -> Option<Try> {
+    let fleet = proxy.fleet.borrow();
+    let backend = fleet.get(id)?;
+    let now = Instant::now();
+    let left = job.until.saturating_duration_since(now).saturating_sub(WAY).as_millis();
+    let mut bytes = BytesMut::with_capacity(job.head.len() + job.body.len() + 96);
+    bytes.extend_from_slice(&job.head);
+    let set = format!("x-deadline-ms: {left}\r\nx-target-instance: {id}\r\n\r\n");
+    bytes.extend_from_slice(set.as_bytes());
+    bytes.extend_from_slice(&job.body);
+    Some(Try {
+        id: id.to_owned(),
+        address: backend.address,
+        same_region: backend.region == fleet.place.region,
+        attempt: job.attempt.clone(),
+        bytes: bytes.freeze(),
+        head_only: job.head_only,
+        repeatable: job.repeatable,
+        until: patience(job, backend.pace, now),
+    })
+}
+
+/// How long this attempt may be silent: to the end, unless the request may run again elsewhere in time.
+fn patience(job: &Job, pace: Option<f64>, now: Instant) -> Instant {
+    if !job.repeatable || job.attempts < 2 {
+        return job.until;
+    }
+    let usual = Duration::from_millis(pace.unwrap_or(100.0) as u64);
+    let most = (usual * 6).max(job.target.mul_f64(0.9));
+    let left = job.until.saturating_duration_since(now);
+    if left < most + usual * 2 {
+        return job.until;
+    }
+    now + most
+}
+
+/// An attempt that is out: its end is noted however it comes.
+struct Open<'a> {
+    proxy: &'a Rc<Proxy>,
+    id: String,
+    service: &'a str,
+    showed: Showed,
+}
+
+impl Open<'_> {
+    fn ended(mut self, showed: Showed) {
+        self.showed = showed;
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        let now = self.proxy.now();
+        self.proxy.fleet.borrow_mut().ended(now, &self.id, self.showed);
+        self.proxy.waiting.borrow_mut().room(self.service, now);
+    }
+}
--- /dev/null
+++ b/crates/anemometer/src/backend/mod.rs
@@ -0,0 +1,81 @@
+//! Connections to backends: one request at a time on each, kept for the next while the backend keeps them.
+
+mod answer;
+mod exchange;
+
+pub use answer::Answer;
+pub use exchange::{attempt, Try};
+
+use bytes::BytesMut;
+use std::collections::HashMap;
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use violetyoke_ceilometer::Fleet;
+
+/// Idle connections kept to one backend.
+const MOST_IDLE: usize = 8;
+/// How long an idle connection is kept where the backend does not say.
+const USUAL: Duration = Duration::from_secs(5);
+/// A connection is given up so much before the backend would close it.
+const BEFORE: Duration = Duration::from_millis(700);
+
+/// A connection that carries no request.
+pub struct Idle {
+    pub stream: TcpStream,
+    pub buffer: BytesMut,
+    until: Instant,
+    since: Instant,
+}
+
+/// Idle connections, by the backend's id.
+#[derive(Default)]
+pub struct Pools(HashMap<String, Vec<Idle>>);
+
+impl Pools {
+    /// The newest idle connection that is still whole and silent; `fresh`: idle for no longer than that.
+    pub fn take(&mut self, id: &str, fresh: Duration) -> Option<Idle> {
+        let idle = self.0.get_mut(id)?;
+        while let Some(one) = idle.pop() {
+            let now = Instant::now();
+            if now < one.until && now - one.since < fresh && silent(&one.stream) {
+                return Some(one);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was complete; `said`: for how long the backend does.
+    pub fn give(&mut self, id: &str, stream: TcpStream, buffer: BytesMut, said: Option<Duration>) {
+        let now = Instant::now();
+        let keep = said.map_or(USUAL, |said| said.saturating_sub(BEFORE));
+        if keep.is_zero() {
+            return;
+        }
+        if !self.0.contains_key(id) {
+            self.0.insert(id.to_owned(), Vec::new());
+        }
+        if let Some(idle) = self.0.get_mut(id) {
+            idle.retain(|one| now < one.until);
+            if idle.len() < MOST_IDLE {
+                idle.push(Idle { stream, buffer, until: now + keep, since: now });
+            }
+        }
+    }
+
+    /// Closes connections to backends that are no more.
+    pub fn retain(&mut self, fleet: &Fleet) {
+        let now = Instant::now();
+        self.0.retain(|id, idle| {
+            idle.retain(|one| now < one.until);
+            !idle.is_empty() && fleet.get(id).is_some_and(|backend| !backend.leaving)
+        });
+    }
+}
+
+/// Nothing has come on a connection where nothing is due; bytes that nobody asked for, or an end, make it useless.
+fn silent(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/crates/anemometer/src/daemon.rs
@@ -0,0 +1,126 @@
+//! The proxy as a process: when it is ready, how it leaves, what it does when its settings change.
+
+use crate::state::Proxy;
+use crate::{front, ready};
+use error_stack::{Report, ResultExt};
+use slog::{info, Logger};
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use violetyoke_mast::link;
+use violetyoke_station::Settings;
+
+const TICK: Duration = Duration::from_millis(100);
+const BACKLOG: u32 = 1024;
+/// Registries that may know something newer are waited for so long, once one has told its state.
+const ALL_HEARD: Duration = Duration::from_millis(700);
+/// Clients that were sent here before may still come for so long after a SIGTERM.
+const STILL_COME: Duration = Duration::from_millis(2_200);
+
+/// Why the proxy can't run.
+#[derive(Debug)]
+pub struct Failed;
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the proxy can't run")
+    }
+}
+
+impl std::error::Error for Failed {}
+
+pub enum Input {
+    Registry(Ipv4Addr, link::Event),
+}
+
+fn listen(address: Option<SocketAddr>, field: &str) -> Result<TcpListener, Report<Failed>> {
+    let address = address.ok_or_else(|| Report::new(Failed).attach(format!("{field} is missing")))?;
+    let open = || -> std::io::Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().change_context(Failed).attach_with(|| format!("{field}: {address}"))
+}
+
+pub async fn run(_file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+    let front = listen(settings.network.listen.front, "network.listen.front")?;
+    let readiness = listen(settings.network.listen.ready, "network.listen.ready")?;
+    let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
+    let mut hup = signal(SignalKind::hangup()).change_context(Failed)?;
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).change_context(Failed)?;
+    let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(0.5, 60.0));
+    let proxy = Rc::new(Proxy::new(settings, u64::from_le_bytes(bytes), log));
+    let (inputs, mut queue) = unbounded_channel();
+    let taking = tokio::task::spawn_local(front::serve(front, proxy.clone()));
+    tokio::task::spawn_local(ready::serve(readiness, proxy.clone()));
+    info!(proxy.log, "begins");
+    let begun = Instant::now();
+    let mut told = None;
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            input = queue.recv() => match input {
+                Some(Input::Registry(ip, event)) => proxy.registry(ip, event),
+                None => return Ok(()),
+            },
+            _ = ticks.tick() => {
+                proxy.connect(&inputs);
+                if !proxy.ready.get() && knows(&proxy) {
+                    let since = *told.get_or_insert_with(Instant::now);
+                    if all_heard(&proxy) || since.elapsed() > ALL_HEARD {
+                        proxy.ready.set(true);
+                        info!(proxy.log, "ready"; "after_ms" => begun.elapsed().as_millis());
+                        proxy.announce();
+                    }
+                }
+            }
+            _ = hup.recv() => info!(proxy.log, "settings told to have changed"),
+            _ = term.recv() => break,
+        }
+    }
+    proxy.leaving.set(true);
+    proxy.announce();
+    info!(proxy.log, "leaves"; "connections" => proxy.open.get());
+    let left = Instant::now();
+    let last = left + grace.saturating_sub(Duration::from_millis(400));
+    sleep(Duration::from_millis(150)).await;
+    proxy.leave.notify_waiters();
+    let mut ticks = interval(Duration::from_millis(20));
+    while Instant::now() < last {
+        tokio::select! {
+            Some(Input::Registry(ip, event)) = queue.recv() => proxy.registry(ip, event),
+            _ = ticks.tick() => {
+                proxy.leave.notify_waiters();
+                if left.elapsed() > STILL_COME {
+                    taking.abort();
+                    if proxy.open.get() == 0 {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    info!(proxy.log, "ends"; "connections" => proxy.open.get());
+    Ok(())
+}
+
+fn knows(proxy: &Proxy) -> bool {
+    proxy.snapshot.borrow().is_some() && proxy.list.get() != 0
+}
+
+/// All registries that are connected have told what they have, and they are more than half of those that are known.
+fn all_heard(proxy: &Proxy) -> bool {
+    let registries = proxy.registries.borrow();
+    let up = registries.values().filter(|registry| registry.sender.is_some());
+    up.clone().all(|registry| registry.members.digest != 0) && up.count() * 2 > registries.len()
+}
--- /dev/null
+++ b/crates/anemometer/src/front.rs
@@ -0,0 +1,68 @@
+//! Connections of clients: taken, served one request at a time, ended in order.
+
+use crate::request::handle;
+use crate::state::Proxy;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// The least that hyper takes for its buffer.
+const LEAST_HEAD: usize = 8 << 10;
+/// The longest that a connection may keep silent where no configuration says.
+const SILENT_MS: f64 = 15_000.0;
+
+pub async fn serve(listener: TcpListener, proxy: Rc<Proxy>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::task::spawn_local(connection(stream, proxy.clone()))),
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// A connection that is counted as long as it stands.
+struct Counted(Rc<Proxy>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+async fn connection(stream: TcpStream, proxy: Rc<Proxy>) {
+    proxy.open.set(proxy.open.get() + 1);
+    let counted = Counted(proxy.clone());
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = proxy.snapshot().map(|snapshot| snapshot.table.limits);
+    let silent = limits.map_or(SILENT_MS, |limits| limits.idle_timeout_ms.max(limits.header_timeout_ms));
+    let head = limits.map_or(LEAST_HEAD, |limits| (limits.max_header_bytes as usize).max(LEAST_HEAD));
+    let service = service_fn(|request| {
+        let proxy = counted.0.clone();
+        async move {
+            let mut reply = handle(&proxy, request).await;
+            if proxy.leaving.get() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(reply)
+        }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs_f64(silent / 1000.0))
+        .max_buf_size(head);
+    let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // A client that breaks off has its own reasons.
+        _ = served.as_mut() => return,
+        () = proxy.leave.notified() => served.as_mut().graceful_shutdown(),
+    }
+    let _ = served.await;
+}
--- /dev/null
+++ b/crates/anemometer/src/news.rs
@@ -0,0 +1,160 @@
+//! Sessions with all registries, and what they tell: states of control, lists of backends, members, counts.
+
+use crate::counting::Said;
+use crate::daemon::Input;
+use crate::state::{Proxy, Registry};
+use slog::info;
+use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use tokio::sync::mpsc::UnboundedSender;
+use violetyoke_ceilometer::fleet::Line;
+use violetyoke_mast::frame::{decode, encode};
+use violetyoke_mast::link;
+use violetyoke_mast::words::{List, Members, ProxyAsk, ProxySays, RegistryAsk, Session};
+use violetyoke_station::settings::Process;
+
+impl Proxy {
+    /// Keeps a session with each registry that is known.
+    pub fn connect(&self, inputs: &UnboundedSender<Input>) {
+        let seeds = self.settings.network.seeds.iter().filter_map(|seed| match seed.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        });
+        let mut registries = self.registries.borrow_mut();
+        let told = registries.values().flat_map(|registry| registry.members.registries.iter().copied());
+        let known: BTreeSet<Ipv4Addr> = seeds.chain(told).collect();
+        for ip in known {
+            if registries.contains_key(&ip) {
+                continue;
+            }
+            registries.insert(ip, Registry { sender: None, members: Members::default(), lives: 0 });
+            let inputs = inputs.clone();
+            let address = SocketAddrV4::new(ip, self.settings.inner(Process::Registry));
+            tokio::task::spawn_local(link::keep(address, move |event| {
+                drop(inputs.send(Input::Registry(ip, event)));
+            }));
+        }
+    }
+
+    fn session(&self) -> ProxyAsk {
+        let front = match self.settings.network.listen.front {
+            Some(std::net::SocketAddr::V4(front)) => front,
+            _ => SocketAddrV4::new(self.settings.me.ip, 0),
+        };
+        ProxyAsk::Hello(Session {
+            node: self.settings.me.node.clone(),
+            life: self.life,
+            front,
+            zone: self.settings.me.zone.clone(),
+            region: self.settings.me.region.clone(),
+            ready: self.serving(),
+        })
+    }
+
+    /// Tells all registries how this ingress stands.
+    pub fn announce(&self) {
+        let frame = encode(&RegistryAsk::Proxy(self.session()));
+        for sender in self.registries.borrow().values().filter_map(|registry| registry.sender.as_ref()) {
+            sender.send(frame.clone());
+        }
+    }
+
+    /// Asks all registries for what is newer than what is known here; one of them is to answer first.
+    pub fn poll(&self) {
+        let registries = self.registries.borrow();
+        let up = registries.iter().filter(|(_, registry)| registry.sender.is_some()).map(|(ip, _)| *ip);
+        // Ingresses differ in whom they ask first.
+        let lead = up.min_by_key(|ip| (u32::from(*ip)).wrapping_mul(0x9e37_79b9) ^ (self.life as u32));
+        self.lead.set(lead);
+        for (ip, registry) in registries.iter() {
+            let Some(sender) = &registry.sender else { continue };
+            let ask = ProxyAsk::Poll {
+                have: self.stamp(),
+                list: self.list.get(),
+                members: registry.members.digest,
+                lead: lead == Some(*ip),
+            };
+            sender.send(encode(&RegistryAsk::Proxy(ask)));
+        }
+    }
+
+    pub fn registry(self: &Rc<Self>, ip: Ipv4Addr, event: link::Event) {
+        match event {
+            link::Event::Up(sender) => {
+                info!(self.log, "session"; "registry" => %ip);
+                sender.send(encode(&RegistryAsk::Proxy(self.session())));
+                if let Some(registry) = self.registries.borrow_mut().get_mut(&ip) {
+                    registry.sender = Some(sender);
+                    registry.lives += 1;
+                }
+                self.poll();
+            }
+            link::Event::Down => {
+                if let Some(registry) = self.registries.borrow_mut().get_mut(&ip) {
+                    registry.sender = None;
+                    registry.members = Members::default();
+                }
+                self.members_changed();
+                self.poll();
+            }
+            link::Event::Frame(frame) => match decode(&frame) {
+                Ok(ProxySays::News(held)) => {
+                    self.take(held);
+                    self.poll();
+                }
+                Ok(ProxySays::List(list)) => self.list(list),
+                Ok(ProxySays::Members(members)) => {
+                    if let Some(registry) = self.registries.borrow_mut().get_mut(&ip) {
+                        registry.members = members;
+                    }
+                    self.members_changed();
+                }
+                Ok(ProxySays::Counted { call, retry_ms }) => {
+                    self.counting.borrow_mut().said(call, Said::Counted(retry_ms));
+                }
+                Ok(ProxySays::NotMine { call }) => self.counting.borrow_mut().said(call, Said::NotMine),
+                Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
+            },
+        }
+    }
+
+    fn list(&self, list: List) {
+        let now = self.now();
+        let at = now.saturating_sub(list.age_ms);
+        let lines = list.backends.into_iter().map(|backend| Line {
+            region: self.settings.region_of(&backend.zone).to_owned(),
+            id: backend.id,
+            service: backend.service,
+            address: backend.address,
+            zone: backend.zone,
+            slots: backend.slots,
+            draining: backend.draining,
+            cold_left_ms: backend.cold_left_ms,
+        });
+        if !self.fleet.borrow_mut().list(now, at, lines.collect()) {
+            return;
+        }
+        self.list.set(list.digest);
+        self.pools.borrow_mut().retain(&self.fleet.borrow());
+        self.waiting.borrow_mut().all();
+        self.poll();
+    }
+
+    /// Members as the widest view has them: parts cut too small are safe, parts cut too large are not. None while no
+    /// session stands.
+    fn members_changed(&self) {
+        let registries = self.registries.borrow();
+        let views = registries.values().filter(|it| it.sender.is_some()).map(|it| &it.members);
+        let widest = views.clone().max_by_key(|members| members.proxies.len());
+        let counting = &mut *self.counting.borrow_mut();
+        let proxies = widest.map(|members| members.proxies.clone()).unwrap_or_default();
+        if !proxies.is_empty() {
+            counting.ingresses = proxies.len();
+        }
+        self.fleet.borrow_mut().place.members = proxies;
+        if let Some(newest) = views.max_by_key(|members| members.owners.fence) {
+            counting.deal(newest.owners.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/anemometer/src/request.rs
@@ -0,0 +1,187 @@
+//! One request of a client: its route, whose it is, whether it is within the limit, its answer.
+
+use crate::attempts::{run, Job, Outcome};
+use crate::backend::Answer;
+use crate::counting::count;
+use crate::figures::add;
+use crate::state::Proxy;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use violetyoke_ceilometer::Millis;
+use violetyoke_station::calls::header;
+use violetyoke_station::routing::{Caller, Entry, Table};
+use violetyoke_station::verdict::{Ending, Verdict};
+
+type Reply = Response<Full<Bytes>>;
+
+/// Headers that concern one connection, and those that the system sets itself.
+const NOT_PASSED: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    header::CREDENTIAL,
+    header::TENANT,
+    header::TARGET,
+    header::DEADLINE,
+];
+
+fn plain(status: u16, why: &'static str) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from_static(why.as_bytes())));
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    reply
+}
+
+/// A promise or none, by the verdict; `retry_ms`: when to come back, where that is known.
+fn given_up(verdict: Verdict, ending: Ending, retry_ms: Option<Millis>) -> Reply {
+    let why = match ending {
+        Ending::Quota => "past the tenant's limit",
+        Ending::Overload => "no backend could take it",
+        Ending::TimeUp => "no answer in time",
+    };
+    let mut reply = plain(verdict.status(ending), why);
+    if let (Verdict::NeverRan, Some(ms)) = (verdict, retry_ms) {
+        if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", ms as f64 / 1000.0)) {
+            reply.headers_mut().insert("retry-after", value);
+        }
+    }
+    reply
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+pub async fn handle(proxy: &Rc<Proxy>, request: Request<Incoming>) -> Reply {
+    let arrived = Instant::now();
+    add(&proxy.figures.requests);
+    let Some(snapshot) = proxy.snapshot().filter(|_| proxy.ready.get()) else {
+        return given_up(Verdict::NeverRan, Ending::Overload, Some(200));
+    };
+    let table = &snapshot.table;
+    let (parts, body) = request.into_parts();
+    let authority = parts.uri.authority().map(|authority| authority.as_str());
+    let host = text(&parts.headers, "host").or(authority).unwrap_or_default();
+    let Some(entry) = table.find(host, parts.uri.path()) else {
+        add(&proxy.figures.no_route);
+        return plain(404, "no such route");
+    };
+    let mut keys = parts.headers.get_all(header::CREDENTIAL).iter();
+    let key = keys.next().and_then(|key| key.to_str().ok()).filter(|_| keys.next().is_none());
+    let tenant = match table.caller(entry, key) {
+        Caller::Unknown => {
+            add(&proxy.figures.no_key);
+            return plain(401, "no such key");
+        }
+        Caller::Anyone => None,
+        Caller::Tenant(number) => table.tenants.get(number),
+    };
+    let most = table.limits.max_body_bytes as usize;
+    let body = match Limited::new(body, most).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => return plain(413, "body too large"),
+        Err(_) => return plain(400, "body not whole"),
+    };
+    if let Some(tenant) = tenant {
+        if let Err(retry_ms) = count(proxy, tenant).await {
+            add(&proxy.figures.past_limit);
+            return given_up(Verdict::NeverRan, Ending::Quota, Some(retry_ms));
+        }
+    }
+    let Some(service) = entry.service(draw(proxy)).and_then(|number| table.services.get(number)) else {
+        return given_up(Verdict::NeverRan, Ending::Overload, None);
+    };
+    let name = tenant.map(|tenant| tenant.name.as_str());
+    let homes = tenant.map(|tenant| tenant.home_regions.clone()).unwrap_or_default();
+    let deadline = text(&parts.headers, header::DEADLINE).and_then(|ms| ms.trim().parse::<f64>().ok());
+    let held = deadline.unwrap_or(entry.timeout_ms).min(entry.timeout_ms).clamp(0.0, 600_000.0);
+    let job = Job {
+        service: service.name.clone(),
+        homes: [entry.homes.clone(), homes],
+        repeatable: entry.repeatable,
+        attempts: entry.attempts,
+        priority: priority(entry, tenant.and_then(|tenant| tenant.priority)),
+        head_only: parts.method == Method::HEAD,
+        attempt: text(&parts.headers, header::ATTEMPT).unwrap_or_default().to_owned(),
+        head: head(&parts, table, name, body.len()),
+        body,
+        arrived,
+        target: Duration::from_secs_f64(entry.target_ms.clamp(0.0, 600_000.0) / 1000.0),
+        until: arrived + Duration::from_secs_f64(held / 1000.0),
+    };
+    match run(proxy, &job).await {
+        Outcome::Answer(answer) => {
+            add(&proxy.figures.answered);
+            pass(answer)
+        }
+        Outcome::Ended { verdict, ending, retry_ms } => {
+            add(if verdict == Verdict::NeverRan { &proxy.figures.refused } else { &proxy.figures.failed });
+            given_up(verdict, ending, retry_ms)
+        }
+    }
+}
+
+/// The tenant's rank goes before the route's.
+fn priority(entry: &Entry, tenant: Option<i64>) -> i64 {
+    tenant.unwrap_or(entry.priority)
+}
+
+/// Uniform in 0..1, other for each request.
+fn draw(proxy: &Rc<Proxy>) -> f64 {
+    let mut x = proxy.life.wrapping_add(proxy.figures.requests.get().wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// The head of what a backend gets, but for what each attempt sets.
+fn head(parts: &Parts, _table: &Table, tenant: Option<&str>, length: usize) -> Bytes {
+    let mut out = BytesMut::with_capacity(512);
+    out.extend_from_slice(parts.method.as_str().as_bytes());
+    out.extend_from_slice(b" ");
+    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+    let dropped = text(&parts.headers, "connection").unwrap_or_default().to_ascii_lowercase();
+    let one_way = |name: &str| dropped.split(',').any(|word| word.trim() == name);
+    for (name, value) in &parts.headers {
+        if NOT_PASSED.contains(&name.as_str()) || one_way(name.as_str()) {
+            continue;
+        }
+        out.extend_from_slice(name.as_str().as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value.as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+    if length > 0 || !(parts.method == Method::GET || parts.method == Method::HEAD) {
+        out.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
+    }
+    if let Some(tenant) = tenant {
+        out.extend_from_slice(format!("{}: {tenant}\r\n", header::TENANT).as_bytes());
+    }
+    out.freeze()
+}
+
+/// A backend's answer as the client gets it.
+fn pass(answer: Answer) -> Reply {
+    let mut reply = Response::new(Full::new(answer.body));
+    *reply.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in answer.headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_maybe_shared(value)) {
+            reply.headers_mut().append(name, value);
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/crates/anemometer/src/state.rs
@@ -0,0 +1,156 @@
+//! What all parts of the proxy share: one thread, so cells do.
+
+use crate::backend::Pools;
+use crate::counting::Counting;
+use crate::figures::Figures;
+use crate::waiting::Waiting;
+use slog::Logger;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use violetyoke_ceilometer::budget::{Budget, Terms};
+use violetyoke_ceilometer::fleet::{Fleet, Place, Warming};
+use violetyoke_ceilometer::Millis;
+use violetyoke_mast::link::Sender;
+use violetyoke_mast::words::{Held, Members, Stamp};
+use violetyoke_station::routing::Table;
+use violetyoke_station::{Configuration, Settings};
+
+/// What is in force: swapped whole.
+#[derive(Debug)]
+pub struct Snapshot {
+    pub stamp: Stamp,
+    pub table: Table,
+}
+
+/// A connection to a registry, and what was last told there.
+pub struct Registry {
+    pub sender: Option<Sender>,
+    pub members: Members,
+    /// Connections to it so far: a later one may be to another life.
+    pub lives: u64,
+}
+
+pub struct Proxy {
+    pub settings: Settings,
+    pub life: u64,
+    pub begun: Instant,
+    pub log: Logger,
+    pub figures: Figures,
+    pub snapshot: RefCell<Option<Rc<Snapshot>>>,
+    pub evacuated: RefCell<BTreeSet<String>>,
+    pub fleet: RefCell<Fleet>,
+    pub list: Cell<u64>,
+    pub budgets: RefCell<HashMap<String, Budget>>,
+    pub counting: RefCell<Counting>,
+    pub waiting: RefCell<Waiting>,
+    pub pools: RefCell<Pools>,
+    pub registries: RefCell<BTreeMap<Ipv4Addr, Registry>>,
+    pub lead: Cell<Option<Ipv4Addr>>,
+    pub ready: Cell<bool>,
+    pub leaving: Cell<bool>,
+    /// Told when it begins to leave.
+    pub leave: Notify,
+    pub open: Cell<usize>,
+}
+
+impl Proxy {
+    pub fn new(settings: Settings, life: u64, log: Logger) -> Proxy {
+        let place = Place {
+            me: settings.me.node.clone(),
+            zone: settings.me.zone.clone(),
+            region: settings.me.region.clone(),
+            members: Vec::new(),
+        };
+        Proxy {
+            life,
+            begun: Instant::now(),
+            log,
+            figures: Figures::default(),
+            snapshot: RefCell::default(),
+            evacuated: RefCell::default(),
+            fleet: RefCell::new(Fleet::new(place)),
+            list: Cell::new(0),
+            budgets: RefCell::default(),
+            counting: RefCell::default(),
+            waiting: RefCell::default(),
+            pools: RefCell::default(),
+            registries: RefCell::default(),
+            lead: Cell::new(None),
+            ready: Cell::new(false),
+            leaving: Cell::new(false),
+            leave: Notify::new(),
+            open: Cell::new(0),
+            settings,
+        }
+    }
+
+    pub fn now(&self) -> Millis {
+        self.begun.elapsed().as_millis() as Millis + 1
+    }
+
+    pub fn serving(&self) -> bool {
+        self.ready.get() && !self.leaving.get()
+    }
+
+    pub fn snapshot(&self) -> Option<Rc<Snapshot>> {
+        self.snapshot.borrow().clone()
+    }
+
+    pub fn stamp(&self) -> Stamp {
+        self.snapshot.borrow().as_ref().map(|snapshot| snapshot.stamp).unwrap_or_default()
+    }
+
+    /// How many ingresses share what is cut over all of them.
+    pub fn ingresses(&self) -> usize {
+        self.counting.borrow().ingresses
+    }
+
+    /// A newer state of control; an older one changes nothing.
+    pub fn take(&self, held: Held) {
+        if held.stamp <= self.stamp() {
+            return;
+        }
+        let configuration = match Configuration::parse(held.text.as_bytes()) {
+            Ok(configuration) => configuration,
+            Err(error) if held.version > 0 => {
+                slog::error!(self.log, "configuration not taken"; "field" => error.field, "why" => error.why);
+                return;
+            }
+            // Nothing was ever sent.
+            Err(_) => return,
+        };
+        let warming = configuration.services.iter().map(|service| {
+            let warming = Warming { cold_ms: (service.cold_s * 1000.0) as Millis, rate: service.cold_rate_s };
+            (service.name.clone(), warming)
+        });
+        let lag = self.settings.platform.cloud_api.as_ref().map_or(1000.0, |api| api.lag_ms) as Millis + 700;
+        self.fleet.borrow_mut().configure(self.now(), warming.collect(), held.evacuated.clone(), lag);
+        slog::info!(self.log, "in force"; "version" => held.version, "epoch" => held.stamp.epoch,
+            "evacuated" => held.evacuated.len());
+        *self.evacuated.borrow_mut() = held.evacuated;
+        let table = Table::new(configuration);
+        self.counting.borrow_mut().retain(&table);
+        *self.snapshot.borrow_mut() = Some(Rc::new(Snapshot { stamp: held.stamp, table }));
+        self.waiting.borrow_mut().all();
+    }
+
+    /// The budget of further attempts at a service.
+    pub fn budget<R>(&self, service: &str, with: impl FnOnce(&mut Budget) -> R) -> R {
+        let bounds = &self.settings.terms.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(service) {
+            let terms = Terms {
+                ratio: bounds.retry_ratio,
+                window_ms: (bounds.retry_window_s * 1000.0) as Millis,
+                slack: bounds.retry_slack,
+            };
+            budgets.insert(service.to_owned(), Budget::new(terms));
+        }
+        let budget = budgets.entry(service.to_owned());
+        with(budget.or_insert_with(|| Budget::new(Terms { ratio: 0.0, window_ms: 1000, slack: 0.0 })))
+    }
+}
--- /dev/null
+++ b/crates/barograph/src/daemon/mod.rs
@@ -0,0 +1,199 @@
+//! The store as a process: connections, the clock and the disk round the register.
+
+mod keeper;
+mod watchers;
+
+use crate::disk::Slots;
+use crate::register::{Effect, Event, Register, Start};
+use error_stack::{Report, ResultExt};
+use keeper::Keeper;
+use slog::{info, Logger};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::time::{interval, Instant, MissedTickBehavior};
+use violetyoke_mast::frame::{decode, encode};
+use violetyoke_mast::link::{self, Sender};
+use violetyoke_mast::words::{Letter, Member, StoreAsk};
+use violetyoke_station::settings::{Process, Settings};
+use watchers::Watchers;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Why the store can't run.
+#[derive(Debug)]
+pub struct Failed;
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the store can't run")
+    }
+}
+
+impl std::error::Error for Failed {}
+
+/// What comes in: from connections by their number, from the disk, from the clock.
+pub(crate) enum Input {
+    Connection(u64, link::Event),
+    Peer(Ipv4Addr, link::Event),
+    Kept(u64),
+}
+
+struct Daemon {
+    register: Register,
+    me: Member,
+    port: u16,
+    begun: Instant,
+    keeper: Keeper,
+    inputs: UnboundedSender<Input>,
+    /// Connections to other stores.
+    peers: HashMap<Ipv4Addr, Option<Sender>>,
+    watchers: Watchers,
+    log: Logger,
+    told: (u64, bool),
+}
+
+pub async fn run(settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+    let folder = settings.me.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("barograph"));
+    let (slots, kept) = Slots::open(&folder)
+        .change_context(Failed)
+        .attach_with(|| format!("self.data-dir: {}", folder.display()))?;
+    let drawn = random().change_context(Failed)?;
+    let port = settings.inner(Process::Store);
+    let listener = TcpListener::bind((settings.me.ip, port))
+        .await
+        .change_context(Failed)
+        .attach_with(|| format!("network.internal-ports: {}:{port}", settings.me.ip))?;
+    let seeds = settings.network.seeds.iter().filter_map(|seed| match seed.ip() {
+        std::net::IpAddr::V4(ip) => Some(ip),
+        std::net::IpAddr::V6(_) => None,
+    });
+    let start = Start {
+        ip: settings.me.ip,
+        zone: settings.me.zone.clone(),
+        seeds: seeds.collect(),
+        tolerance: settings.terms.fault_tolerance.machines,
+        kept: kept.unwrap_or_default(),
+    };
+    info!(log, "begins"; "epoch" => start.kept.record.epoch, "version" => start.kept.held.version);
+    let (inputs, mut queue) = unbounded_channel();
+    let opened = inputs.clone();
+    let numbers = std::cell::Cell::new(0u64);
+    tokio::task::spawn_local(link::take(listener, move |_| {
+        numbers.set(numbers.get() + 1);
+        let (number, inputs) = (numbers.get(), opened.clone());
+        move |event| drop(inputs.send(Input::Connection(number, event)))
+    }));
+    let register = Register::new(start, 1, drawn, settings.me.bootstrap);
+    let mut daemon = Daemon {
+        me: register.member().clone(),
+        register,
+        port,
+        begun: Instant::now(),
+        keeper: Keeper::new(slots, inputs.clone()),
+        inputs,
+        peers: HashMap::new(),
+        watchers: Watchers::default(),
+        log,
+        told: (0, false),
+    };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            input = queue.recv() => match input {
+                Some(input) => daemon.input(input),
+                None => return Ok(()),
+            },
+            _ = ticks.tick() => {
+                daemon.connect();
+                let disk = daemon.keeper.answers();
+                daemon.handle(Event::Tick { disk });
+            }
+        }
+    }
+}
+
+fn random() -> Result<u64, getrandom::Error> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes)?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
+impl Daemon {
+    fn now(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64 + 1
+    }
+
+    /// Keeps a connection to each store that the register knows of.
+    fn connect(&mut self) {
+        for ip in self.register.stores() {
+            if ip == self.me.ip || self.peers.contains_key(&ip) {
+                continue;
+            }
+            self.peers.insert(ip, None);
+            let inputs = self.inputs.clone();
+            tokio::task::spawn_local(link::keep(SocketAddrV4::new(ip, self.port), move |event| {
+                drop(inputs.send(Input::Peer(ip, event)));
+            }));
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Kept(number) => {
+                self.keeper.kept(number);
+                self.handle(Event::Kept(number));
+            }
+            Input::Peer(ip, link::Event::Up(sender)) => drop(self.peers.insert(ip, Some(sender))),
+            Input::Peer(ip, link::Event::Down) => drop(self.peers.insert(ip, None)),
+            // A store answers on a connection of its own.
+            Input::Peer(_, link::Event::Frame(_)) => {}
+            Input::Connection(number, link::Event::Up(sender)) => self.watchers.opened(number, sender),
+            Input::Connection(number, link::Event::Down) => {
+                self.watchers.closed(number);
+                self.publish();
+            }
+            Input::Connection(number, link::Event::Frame(frame)) => match decode(&frame) {
+                Ok(StoreAsk::Letter(letter)) => self.handle(Event::Letter(letter)),
+                Ok(StoreAsk::Watch { registry, have }) => {
+                    self.watchers.watch(number, registry, have);
+                    self.publish();
+                }
+                Ok(StoreAsk::Do { call, order }) => {
+                    let client = self.watchers.client(number, call);
+                    self.handle(Event::Order { client, order });
+                }
+                Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
+            },
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        for effect in self.register.handle(now, event) {
+            match effect {
+                Effect::Send { to, word } => {
+                    if let Some(Some(sender)) = self.peers.get(&to) {
+                        sender.send(encode(&StoreAsk::Letter(Letter { from: self.me.clone(), word })));
+                    }
+                }
+                Effect::Keep { number, state } => self.keeper.keep(number, state),
+                Effect::Answer { client, outcome } => self.watchers.answer(client, outcome),
+                Effect::Publish => self.publish(),
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let standing = (self.register.epoch(), self.register.active());
+        if standing != self.told {
+            self.told = standing;
+            info!(self.log, "standing"; "epoch" => standing.0, "primary" => standing.1);
+        }
+        self.watchers.publish(&self.register);
+    }
+}
--- /dev/null
+++ b/crates/barograph/src/daemon/watchers.rs
@@ -0,0 +1,82 @@
+//! Registries that watch this store: what they have, who waits for an answer, and which of them count for tenants.
+
+use crate::register::{Client, Register};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use violetyoke_mast::frame::encode;
+use violetyoke_mast::link::Sender;
+use violetyoke_mast::words::{Outcome, Owners, Stamp, StoreSays};
+
+struct Watcher {
+    sender: Sender,
+    registry: Option<Ipv4Addr>,
+    have: Stamp,
+    told: Option<StoreSays>,
+}
+
+#[derive(Default)]
+pub(super) struct Watchers {
+    by_connection: BTreeMap<u64, Watcher>,
+    clients: BTreeMap<Client, (u64, u64)>,
+    next: Client,
+    owners: Owners,
+}
+
+impl Watchers {
+    pub fn opened(&mut self, number: u64, sender: Sender) {
+        let watcher = Watcher { sender, registry: None, have: Stamp::default(), told: None };
+        self.by_connection.insert(number, watcher);
+    }
+
+    pub fn closed(&mut self, number: u64) {
+        self.by_connection.remove(&number);
+        self.clients.retain(|_, (connection, _)| *connection != number);
+    }
+
+    pub fn watch(&mut self, number: u64, registry: Ipv4Addr, have: Stamp) {
+        if let Some(watcher) = self.by_connection.get_mut(&number) {
+            watcher.registry = Some(registry);
+            watcher.have = have;
+        }
+    }
+
+    pub fn client(&mut self, number: u64, call: u64) -> Client {
+        self.next += 1;
+        self.clients.insert(self.next, (number, call));
+        self.next
+    }
+
+    pub fn answer(&mut self, client: Client, outcome: Outcome) {
+        let Some((number, call)) = self.clients.remove(&client) else { return };
+        if let Some(watcher) = self.by_connection.get(&number) {
+            watcher.sender.send(encode(&StoreSays::Done { call, outcome }));
+        }
+    }
+
+    /// Tells each registry how the store stands, and the newest state where it has an older one.
+    pub fn publish(&mut self, register: &Register) {
+        let epoch = register.epoch();
+        if register.active() {
+            let live: BTreeSet<Ipv4Addr> =
+                self.by_connection.values().filter_map(|watcher| watcher.registry).collect();
+            let live: Vec<Ipv4Addr> = live.into_iter().collect();
+            if live != self.owners.registries || self.owners.fence.epoch != epoch {
+                let seq = if self.owners.fence.epoch == epoch { self.owners.fence.seq + 1 } else { 0 };
+                self.owners = Owners { fence: Stamp { epoch, seq }, registries: live };
+            }
+        }
+        let owners = if register.active() { self.owners.clone() } else { Owners::default() };
+        let standing =
+            StoreSays::Standing { epoch, active: register.active(), owners, stores: register.stores() };
+        for watcher in self.by_connection.values_mut().filter(|watcher| watcher.registry.is_some()) {
+            if watcher.told.as_ref() != Some(&standing) {
+                watcher.sender.send(encode(&standing));
+                watcher.told = Some(standing.clone());
+            }
+            if let Some(held) = register.committed().filter(|held| held.stamp > watcher.have) {
+                watcher.have = held.stamp;
+                watcher.sender.send(encode(&StoreSays::News(held.clone())));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/barograph/src/disk.rs
@@ -0,0 +1,121 @@
+//! What the register must not forget, on disk: two slots, each a whole state with its number and digest. The older slot
+//! is the one that is written, and synced before it counts; a torn write spoils no more than itself. A log was weighed
+//! (docs/design/system.md): what is kept is one small state, and a log's tail has to be trusted after a loss of power.
+
+use crate::register::Durable;
+use siphasher::sip::SipHasher13;
+use std::fs::{File, OpenOptions};
+use std::hash::Hasher;
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+const MAGIC: &[u8; 8] = b"barogr01";
+const HEAD: usize = 32;
+const NAMES: [&str; 2] = ["state-0", "state-1"];
+
+/// The two slots of a folder.
+#[derive(Debug)]
+pub struct Slots {
+    folder: PathBuf,
+    number: u64,
+    next: usize,
+    /// The folder holds the names for sure.
+    named: bool,
+}
+
+/// A slot as it was found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Found {
+    Missing,
+    Spoiled,
+    State { number: u64, state: Box<Durable> },
+}
+
+fn digest(number: u64, payload: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write_u64(number);
+    hasher.write(payload);
+    hasher.finish()
+}
+
+fn field(bytes: &[u8], at: usize) -> u64 {
+    let mut out = [0; 8];
+    out.copy_from_slice(&bytes[at..at + 8]);
+    u64::from_le_bytes(out)
+}
+
+/// What a slot's bytes say.
+pub fn read(bytes: &[u8]) -> Found {
+    if bytes.len() < HEAD || &bytes[..8] != MAGIC {
+        return Found::Spoiled;
+    }
+    let (number, length, told) = (field(bytes, 8), field(bytes, 16), field(bytes, 24));
+    let end = usize::try_from(length).ok().and_then(|length| length.checked_add(HEAD));
+    let Some(payload) = end.and_then(|end| bytes.get(HEAD..end)) else { return Found::Spoiled };
+    match rmp_serde::from_slice(payload) {
+        Ok(state) if digest(number, payload) == told => Found::State { number, state: Box::new(state) },
+        _ => Found::Spoiled,
+    }
+}
+
+/// A slot's bytes.
+pub fn write(number: u64, state: &Durable) -> Vec<u8> {
+    let payload = rmp_serde::to_vec(state).unwrap_or_default();
+    let mut out = Vec::with_capacity(HEAD + payload.len());
+    out.extend_from_slice(MAGIC);
+    out.extend_from_slice(&number.to_le_bytes());
+    out.extend_from_slice(&(payload.len() as u64).to_le_bytes());
+    out.extend_from_slice(&digest(number, &payload).to_le_bytes());
+    out.extend_from_slice(&payload);
+    out
+}
+
+impl Slots {
+    /// Opens a folder, and what it holds: nothing, where it is empty or new.
+    pub fn open(folder: &Path) -> io::Result<(Slots, Option<Durable>)> {
+        std::fs::create_dir_all(folder)?;
+        let mut newest: Option<(u64, usize, Durable)> = None;
+        for (place, name) in NAMES.iter().enumerate() {
+            let found = look(&folder.join(name))?;
+            if let Found::State { number, state } = found {
+                if newest.as_ref().is_none_or(|(other, ..)| number > *other) {
+                    newest = Some((number, place, *state));
+                }
+            }
+        }
+        let (number, next) = newest.as_ref().map_or((0, 0), |(number, place, _)| (*number, 1 - place));
+        let slots = Slots { folder: folder.to_owned(), number, next, named: false };
+        Ok((slots, newest.map(|(.., state)| state)))
+    }
+
+    /// Writes and syncs a state; where it returns, a loss of power does not take it.
+    pub fn put(&mut self, state: &Durable) -> io::Result<()> {
+        let path = self.folder.join(NAMES[self.next]);
+        let mut file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
+        let bytes = write(self.number + 1, state);
+        file.seek(SeekFrom::Start(0))?;
+        file.write_all(&bytes)?;
+        file.set_len(bytes.len() as u64)?;
+        file.sync_all()?;
+        if !self.named {
+            File::open(&self.folder)?.sync_all()?;
+            self.named = self.next == 1;
+        }
+        self.number += 1;
+        self.next = 1 - self.next;
+        Ok(())
+    }
+}
+
+/// What a slot's file holds.
+pub fn look(path: &Path) -> io::Result<Found> {
+    let mut bytes = Vec::new();
+    match File::open(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Found::Missing),
+        Err(error) => Err(error),
+        Ok(mut file) => {
+            file.read_to_end(&mut bytes)?;
+            Ok(read(&bytes))
+        }
+    }
+}
--- /dev/null
+++ b/crates/barograph/src/register/mod.rs
@@ -0,0 +1,312 @@
+//! One register of control state, held by a primary and its backups. Witnesses keep only epochs, and with them decide
+//! who takes over. There is no log: a state is small, and is handed on whole.
+//!
+//! - A *record* says who votes, who holds (the primary first) and under which epoch.
+//! - A new epoch stands once a majority of the voters of the record before it and of its own have accepted it, and all
+//!   its holders have the state on their disks. Holders are more than half of the voters, so that any majority has one.
+//! - Who promises an epoch takes nothing of a lower one any more; receivers check, whatever the sender believes.
+//! - An order is acknowledged when all holders have it on their disks.
+//! - A voter is a disk, not a machine: one that comes back empty is another voter, which the primary has to take in.
+
+mod orders;
+mod peers;
+mod takeover;
+mod voter;
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use violetyoke_mast::words::{Beat, Held, Letter, Member, Order, Outcome, PeerWord, Record, Stamp};
+
+/// Milliseconds of a clock that only advances; it begins anywhere.
+pub type Millis = u64;
+/// Who is to get an answer.
+pub type Client = u64;
+
+/// What must not be forgotten: the whole of it is written each time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Durable {
+    pub id: u64,
+    /// First start of the whole system, and no record since.
+    pub fresh: bool,
+    pub promised: u64,
+    pub record: Record,
+    pub held: Held,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Letter(Letter),
+    /// All that was asked to be kept up to this number is on the disk.
+    Kept(u64),
+    /// Time has passed; whether the disk answers.
+    Tick {
+        disk: bool,
+    },
+    Order {
+        client: Client,
+        order: Order,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Send {
+        to: Ipv4Addr,
+        word: PeerWord,
+    },
+    Keep {
+        number: u64,
+        state: Durable,
+    },
+    Answer {
+        client: Client,
+        outcome: Outcome,
+    },
+    /// There is a newer state that all holders have, or this store's standing is another.
+    Publish,
+}
+
+/// Where the store begins from.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    /// Machines whose stores are asked first.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Machines that may be lost at once.
+    pub tolerance: u32,
+    pub kept: Durable,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    member: Member,
+    beat: Beat,
+    heard: Millis,
+}
+
+/// What this store is about.
+#[derive(Clone, Debug)]
+enum Role {
+    /// Follows whoever is primary.
+    Follower,
+    /// Asks for promises.
+    Asking { epoch: u64, since: Millis, promises: BTreeMap<u64, (Member, Record, Held)> },
+    /// Has them, and offers its record.
+    Offering { record: Record, number: u64, since: Millis, accepted: BTreeSet<u64> },
+    /// Primary, and its epoch stands.
+    Active,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    client: Client,
+    /// What is asked to be kept of it here.
+    number: u64,
+    written: BTreeSet<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Confirming {
+    client: Client,
+    outcome: Outcome,
+    confirmed: BTreeSet<u64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Register {
+    me: Member,
+    seeds: Vec<Ipv4Addr>,
+    tolerance: u32,
+    now: Millis,
+    durable: Durable,
+    /// Numbers of what was asked to be kept, and of what is.
+    asked: u64,
+    kept: u64,
+    /// What may go out once so much is kept.
+    gated: VecDeque<(u64, Effect)>,
+    out: Vec<Effect>,
+    disk: bool,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    known: BTreeSet<Ipv4Addr>,
+    role: Role,
+    committed: Stamp,
+    /// The highest epoch heard of.
+    highest: u64,
+    waiting: VecDeque<(Client, Order, Millis)>,
+    pending: Option<Pending>,
+    confirming: BTreeMap<u64, Confirming>,
+    nonce: u64,
+    /// Since when the primary has not been well, and until when not to ask.
+    unled: Option<Millis>,
+    rest_until: Millis,
+    beat_at: Millis,
+    settled_at: Millis,
+}
+
+impl Register {
+    /// `drawn` names this disk where it is empty.
+    pub fn new(start: Start, now: Millis, drawn: u64, bootstrap: bool) -> Register {
+        let mut durable = start.kept;
+        let empty = durable.id == 0;
+        if empty {
+            durable.id = drawn.max(1);
+            durable.fresh = bootstrap;
+        }
+        let me = Member { id: durable.id, ip: start.ip, zone: start.zone };
+        let known = start.seeds.iter().copied().filter(|ip| *ip != me.ip).collect();
+        let mut register = Register {
+            me,
+            seeds: start.seeds,
+            tolerance: start.tolerance,
+            now,
+            highest: durable.promised,
+            durable,
+            asked: 0,
+            kept: 0,
+            gated: VecDeque::new(),
+            out: Vec::new(),
+            disk: true,
+            peers: BTreeMap::new(),
+            known,
+            role: Role::Follower,
+            committed: Stamp::default(),
+            waiting: VecDeque::new(),
+            pending: None,
+            confirming: BTreeMap::new(),
+            nonce: 0,
+            unled: None,
+            rest_until: 0,
+            beat_at: 0,
+            settled_at: now,
+        };
+        if empty {
+            register.keep();
+        }
+        register
+    }
+
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Effect> {
+        self.now = now;
+        match event {
+            Event::Letter(letter) => self.letter(letter),
+            Event::Kept(number) => {
+                self.kept = self.kept.max(number);
+                self.own_kept();
+            }
+            Event::Tick { disk } => {
+                self.disk = disk;
+                self.tick();
+            }
+            Event::Order { client, order } => self.order(client, order),
+        }
+        while self.gated.front().is_some_and(|(number, _)| *number <= self.kept) {
+            self.out.extend(self.gated.pop_front().map(|(_, effect)| effect));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The state that all holders have, as far as this store knows.
+    pub fn committed(&self) -> Option<&Held> {
+        (self.committed == self.durable.held.stamp && self.committed.epoch > 0).then_some(&self.durable.held)
+    }
+
+    pub fn member(&self) -> &Member {
+        &self.me
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.durable.record.epoch
+    }
+
+    pub fn active(&self) -> bool {
+        matches!(self.role, Role::Active)
+    }
+
+    /// All stores that this one knows of, itself among them.
+    pub fn stores(&self) -> Vec<Ipv4Addr> {
+        self.known.iter().copied().chain([self.me.ip]).collect()
+    }
+
+    /// What this store's own disk has counts as another's does.
+    fn own_kept(&mut self) {
+        let (id, kept) = (self.me.id, self.kept);
+        if let Role::Offering { record, number, .. } = &self.role {
+            let epoch = record.epoch;
+            if *number <= kept {
+                self.accepted(id, epoch);
+            }
+        }
+        if self.pending.as_ref().is_some_and(|pending| pending.number <= kept) {
+            self.written(id, self.durable.record.epoch, self.durable.held.stamp);
+        }
+    }
+
+    /// Asks for the state to be kept; what is sent from now on waits for it.
+    fn keep(&mut self) {
+        self.asked += 1;
+        self.out.push(Effect::Keep { number: self.asked, state: self.durable.clone() });
+    }
+
+    /// Sends once all that it may rest on is on the disk.
+    fn send(&mut self, to: Ipv4Addr, word: PeerWord) {
+        self.gated.push_back((self.asked, Effect::Send { to, word }));
+    }
+
+    fn answer(&mut self, client: Client, outcome: Outcome) {
+        self.gated.push_back((self.asked, Effect::Answer { client, outcome }));
+    }
+
+    fn voter(&self, id: u64) -> bool {
+        self.durable.record.voters.iter().any(|voter| voter.id == id)
+    }
+
+    fn ip_of(&self, id: u64) -> Option<Ipv4Addr> {
+        let voters = self.durable.record.voters.iter();
+        voters.clone().find(|voter| voter.id == id).map(|voter| voter.ip)
+    }
+
+    /// Backups of the record in force.
+    fn backups(&self) -> Vec<(u64, Ipv4Addr)> {
+        let others = self.durable.record.holders.iter().filter(|id| **id != self.me.id);
+        others.filter_map(|id| Some((*id, self.ip_of(*id)?))).collect()
+    }
+
+    fn others(&self) -> Vec<(u64, Ipv4Addr)> {
+        let voters = self.durable.record.voters.iter();
+        voters.filter(|voter| voter.id != self.me.id).map(|voter| (voter.id, voter.ip)).collect()
+    }
+
+    /// Gives up being primary, or trying to be.
+    fn step_down(&mut self) {
+        self.role = Role::Follower;
+        self.unled = Some(self.now);
+        let clients = self.pending.take().map(|pending| pending.client).into_iter();
+        let confirming = std::mem::take(&mut self.confirming).into_values().map(|one| one.client);
+        let waiting = std::mem::take(&mut self.waiting).into_iter().map(|(client, ..)| client);
+        let told: Vec<Client> = clients.chain(confirming).chain(waiting).collect();
+        // Nothing that this answer says rests on the disk.
+        self.out
+            .extend(told.into_iter().map(|client| Effect::Answer { client, outcome: Outcome::Elsewhere }));
+        self.out.push(Effect::Publish);
+    }
+}
+
+/// Enough have said yes to a record: of its voters, and of those of records before it that may not have stood.
+fn enough(record: &Record, has: impl Fn(u64) -> bool + Copy) -> bool {
+    majority(&record.voters, has) && record.bases.iter().all(|voters| majority(voters, has))
+}
+
+/// More than half of the members of a list are in a set.
+fn majority(of: &[Member], has: impl Fn(u64) -> bool) -> bool {
+    of.iter().filter(|member| has(member.id)).count() * 2 > of.len()
+}
+
+/// A figure in `0..most` that differs between stores and epochs, the same for the same two.
+fn drawn(id: u64, epoch: u64, most: u64) -> u64 {
+    let mut x = id ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (x ^ (x >> 31)) % most.max(1)
+}
--- /dev/null
+++ b/crates/barograph/src/register/orders.rs
@@ -0,0 +1,121 @@
+//! Orders of operators, at the primary: one after the other, each on all holders' disks before it is answered.
+
+use super::{Client, Confirming, Effect, Millis, Pending, Register, Role};
+use std::collections::BTreeSet;
+use violetyoke_mast::words::{Held, Order, Outcome, PeerWord, Stamp};
+
+/// An order waits so long for an epoch to stand; whoever sent it asks elsewhere then.
+const ORDER_WAITS: Millis = 1_500;
+
+impl Register {
+    pub(super) fn order(&mut self, client: Client, order: Order) {
+        if !self.active() && !self.trying() {
+            return self.out.push(Effect::Answer { client, outcome: Outcome::Elsewhere });
+        }
+        self.waiting.push_back((client, order, self.now));
+        self.next_order();
+    }
+
+    pub(super) fn expire_orders(&mut self) {
+        let now = self.now;
+        let late = |(.., since): &(Client, Order, Millis)| now > since + ORDER_WAITS;
+        let gone: Vec<Client> =
+            self.waiting.iter().filter(|one| late(one)).map(|(client, ..)| *client).collect();
+        self.waiting.retain(|one| !late(one));
+        self.out
+            .extend(gone.into_iter().map(|client| Effect::Answer { client, outcome: Outcome::Elsewhere }));
+    }
+
+    pub(super) fn next_order(&mut self) {
+        while matches!(self.role, Role::Active) && self.pending.is_none() {
+            let Some((client, order, _)) = self.waiting.pop_front() else { return };
+            let mut held = self.durable.held.clone();
+            let news = match order {
+                Order::Replace { version, text } => {
+                    let newer = version > held.version;
+                    if newer {
+                        (held.version, held.text) = (version, text);
+                    } else {
+                        // A configuration held is a configuration acknowledged, whoever leads by now.
+                        self.answer(client, Outcome::Acknowledged);
+                        continue;
+                    }
+                    newer
+                }
+                Order::Evacuate { zone, empty: true } => held.evacuated.insert(zone),
+                Order::Evacuate { zone, empty: false } => held.evacuated.remove(&zone),
+                Order::Read => {
+                    self.ask_whether(client, Outcome::Read(held));
+                    continue;
+                }
+            };
+            if news {
+                self.put(client, held);
+            } else {
+                self.ask_whether(client, Outcome::Acknowledged);
+            }
+        }
+    }
+
+    fn put(&mut self, client: Client, mut held: Held) {
+        held.stamp.seq += 1;
+        self.durable.held = held.clone();
+        self.keep();
+        self.pending = Some(Pending { client, number: self.asked, written: BTreeSet::new() });
+        let epoch = self.durable.record.epoch;
+        for (_, ip) in self.backups() {
+            // A backup may write while this disk does: the answer waits for both.
+            self.out.push(Effect::Send { to: ip, word: PeerWord::Write { epoch, held: held.clone() } });
+        }
+    }
+
+    pub(super) fn written(&mut self, id: u64, epoch: u64, stamp: Stamp) {
+        let now = self.durable.held.stamp;
+        if epoch != self.durable.record.epoch || stamp != now || !self.active() {
+            return;
+        }
+        if let Some(pending) = &mut self.pending {
+            pending.written.insert(id);
+            self.maybe_committed();
+        }
+    }
+
+    fn maybe_committed(&mut self) {
+        let Some(pending) = &self.pending else { return };
+        if self.durable.record.holders.iter().all(|id| pending.written.contains(id)) {
+            let client = pending.client;
+            self.pending = None;
+            self.committed = self.durable.held.stamp;
+            self.answer(client, Outcome::Acknowledged);
+            self.gated.push_back((self.asked, Effect::Publish));
+            self.next_order();
+        }
+    }
+
+    /// An answer that tells how things are is true only while no other store leads: the backups say whether.
+    fn ask_whether(&mut self, client: Client, outcome: Outcome) {
+        self.nonce += 1;
+        let nonce = self.nonce;
+        let confirmed = BTreeSet::from([self.me.id]);
+        self.confirming.insert(nonce, Confirming { client, outcome, confirmed });
+        let epoch = self.durable.record.epoch;
+        for (_, ip) in self.backups() {
+            self.send(ip, PeerWord::Confirm { epoch, nonce });
+        }
+        self.confirmed(self.me.id, epoch, nonce);
+    }
+
+    pub(super) fn confirmed(&mut self, id: u64, epoch: u64, nonce: u64) {
+        if epoch != self.durable.record.epoch || !self.active() {
+            return;
+        }
+        let Some(one) = self.confirming.get_mut(&nonce) else { return };
+        one.confirmed.insert(id);
+        let confirmed = &one.confirmed;
+        if self.durable.record.holders.iter().all(|id| confirmed.contains(id)) {
+            if let Some(one) = self.confirming.remove(&nonce) {
+                self.answer(one.client, one.outcome);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/barograph/src/register/peers.rs
@@ -0,0 +1,115 @@
+//! Who is there: beats between stores, and who is well.
+
+use super::{Effect, Millis, Peer, Register, Role};
+use std::net::Ipv4Addr;
+use violetyoke_mast::words::{Beat, Letter, Member, PeerWord};
+
+const BEAT_EVERY: Millis = 150;
+/// Silence after which a store is not well.
+pub(super) const SUSPECT: Millis = 700;
+/// Silence after which a voter's place may go to another store.
+pub(super) const GONE: Millis = 9_000;
+
+impl Register {
+    pub(super) fn letter(&mut self, letter: Letter) {
+        let Letter { from, word } = letter;
+        if from.ip == self.me.ip {
+            return;
+        }
+        self.known.insert(from.ip);
+        match word {
+            PeerWord::Beat(beat) => self.beat(from, beat),
+            PeerWord::Prepare { epoch } => self.prepare(from, epoch),
+            PeerWord::Promise { epoch, record, held } => self.promised(from, epoch, record, held),
+            PeerWord::Refuse { epoch, promised } => self.refused(epoch, promised),
+            PeerWord::Accept { record, held } => self.accept(from, record, held),
+            PeerWord::Stood { epoch } => self.stood(epoch),
+            PeerWord::Accepted { epoch } => self.accepted(from.id, epoch),
+            PeerWord::Write { epoch, held } => self.write(from, epoch, held),
+            PeerWord::Written { epoch, stamp } => self.written(from.id, epoch, stamp),
+            PeerWord::Confirm { epoch, nonce } => self.confirm(from, epoch, nonce),
+            PeerWord::Confirmed { epoch, nonce } => self.confirmed(from.id, epoch, nonce),
+        }
+    }
+
+    fn beat(&mut self, from: Member, beat: Beat) {
+        self.highest = self.highest.max(beat.record.epoch);
+        self.known.extend(beat.known.iter().copied().filter(|ip| *ip != self.me.ip));
+        let leads = beat.active && beat.record.holders.first() == Some(&from.id);
+        // A backup learns from its primary that all holders have what it has.
+        if leads
+            && beat.record.epoch == self.durable.record.epoch
+            && beat.committed == self.durable.held.stamp
+        {
+            let holder = self.durable.record.holders.contains(&self.me.id);
+            if holder && self.committed != beat.committed && self.kept == self.asked {
+                self.committed = beat.committed;
+                self.out.push(Effect::Publish);
+            }
+        }
+        self.peers.insert(from.ip, Peer { member: from, beat, heard: self.now });
+    }
+
+    /// Sends each known store a beat when one is due.
+    pub(super) fn beat_all(&mut self) {
+        if self.now < self.beat_at + BEAT_EVERY && self.beat_at != 0 {
+            return;
+        }
+        self.beat_at = self.now;
+        let beat = Beat {
+            record: self.durable.record.clone(),
+            active: self.active(),
+            committed: self.committed,
+            disk: self.disk,
+            fresh: self.durable.fresh,
+            known: self.stores(),
+        };
+        for to in self.known.clone() {
+            // Beats tell how things are; nobody takes them for a promise, so they don't wait for the disk.
+            self.out.push(Effect::Send { to, word: PeerWord::Beat(beat.clone()) });
+        }
+    }
+
+    /// Heard of lately under this very id, with a disk that answers.
+    pub(super) fn well(&self, id: u64) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.member.id == id && peer.beat.disk && self.now < peer.heard + SUSPECT)
+    }
+
+    pub(super) fn silent_for(&self, ip: Ipv4Addr) -> Millis {
+        self.peers.get(&ip).map_or(self.now - self.settled_at, |peer| self.now - peer.heard)
+    }
+
+    /// The primary of the record in force is well, and says that it leads under that record or a newer one.
+    pub(super) fn led(&self) -> bool {
+        let leads = |peer: &&Peer| peer.beat.active && peer.beat.disk && self.now < peer.heard + SUSPECT;
+        let newest = self.durable.record.epoch;
+        self.peers.values().filter(leads).any(|peer| peer.beat.record.epoch >= newest)
+    }
+
+    /// Well stores that have no vote yet.
+    pub(super) fn joiners(&self) -> Vec<Member> {
+        let voters = &self.durable.record.voters;
+        let others = self.peers.values().filter(|peer| !voters.contains(&peer.member));
+        others.filter(|peer| self.well(peer.member.id)).map(|peer| peer.member.clone()).collect()
+    }
+
+    /// The first start: all seeds are there, each with an empty disk.
+    pub(super) fn all_fresh(&self) -> Option<Vec<Member>> {
+        let mut members = Vec::new();
+        for seed in &self.seeds {
+            match self.peers.get(seed) {
+                _ if *seed == self.me.ip => members.push(self.me.clone()),
+                Some(peer) if peer.beat.fresh && self.well(peer.member.id) => {
+                    members.push(peer.member.clone())
+                }
+                _ => return None,
+            }
+        }
+        members.contains(&self.me).then_some(members)
+    }
+
+    pub(super) fn trying(&self) -> bool {
+        matches!(self.role, Role::Asking { .. } | Role::Offering { .. })
+    }
+}
--- /dev/null
+++ b/crates/barograph/src/register/voter.rs
@@ -0,0 +1,77 @@
+//! The voter's side: what is promised, accepted and written here. Each answer waits for the disk.
+
+use super::{Register, Role};
+use violetyoke_mast::words::{Held, Member, PeerWord, Record};
+
+impl Register {
+    fn refuse(&mut self, to: &Member, epoch: u64) {
+        let promised = self.durable.promised;
+        self.send(to.ip, PeerWord::Refuse { epoch, promised });
+    }
+
+    /// Raises the promise; whoever leads here under a lower epoch does so no more.
+    fn raise(&mut self, epoch: u64) {
+        self.durable.promised = epoch;
+        self.highest = self.highest.max(epoch);
+        if !matches!(self.role, Role::Follower) {
+            self.step_down();
+        }
+    }
+
+    pub(super) fn prepare(&mut self, from: Member, epoch: u64) {
+        if epoch <= self.durable.promised {
+            return self.refuse(&from, epoch);
+        }
+        self.raise(epoch);
+        self.keep();
+        let (record, held) = (self.durable.record.clone(), self.durable.held.clone());
+        self.send(from.ip, PeerWord::Promise { epoch, record, held });
+        // Whoever asks gets the time that an epoch takes.
+        self.unled = Some(self.now);
+    }
+
+    pub(super) fn accept(&mut self, from: Member, record: Record, held: Option<Held>) {
+        let epoch = record.epoch;
+        if epoch < self.durable.promised {
+            return self.refuse(&from, epoch);
+        }
+        if epoch > self.durable.promised || !matches!(self.role, Role::Follower) {
+            self.raise(epoch);
+        }
+        self.durable.record = record;
+        self.durable.fresh = false;
+        if let Some(held) = held.filter(|held| held.stamp > self.durable.held.stamp) {
+            self.durable.held = held;
+        }
+        self.unled = None;
+        self.keep();
+        self.send(from.ip, PeerWord::Accepted { epoch });
+    }
+
+    /// The record stands: those before it are of no more account.
+    pub(super) fn stood(&mut self, epoch: u64) {
+        if self.durable.record.epoch == epoch && !self.durable.record.bases.is_empty() {
+            self.durable.record.bases.clear();
+            self.keep();
+        }
+    }
+
+    pub(super) fn write(&mut self, from: Member, epoch: u64, held: Held) {
+        if epoch != self.durable.record.epoch || epoch != self.durable.promised {
+            return self.refuse(&from, epoch);
+        }
+        let stamp = held.stamp;
+        if stamp > self.durable.held.stamp {
+            self.durable.held = held;
+            self.keep();
+        }
+        self.send(from.ip, PeerWord::Written { epoch, stamp });
+    }
+
+    pub(super) fn confirm(&mut self, from: Member, epoch: u64, nonce: u64) {
+        if epoch != self.durable.record.epoch || epoch != self.durable.promised {
+            return self.refuse(&from, epoch);
+        }
+        self.send(from.ip, PeerWord::Confirmed { epoch, nonce });
+    }
+}
--- /dev/null
+++ b/crates/ceilometer/src/fleet.rs
@@ -0,0 +1,151 @@
+//! All backends that are known, as the platform's list tells of them.
+
+use crate::backend::{Backend, Showed};
+use crate::Millis;
+use std::collections::{BTreeSet, HashMap};
+
+/// One line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    pub id: String,
+    pub service: String,
+    pub address: std::net::SocketAddrV4,
+    pub zone: String,
+    pub region: String,
+    pub slots: u32,
+    pub draining: bool,
+    pub cold_left_ms: Millis,
+}
+
+/// Where this ingress stands, and who the others are.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Place {
+    pub me: String,
+    pub zone: String,
+    pub region: String,
+    /// All ingresses, this one among them; none while no session stands.
+    pub members: Vec<String>,
+}
+
+/// What a service's operator says of cold backends.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Warming {
+    pub cold_ms: Millis,
+    pub rate: f64,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub(crate) backends: HashMap<String, Backend>,
+    pub(crate) by_service: HashMap<String, Vec<String>>,
+    pub(crate) warming: HashMap<String, Warming>,
+    pub(crate) evacuated: BTreeSet<String>,
+    pub place: Place,
+    /// When the newest list was asked for.
+    listed: Option<Millis>,
+    /// Lives that have ended never come back.
+    ended: HashMap<String, Millis>,
+}
+
+/// A life that has ended is remembered for so long: no list lags by more.
+const REMEMBERED: Millis = 60_000;
+
+impl Fleet {
+    pub fn new(place: Place) -> Fleet {
+        Fleet { place, ..Fleet::default() }
+    }
+
+    /// A list that was asked for at `at`; an older one than is known changes nothing, and is not taken.
+    pub fn list(&mut self, now: Millis, at: Millis, lines: Vec<Line>) -> bool {
+        if self.listed.is_some_and(|listed| at < listed) {
+            return false;
+        }
+        self.listed = Some(at);
+        self.ended.retain(|_, since| now < *since + REMEMBERED);
+        let named: BTreeSet<&str> = lines.iter().map(|line| line.id.as_str()).collect();
+        let gone: Vec<String> =
+            self.backends.keys().filter(|id| !named.contains(id.as_str())).cloned().collect();
+        for id in gone {
+            self.ended.insert(id.clone(), now);
+            match self.backends.get_mut(&id) {
+                // Its last attempts are still out.
+                Some(backend) if backend.open > 0 => backend.leaving = true,
+                _ => drop(self.backends.remove(&id)),
+            }
+        }
+        for line in lines {
+            if self.ended.contains_key(&line.id) {
+                continue;
+            }
+            let Line { id, service, address, zone, region, slots, draining, cold_left_ms } = line;
+            let backend = self
+                .backends
+                .entry(id.clone())
+                .or_insert_with(|| Backend::new(id, service, address, zone, region, slots));
+            backend.slots = slots.max(1);
+            backend.leaving |= draining;
+            backend.cold.set(if cold_left_ms > 0 { at + cold_left_ms } else { 0 });
+        }
+        self.index();
+        true
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for backend in self.backends.values().filter(|backend| !backend.leaving) {
+            self.by_service.entry(backend.service.clone()).or_default().push(backend.id.clone());
+        }
+        for ids in self.by_service.values_mut() {
+            ids.sort_unstable();
+        }
+    }
+
+    /// What a new configuration says: cold rates, and zones that are to get nothing.
+    pub fn configure(
+        &mut self,
+        now: Millis,
+        warming: HashMap<String, Warming>,
+        evacuated: BTreeSet<String>,
+        lag: Millis,
+    ) {
+        self.warming = warming;
+        for zone in self.evacuated.difference(&evacuated) {
+            // Taken back: its backends may have become cold, and a list that says so comes later.
+            for backend in self.backends.values_mut().filter(|backend| backend.zone == *zone) {
+                let cold = self.warming.get(&backend.service).map_or(0, |warming| warming.cold_ms);
+                backend.cold.doubt(now + cold + lag);
+            }
+        }
+        self.evacuated = evacuated;
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Backend> {
+        self.backends.get(id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.backends.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.backends.is_empty()
+    }
+
+    pub fn sent(&mut self, now: Millis, id: &str) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.sent(now);
+        }
+    }
+
+    pub fn ended(&mut self, now: Millis, id: &str, showed: Showed) {
+        let Some(backend) = self.backends.get_mut(id) else { return };
+        let leaving = backend.leaving;
+        backend.ended(now, showed);
+        if backend.leaving && backend.open == 0 && self.ended.contains_key(id) {
+            self.backends.remove(id);
+            self.index();
+        } else if backend.leaving != leaving {
+            self.index();
+        }
+    }
+}
--- /dev/null
+++ b/crates/ceilometer/src/lib.rs
@@ -0,0 +1,15 @@
+//! Which backend gets a request, how many at once, and whether a request may be sent again. Nothing here does I/O or
+//! reads a clock; chance is seeded.
+
+pub mod backend;
+pub mod budget;
+pub mod choose;
+pub mod cold;
+pub mod fleet;
+pub mod queue;
+
+/// Milliseconds of a clock that only advances.
+pub type Millis = u64;
+
+pub use choose::{Choice, Wanted};
+pub use fleet::Fleet;
--- /dev/null
+++ b/crates/mast/src/program.rs
@@ -0,0 +1,88 @@
+//! How each daemon begins: its command line, its settings, its log, its one thread.
+
+use lexopt::prelude::*;
+use slog::Logger;
+use std::fmt::Debug;
+use std::future::Future;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use violetyoke_station::Settings;
+
+const REST: &str = "
+  --settings FILE  settings (default: the file that $VIOLETYOKE_CONFIG names)
+  --check          read the settings, say what is wrong with them, and end
+  --help           this text
+
+Exit status: 0 fine, 1 it can't run, 2 the command line is wrong.";
+
+/// What the command line says.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Wanted {
+    Run { settings: PathBuf, check: bool },
+    Help,
+}
+
+/// Reads a daemon's command line; `standard` is the settings file where none is named.
+pub fn command_line(parser: &mut lexopt::Parser, standard: Option<PathBuf>) -> Result<Wanted, lexopt::Error> {
+    let (mut file, mut check) = (standard, false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => file = Some(PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Long("help") | Short('h') => return Ok(Wanted::Help),
+            other => return Err(other.unexpected()),
+        }
+    }
+    match file {
+        Some(settings) => Ok(Wanted::Run { settings, check }),
+        None => Err(format!("no settings: give --settings or ${}", Settings::VARIABLE).into()),
+    }
+}
+
+/// Runs a daemon until it ends.
+pub fn run<F, E>(
+    program: &'static str,
+    about: &str,
+    main: impl FnOnce(PathBuf, Settings, Logger) -> F,
+) -> ExitCode
+where
+    F: Future<Output = Result<(), E>>,
+    E: Debug,
+{
+    let standard = std::env::var_os(Settings::VARIABLE).map(PathBuf::from);
+    let (file, check) = match command_line(&mut lexopt::Parser::from_env(), standard) {
+        Ok(Wanted::Run { settings, check }) => (settings, check),
+        Ok(Wanted::Help) => {
+            println!("{program} [--settings FILE] [--check]\n\n{about}\n{REST}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("{program}: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let settings = match Settings::read(&file) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{program}: {report:?}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if check {
+        return ExitCode::SUCCESS;
+    }
+    let log = crate::log::logger(program, &settings.me.node);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = runtime.map(|runtime| {
+        tokio::task::LocalSet::new()
+            .block_on(&runtime, main(file, settings, log))
+            .map_err(|report| format!("{report:?}"))
+    });
+    match ended.map_err(|error| error.to_string()) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(why)) | Err(why) => {
+            eprintln!("{program}: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/raingauge/src/holder.rs
@@ -0,0 +1,80 @@
+//! The holder's side: the counts of the tenants that are dealt to it.
+
+use crate::{Limit, Millis, Window};
+use std::collections::HashMap;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Count<F> {
+    window: Window,
+    /// Under which deal it was begun.
+    fence: F,
+}
+
+/// Counts by tenant; `F` orders deals, the newer the greater.
+#[derive(Clone, Debug, Default)]
+pub struct Holder<F> {
+    counts: HashMap<String, Count<F>>,
+    newest: F,
+}
+
+/// An add or a word that came under a deal that is no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stale;
+
+impl<F: Copy + Ord + Default> Holder<F> {
+    /// A newer deal: what comes under an older one is refused from now on.
+    pub fn raise(&mut self, fence: F) {
+        self.newest = self.newest.max(fence);
+    }
+
+    /// One more request of a tenant.
+    pub fn add(
+        &mut self,
+        now: Millis,
+        tenant: &str,
+        fence: F,
+        limit: Limit,
+    ) -> Result<Result<(), Millis>, Stale> {
+        if fence < self.newest {
+            return Err(Stale);
+        }
+        self.newest = fence;
+        Ok(self.count(tenant).window.add(now, limit))
+    }
+
+    /// What one ingress let pass of a tenant in its last two windows, told when the count came here: a holder that is
+    /// new to it rebuilds the count from those who passed the requests on.
+    pub fn tell(
+        &mut self,
+        now: Millis,
+        tenant: &str,
+        fence: F,
+        limit: Limit,
+        told: (f64, f64),
+    ) -> Result<(), Stale> {
+        if fence < self.newest {
+            return Err(Stale);
+        }
+        self.newest = fence;
+        let count = self.count(tenant);
+        if count.fence < fence {
+            // Held here once, and elsewhere since: what is left of that would count twice.
+            *count = Count { window: Window::default(), fence };
+        }
+        count.window.note(now, limit, told.0, told.1);
+        Ok(())
+    }
+
+    fn count(&mut self, tenant: &str) -> &mut Count<F> {
+        if !self.counts.contains_key(tenant) {
+            let count = Count { window: Window::default(), fence: self.newest };
+            self.counts.insert(tenant.to_owned(), count);
+        }
+        self.counts.entry(tenant.to_owned()).or_default()
+    }
+
+    /// Forgets tenants that are no more.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.counts.retain(|tenant, _| known(tenant));
+    }
+}
--- /dev/null
+++ b/crates/station/src/calls.rs
@@ -0,0 +1,92 @@
+//! The one table of calls: what operators and clients call here, and what the system calls at backends and at the
+//! platform.
+
+/// Who takes a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taker {
+    Controller,
+    Locator,
+    Edge,
+    Backend,
+    Platform,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    ConfigurationReplace,
+    ConfigurationRead,
+    EvacuationBegin,
+    EvacuationFinish,
+    Resolve,
+    Readiness,
+    Instances,
+}
+
+/// A call's line of the table.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    pub call: Call,
+    pub taker: Taker,
+    pub method: &'static str,
+    pub path: &'static str,
+    /// The value of `call` in the query, for calls of operators.
+    pub name: Option<&'static str>,
+}
+
+pub const TABLE: &[Line] = &[
+    line(Call::ConfigurationReplace, Taker::Controller, "POST", "/api/rpc", Some("configuration.replace")),
+    line(Call::ConfigurationRead, Taker::Controller, "POST", "/api/rpc", Some("configuration.read")),
+    line(Call::EvacuationBegin, Taker::Controller, "POST", "/api/rpc", Some("evacuation.begin")),
+    line(Call::EvacuationFinish, Taker::Controller, "POST", "/api/rpc", Some("evacuation.finish")),
+    line(Call::Resolve, Taker::Locator, "GET", "/api/resolve", None),
+    line(Call::Readiness, Taker::Edge, "GET", "/api/readiness", None),
+    line(Call::Instances, Taker::Platform, "GET", "/instances", None),
+];
+
+const fn line(
+    call: Call,
+    taker: Taker,
+    method: &'static str,
+    path: &'static str,
+    name: Option<&'static str>,
+) -> Line {
+    Line { call, taker, method, path, name }
+}
+
+/// Headers of the calls at backends, and of clients' requests.
+pub mod header {
+    pub const ATTEMPT: &str = "x-attempt-id";
+    pub const DEADLINE: &str = "x-deadline-ms";
+    pub const SEAL: &str = "x-server-seal";
+    pub const TENANT: &str = "x-tenant";
+    pub const TARGET: &str = "x-target-instance";
+    pub const LOAD: &str = "x-server-load";
+    pub const NOT_EXECUTED: &str = "x-not-executed";
+    pub const CREDENTIAL: &str = "x-credential";
+}
+
+/// A value of a query, as it stands (names of zones and calls need no decoding).
+pub fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    query?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+/// Which call a request to `taker` is.
+pub fn find(taker: Taker, method: &str, path: &str, text: Option<&str>) -> Option<Call> {
+    let name = query(text, "call");
+    let meant = |line: &&Line| {
+        line.taker == taker
+            && line.method == method
+            && line.path == path
+            && (line.name.is_none() || line.name == name)
+    };
+    TABLE.iter().find(meant).map(|line| line.call)
+}
+
+/// The path with its query of one of the calls.
+pub fn path_of(call: Call) -> &'static str {
+    TABLE.iter().find(|line| line.call == call).map_or("/", |line| line.path)
+}
--- /dev/null
+++ b/crates/windvane/src/daemon/mod.rs
@@ -0,0 +1,247 @@
+//! The registry as a process.
+
+mod orders;
+mod outside;
+mod proxies;
+mod stores;
+
+use crate::backends::Lists;
+use crate::platform;
+use crate::sessions::Sessions;
+use crate::Millis;
+use error_stack::{Report, ResultExt};
+use orders::Orders;
+use proxies::Proxies;
+use slog::{info, Logger};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use stores::Stores;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::time::{interval, Instant, MissedTickBehavior};
+use violetyoke_mast::frame::{decode, encode};
+use violetyoke_mast::link::{self, Sender};
+use violetyoke_mast::words::{Backend, Gossip, Held, RegistryAsk};
+use violetyoke_station::settings::{Process, Settings};
+
+const TICK: Duration = Duration::from_millis(50);
+/// So often other registries are told that the list still holds.
+const TELL_LIST: Millis = 700;
+
+/// Why the registry can't run.
+#[derive(Debug)]
+pub struct Failed;
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the registry can't run")
+    }
+}
+
+impl std::error::Error for Failed {}
+
+/// What comes in.
+pub(crate) enum Input {
+    /// From a proxy or a registry, on a connection of that number.
+    Connection(u64, link::Event),
+    Registry(Ipv4Addr, link::Event),
+    Store(Ipv4Addr, link::Event),
+    Listed {
+        asked_at: Millis,
+        backends: Option<Vec<Backend>>,
+    },
+}
+
+pub(crate) struct Registry {
+    settings: Settings,
+    begun: Instant,
+    inputs: UnboundedSender<Input>,
+    sessions: Sessions,
+    lists: Lists,
+    stores: Stores,
+    orders: Orders,
+    proxies: Proxies,
+    held: Held,
+    /// Other registries: connections to them, and those that are here from them.
+    registries: BTreeMap<Ipv4Addr, Option<Sender>>,
+    heard: BTreeMap<u64, Ipv4Addr>,
+    told_list: Millis,
+    log: Logger,
+}
+
+pub async fn run(settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+    let (inputs, mut queue) = unbounded_channel();
+    let me = settings.me.ip;
+    let inner = bind((me, settings.inner(Process::Registry)).into(), "network.internal-ports").await?;
+    let control = outside_address(settings.network.listen.control, "network.listen.control")?;
+    let directory = outside_address(settings.network.listen.directory, "network.listen.directory")?;
+    let (control, directory) =
+        (bind(control, "network.listen.control").await?, bind(directory, "network.listen.directory").await?);
+    let opened = inputs.clone();
+    let numbers = std::cell::Cell::new(0u64);
+    tokio::task::spawn_local(link::take(inner, move |_| {
+        numbers.set(numbers.get() + 1);
+        let (number, inputs) = (numbers.get(), opened.clone());
+        move |event| drop(inputs.send(Input::Connection(number, event)))
+    }));
+    let registry = Rc::new(RefCell::new(Registry {
+        begun: Instant::now(),
+        sessions: Sessions::default(),
+        lists: Lists::default(),
+        stores: Stores::new(me, settings.inner(Process::Store)),
+        orders: Orders::default(),
+        proxies: Proxies::default(),
+        held: Held::default(),
+        registries: BTreeMap::new(),
+        heard: BTreeMap::new(),
+        told_list: 0,
+        settings,
+        inputs,
+        log,
+    }));
+    tokio::task::spawn_local(outside::serve(control, registry.clone(), outside::Door::Control));
+    tokio::task::spawn_local(outside::serve(directory, registry.clone(), outside::Door::Directory));
+    info!(registry.borrow().log, "begins");
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            input = queue.recv() => match input {
+                Some(input) => registry.borrow_mut().input(input),
+                None => return Ok(()),
+            },
+            _ = ticks.tick() => registry.borrow_mut().tick(),
+        }
+    }
+}
+
+async fn bind(address: SocketAddr, field: &str) -> Result<TcpListener, Report<Failed>> {
+    TcpListener::bind(address).await.change_context(Failed).attach_with(|| format!("{field}: {address}"))
+}
+
+fn outside_address(address: Option<SocketAddr>, field: &str) -> Result<SocketAddr, Report<Failed>> {
+    address.ok_or_else(|| Report::new(Failed).attach(format!("{field} is missing")))
+}
+
+impl Registry {
+    pub(crate) fn now(&self) -> Millis {
+        self.begun.elapsed().as_millis() as Millis + 1
+    }
+
+    /// This registry and those whose connections stand.
+    fn live(&self) -> Vec<Ipv4Addr> {
+        let live: BTreeSet<Ipv4Addr> = self.heard.values().copied().chain([self.settings.me.ip]).collect();
+        live.into_iter().collect()
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        let seeds = self.settings.network.seeds.iter().filter_map(|seed| match seed.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        });
+        let known: BTreeSet<Ipv4Addr> = seeds.chain(self.stores.known()).collect();
+        self.stores.connect(&known, &self.inputs);
+        for ip in known {
+            if ip != self.settings.me.ip && !self.registries.contains_key(&ip) {
+                self.registries.insert(ip, None);
+                let inputs = self.inputs.clone();
+                let address = (ip, self.settings.inner(Process::Registry)).into();
+                let address = std::net::SocketAddrV4::new(
+                    ip,
+                    match address {
+                        SocketAddr::V4(a) => a.port(),
+                        SocketAddr::V6(a) => a.port(),
+                    },
+                );
+                tokio::task::spawn_local(link::keep(address, move |event| {
+                    drop(inputs.send(Input::Registry(ip, event)));
+                }));
+            }
+        }
+        self.orders.tick(now, &self.stores);
+        self.ask_platform(now);
+        if self.lists.digest() != 0
+            && now > self.told_list + TELL_LIST
+            && !self.lists.due(now, self.settings.me.ip, &[])
+        {
+            let first = self.live().first() == Some(&self.settings.me.ip);
+            if first {
+                self.told_list = now;
+                self.gossip(self.lists.newest(now, false));
+            }
+        }
+        self.publish();
+    }
+
+    fn ask_platform(&mut self, now: Millis) {
+        let Some(api) = &self.settings.platform.cloud_api else { return };
+        if self.lists.due(now, self.settings.me.ip, &self.live()) {
+            self.lists.asked();
+            let (address, inputs) = (api.address, self.inputs.clone());
+            tokio::task::spawn_local(async move {
+                let backends = platform::whole(address).await;
+                drop(inputs.send(Input::Listed { asked_at: now, backends }));
+            });
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Listed { asked_at, backends: Some(backends) } => {
+                if self.lists.answered(now, asked_at, backends) {
+                    self.told_list = now;
+                    self.gossip(self.lists.newest(now, true));
+                    self.publish();
+                }
+            }
+            Input::Listed { backends: None, .. } => self.lists.failed(now),
+            Input::Store(ip, event) => self.store(ip, event),
+            Input::Registry(ip, link::Event::Up(sender)) => {
+                self.registries.insert(ip, Some(sender));
+                self.gossip(self.lists.newest(now, true));
+            }
+            Input::Registry(ip, link::Event::Down) => drop(self.registries.insert(ip, None)),
+            Input::Registry(_, link::Event::Frame(_)) => {}
+            Input::Connection(number, link::Event::Up(sender)) => self.proxies.opened(number, sender),
+            Input::Connection(number, link::Event::Down) => {
+                self.proxies.closed(number);
+                if let Some(ip) = self.heard.remove(&number) {
+                    if !self.heard.values().any(|other| *other == ip) {
+                        self.sessions.lost(ip);
+                    }
+                }
+                if self.sessions.end(number) {
+                    self.gossip(None);
+                }
+                self.publish();
+            }
+            Input::Connection(number, link::Event::Frame(frame)) => match decode(&frame) {
+                Ok(RegistryAsk::Proxy(ask)) => self.proxy(number, ask),
+                Ok(RegistryAsk::Registry(gossip)) => {
+                    self.heard.insert(number, gossip.from);
+                    self.sessions.told(gossip.from, gossip.sessions);
+                    if let Some(list) = gossip.list {
+                        self.lists.told(now, list);
+                    }
+                    self.publish();
+                }
+                Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
+            },
+        }
+    }
+
+    /// Tells all other registries the sessions that stand here.
+    fn gossip(&self, list: Option<violetyoke_mast::words::List>) {
+        let gossip = Gossip { from: self.settings.me.ip, sessions: self.sessions.own(), list };
+        let frame = encode(&RegistryAsk::Registry(gossip));
+        for sender in self.registries.values().flatten() {
+            sender.send(frame.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/windvane/src/daemon/outside.rs
@@ -0,0 +1,139 @@
+//! The outside calls: operators' orders, and clients that ask where to go.
+
+use super::Registry;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use violetyoke_mast::words::{Order, Outcome};
+use violetyoke_station::calls::{find, query, Call, Taker};
+use violetyoke_station::{Configuration, Invalid};
+
+/// The largest body of an order.
+const LARGEST: usize = 8 << 20;
+const HEAD_WITHIN: Duration = Duration::from_secs(5);
+/// Clients keep an answer for so long, at most.
+const TTL_S: f64 = 2.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Door {
+    Control,
+    Directory,
+}
+
+type Shared = Rc<RefCell<Registry>>;
+type Answer = Response<Full<Bytes>>;
+
+pub(super) async fn serve(listener: TcpListener, registry: Shared, door: Door) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let registry = registry.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let registry = registry.clone();
+                async move { Ok::<_, Infallible>(answer(request, &registry, door).await) }
+            });
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN);
+            // A client that breaks off has its own reasons.
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn plain(status: u16, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    answer.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn refusal(status: u16, error: &Invalid) -> Answer {
+    let body = serde_json::json!({ "error": error.to_string(), "field": error.field });
+    plain(status, body.to_string())
+}
+
+async fn answer(request: Request<Incoming>, registry: &Shared, door: Door) -> Answer {
+    let taker = if door == Door::Control { Taker::Controller } else { Taker::Locator };
+    let uri = request.uri().clone();
+    let Some(call) = find(taker, request.method().as_str(), uri.path(), uri.query()) else {
+        return refusal(404, &Invalid::new("call", "is none that this address takes"));
+    };
+    match call {
+        Call::Resolve => resolve(registry, uri.query()),
+        Call::ConfigurationReplace => match Limited::new(request.into_body(), LARGEST).collect().await {
+            Err(error) => refusal(413, &Invalid::new("document", error)),
+            Ok(body) => replace(registry, &body.to_bytes()).await,
+        },
+        Call::ConfigurationRead => match order(registry, Order::Read).await {
+            Some(Outcome::Read(held)) if held.version > 0 || !held.text.is_empty() => plain(200, held.text),
+            Some(Outcome::Read(_)) => refusal(404, &Invalid::new("configuration", "none was ever sent")),
+            _ => unclear(),
+        },
+        Call::EvacuationBegin | Call::EvacuationFinish => {
+            let zone = query(uri.query(), "of").unwrap_or_default();
+            if !registry.borrow().settings.network.zones.contains_key(zone) {
+                return refusal(400, &Invalid::new("of", "is no zone"));
+            }
+            let empty = call == Call::EvacuationBegin;
+            match order(registry, Order::Evacuate { zone: zone.to_owned(), empty }).await {
+                Some(Outcome::Acknowledged) => plain(200, "{}"),
+                _ => unclear(),
+            }
+        }
+        Call::Readiness | Call::Instances => refusal(404, &Invalid::new("call", "is not taken here")),
+    }
+}
+
+fn unclear() -> Answer {
+    let mut answer =
+        refusal(503, &Invalid::new("order", "no store has answered: it may be in force or may not"));
+    answer.headers_mut().insert("retry-after", hyper::header::HeaderValue::from_static("0.2"));
+    answer
+}
+
+async fn replace(registry: &Shared, body: &Bytes) -> Answer {
+    let version = match Configuration::parse(body) {
+        Err(error) => return refusal(400, &error),
+        Ok(configuration) => configuration.version,
+    };
+    let Ok(text) = String::from_utf8(body.to_vec()) else {
+        return refusal(400, &Invalid::new("document", "is not UTF-8"));
+    };
+    match order(registry, Order::Replace { version, text }).await {
+        Some(Outcome::Acknowledged) => plain(200, "{}"),
+        _ => unclear(),
+    }
+}
+
+async fn order(registry: &Shared, order: Order) -> Option<Outcome> {
+    let outcome = {
+        let registry = &mut *registry.borrow_mut();
+        let now = registry.now();
+        registry.orders.give(now, order, &registry.stores)
+    };
+    outcome.await.ok()
+}
+
+fn resolve(registry: &Shared, text: Option<&str>) -> Answer {
+    let registry = registry.borrow();
+    let named = |name| query(text, name).unwrap_or_default();
+    let addresses = registry.sessions.resolve(named("region"), named("zone"));
+    if addresses.is_empty() {
+        return refusal(503, &Invalid::new("addresses", "no ingress is ready"));
+    }
+    let ttl = registry.settings.terms.bounds.ttl_max_s.min(TTL_S);
+    let addresses: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    plain(200, serde_json::json!({ "addresses": addresses, "ttl-s": ttl }).to_string())
+}
--- /dev/null
+++ b/crates/windvane/src/sessions.rs
@@ -0,0 +1,68 @@
+//! A proxy is a member while its session with a registry stands; registries tell each other their sessions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use violetyoke_mast::words::Session;
+
+/// The most addresses in one answer.
+const MOST: usize = 64;
+
+/// Sessions here and at other registries.
+#[derive(Clone, Debug, Default)]
+pub struct Sessions {
+    own: BTreeMap<u64, Session>,
+    others: BTreeMap<Ipv4Addr, Vec<Session>>,
+}
+
+impl Sessions {
+    /// A proxy says who it is, on a connection of that number.
+    pub fn begin(&mut self, connection: u64, session: Session) {
+        self.own.insert(connection, session);
+    }
+
+    /// The connection has ended; whether a session did.
+    pub fn end(&mut self, connection: u64) -> bool {
+        self.own.remove(&connection).is_some()
+    }
+
+    pub fn told(&mut self, registry: Ipv4Addr, sessions: Vec<Session>) {
+        self.others.insert(registry, sessions);
+    }
+
+    pub fn lost(&mut self, registry: Ipv4Addr) {
+        self.others.remove(&registry);
+    }
+
+    /// What is told to other registries.
+    pub fn own(&self) -> Vec<Session> {
+        self.own.values().cloned().collect()
+    }
+
+    /// The session of each proxy's newest life here, or else as others tell of it.
+    fn all(&self) -> BTreeMap<&str, &Session> {
+        let mut all: BTreeMap<&str, &Session> = BTreeMap::new();
+        for session in self.others.values().flatten().chain(self.own.values()) {
+            all.insert(&session.node, session);
+        }
+        all
+    }
+
+    /// Names of all proxies, in order.
+    pub fn members(&self) -> Vec<String> {
+        self.all().keys().map(|name| (*name).to_owned()).collect()
+    }
+
+    /// Where a client of that zone is to go: ready proxies of its zone, or else of its region, or else any.
+    pub fn resolve(&self, region: &str, zone: &str) -> Vec<SocketAddrV4> {
+        let all = self.all();
+        let ready: Vec<&Session> = all.into_values().filter(|session| session.ready).collect();
+        let near = [
+            ready.iter().filter(|it| it.zone == zone).copied().collect::<Vec<_>>(),
+            ready.iter().filter(|it| it.region == region).copied().collect(),
+            ready,
+        ];
+        let chosen = near.into_iter().find(|some| !some.is_empty()).unwrap_or_default();
+        let fronts: BTreeSet<SocketAddrV4> = chosen.into_iter().map(|session| session.front).collect();
+        fronts.into_iter().take(MOST).collect()
+    }
+}
