Take SIGHUP, SIGTERM and lost words between stores in order; a world of faults for stores

Change: settings are read again at SIGHUP or when the file changes; a primary that gets SIGTERM has another take over first; writes are sent again.

--- a/crates/anemometer/src/daemon.rs
+++ b/crates/anemometer/src/daemon.rs
@@ -13,7 +13,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
-use violetyoke_mast::link;
+use violetyoke_mast::{changes, link};
 use violetyoke_station::Settings;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -50,11 +50,11 @@
     open().change_context(Failed).attach_with(|| format!("{field}: {address}"))
 }
 
-pub async fn run(_file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
     let front = listen(settings.network.listen.front, "network.listen.front")?;
     let readiness = listen(settings.network.listen.ready, "network.listen.ready")?;
     let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
-    let mut hup = signal(SignalKind::hangup()).change_context(Failed)?;
+    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(Failed)?;
     let mut bytes = [0; 8];
     getrandom::fill(&mut bytes).change_context(Failed)?;
     let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(0.5, 60.0));
@@ -84,7 +84,7 @@
                     }
                 }
             }
-            _ = hup.recv() => info!(proxy.log, "settings told to have changed"),
+            Some(settings) = changes.recv() => *proxy.seeds.borrow_mut() = settings.seeds(),
             _ = term.recv() => break,
         }
     }
--- a/crates/anemometer/src/news.rs
+++ b/crates/anemometer/src/news.rs
@@ -5,7 +5,7 @@
 use crate::state::{Proxy, Registry};
 use slog::info;
 use std::collections::BTreeSet;
-use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedSender;
 use violetyoke_ceilometer::fleet::Line;
@@ -17,13 +17,9 @@
 impl Proxy {
     /// Keeps a session with each registry that is known.
     pub fn connect(&self, inputs: &UnboundedSender<Input>) {
-        let seeds = self.settings.network.seeds.iter().filter_map(|seed| match seed.ip() {
-            IpAddr::V4(ip) => Some(ip),
-            IpAddr::V6(_) => None,
-        });
         let mut registries = self.registries.borrow_mut();
         let told = registries.values().flat_map(|registry| registry.members.registries.iter().copied());
-        let known: BTreeSet<Ipv4Addr> = seeds.chain(told).collect();
+        let known: BTreeSet<Ipv4Addr> = self.seeds.borrow().iter().copied().chain(told).collect();
         for ip in known {
             if registries.contains_key(&ip) {
                 continue;
--- a/crates/anemometer/src/state.rs
+++ b/crates/anemometer/src/state.rs
@@ -36,6 +36,8 @@
 
 pub struct Proxy {
     pub settings: Settings,
+    /// Machines whose registries are asked, as the settings have them by now.
+    pub seeds: RefCell<Vec<Ipv4Addr>>,
     pub life: u64,
     pub begun: Instant,
     pub log: Logger,
@@ -66,6 +68,7 @@
             members: Vec::new(),
         };
         Proxy {
+            seeds: RefCell::new(settings.seeds()),
             life,
             begun: Instant::now(),
             log,
--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/barograph/src/daemon/mod.rs
@@ -11,16 +11,21 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::{interval, Instant, MissedTickBehavior};
+use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
 use violetyoke_mast::link::{self, Sender};
 use violetyoke_mast::words::{Letter, Member, StoreAsk};
 use violetyoke_station::settings::{Process, Settings};
 use watchers::Watchers;
 
+/// After a SIGTERM another store is waited for so long.
+const LEAVES: Duration = Duration::from_millis(2_500);
 const TICK: Duration = Duration::from_millis(50);
 
 /// Why the store can't run.
@@ -56,7 +61,7 @@
     told: (u64, bool),
 }
 
-pub async fn run(settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
     let folder = settings.me.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("barograph"));
     let (slots, kept) = Slots::open(&folder)
         .change_context(Failed)
@@ -67,18 +72,15 @@
         .await
         .change_context(Failed)
         .attach_with(|| format!("network.internal-ports: {}:{port}", settings.me.ip))?;
-    let seeds = settings.network.seeds.iter().filter_map(|seed| match seed.ip() {
-        std::net::IpAddr::V4(ip) => Some(ip),
-        std::net::IpAddr::V6(_) => None,
-    });
     let start = Start {
         ip: settings.me.ip,
         zone: settings.me.zone.clone(),
-        seeds: seeds.collect(),
+        seeds: settings.seeds(),
         tolerance: settings.terms.fault_tolerance.machines,
         kept: kept.unwrap_or_default(),
     };
     info!(log, "begins"; "epoch" => start.kept.record.epoch, "version" => start.kept.held.version);
+    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(Failed)?;
     let (inputs, mut queue) = unbounded_channel();
     let opened = inputs.clone();
     let numbers = std::cell::Cell::new(0u64);
@@ -100,6 +102,8 @@
         log,
         told: (0, false),
     };
+    let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
+    let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -108,10 +112,20 @@
                 Some(input) => daemon.input(input),
                 None => return Ok(()),
             },
+            Some(settings) = changes.recv() => daemon.register.seeds(settings.seeds()),
+            _ = term.recv(), if leaves.is_none() => {
+                info!(daemon.log, "leaves"; "primary" => daemon.register.active());
+                leaves = Some(Instant::now());
+            }
             _ = ticks.tick() => {
                 daemon.connect();
-                let disk = daemon.keeper.answers();
+                // A primary that leaves has another take over first: it says that its disk is of no use any more.
+                let disk = daemon.keeper.answers() && leaves.is_none();
                 daemon.handle(Event::Tick { disk });
+                if leaves.is_some_and(|since| since.elapsed() > LEAVES || daemon.register.follows()) {
+                    info!(daemon.log, "ends");
+                    return Ok(());
+                }
             }
         }
     }
--- a/crates/barograph/src/main.rs
+++ b/crates/barograph/src/main.rs
@@ -4,7 +4,5 @@
 
 fn main() -> ExitCode {
     let about = "The store of configuration: one process on each core machine.";
-    violetyoke_mast::program::run("barograph", about, |_, settings, log| {
-        violetyoke_barograph::daemon::run(settings, log)
-    })
+    violetyoke_mast::program::run("barograph", about, violetyoke_barograph::daemon::run)
 }
--- a/crates/barograph/src/register/mod.rs
+++ b/crates/barograph/src/register/mod.rs
@@ -105,6 +105,8 @@
     /// What is asked to be kept of it here.
     number: u64,
     written: BTreeSet<u64>,
+    /// When it was last sent to the backups.
+    sent: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -112,6 +114,7 @@
     client: Client,
     outcome: Outcome,
     confirmed: BTreeSet<u64>,
+    since: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -212,10 +215,20 @@
         (self.committed == self.durable.held.stamp && self.committed.epoch > 0).then_some(&self.durable.held)
     }
 
+    /// Machines whose stores are asked first, as the settings have them by now.
+    pub fn seeds(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.known.extend(seeds.into_iter().filter(|ip| *ip != self.me.ip));
+    }
+
     pub fn member(&self) -> &Member {
         &self.me
     }
 
+    /// Another store leads.
+    pub fn follows(&self) -> bool {
+        matches!(self.role, Role::Follower) && self.led()
+    }
+
     pub fn epoch(&self) -> u64 {
         self.durable.record.epoch
     }
--- a/crates/barograph/src/register/orders.rs
+++ b/crates/barograph/src/register/orders.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeSet;
 use violetyoke_mast::words::{Held, Order, Outcome, PeerWord, Stamp};
 
+/// A state that a backup has not said to have is sent again after so long.
+const AGAIN: Millis = 250;
 /// An order waits so long for an epoch to stand; whoever sent it asks elsewhere then.
 const ORDER_WAITS: Millis = 1_500;
 
@@ -61,12 +63,36 @@
         held.stamp.seq += 1;
         self.durable.held = held.clone();
         self.keep();
-        self.pending = Some(Pending { client, number: self.asked, written: BTreeSet::new() });
-        let epoch = self.durable.record.epoch;
-        for (_, ip) in self.backups() {
-            // A backup may write while this disk does: the answer waits for both.
-            self.out.push(Effect::Send { to: ip, word: PeerWord::Write { epoch, held: held.clone() } });
+        self.pending = Some(Pending { client, number: self.asked, written: BTreeSet::new(), sent: self.now });
+        self.send_pending();
+    }
+
+    /// Sends what is not on all disks yet to those that have not said so. A backup may write while this disk does: the
+    /// answer waits for both.
+    fn send_pending(&mut self) {
+        let Some(pending) = &mut self.pending else { return };
+        pending.sent = self.now;
+        let written = pending.written.clone();
+        let (epoch, held) = (self.durable.record.epoch, self.durable.held.clone());
+        for (id, ip) in self.backups() {
+            if !written.contains(&id) {
+                self.out.push(Effect::Send { to: ip, word: PeerWord::Write { epoch, held: held.clone() } });
+            }
+        }
+    }
+
+    /// A word may be lost with its connection, while both ends are well: it is sent again.
+    pub(super) fn send_again(&mut self) {
+        let now = self.now;
+        if self.pending.as_ref().is_some_and(|pending| now > pending.sent + AGAIN) {
+            self.send_pending();
         }
+        let late = |one: &Confirming| now > one.since + ORDER_WAITS;
+        let gone: Vec<Client> =
+            self.confirming.values().filter(|one| late(one)).map(|one| one.client).collect();
+        self.confirming.retain(|_, one| !late(one));
+        self.out
+            .extend(gone.into_iter().map(|client| Effect::Answer { client, outcome: Outcome::Elsewhere }));
     }
 
     pub(super) fn written(&mut self, id: u64, epoch: u64, stamp: Stamp) {
@@ -97,7 +123,7 @@
         self.nonce += 1;
         let nonce = self.nonce;
         let confirmed = BTreeSet::from([self.me.id]);
-        self.confirming.insert(nonce, Confirming { client, outcome, confirmed });
+        self.confirming.insert(nonce, Confirming { client, outcome, confirmed, since: self.now });
         let epoch = self.durable.record.epoch;
         for (_, ip) in self.backups() {
             self.send(ip, PeerWord::Confirm { epoch, nonce });
--- a/crates/barograph/src/register/takeover.rs
+++ b/crates/barograph/src/register/takeover.rs
@@ -32,7 +32,10 @@
                     self.give_up();
                 }
             }
-            Role::Active => self.maybe_rearrange(),
+            Role::Active => {
+                self.send_again();
+                self.maybe_rearrange();
+            }
         }
     }
 
--- /dev/null
+++ b/crates/barograph/tests/world/mod.rs
@@ -0,0 +1,331 @@
+//! Stores in virtual time, seeded: links with delays and cuts, disks that stall, tear and vanish, processes that are
+//! killed, frozen and come back. Its rules are taken from what clients were answered, never from a store's own belief.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::Ipv4Addr;
+use violetyoke_barograph::disk;
+use violetyoke_barograph::register::{Durable, Effect, Event, Register, Start};
+use violetyoke_mast::words::{Held, Letter, Order, Outcome};
+
+pub type Millis = u64;
+
+/// Chance: the same for the same seed.
+#[derive(Clone, Debug)]
+pub struct Chance(pub u64);
+
+impl Chance {
+    pub fn below(&mut self, most: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut x = self.0;
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (x ^ (x >> 31)) % most.max(1)
+    }
+}
+
+/// A machine: its process while it runs, and its disk.
+pub struct Machine {
+    pub ip: Ipv4Addr,
+    zone: String,
+    pub register: Option<Register>,
+    /// Bytes of both slots, as `disk` writes them.
+    slots: [Vec<u8>; 2],
+    number: u64,
+    next: usize,
+    /// What is asked to be kept and is not yet: number of the ask, state, when it is done.
+    writing: Vec<(u64, Durable, Millis)>,
+    pub stalled_until: Millis,
+    pub frozen_until: Millis,
+    late: Vec<Event>,
+    life: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Letter { to: usize, letter: LetterBox },
+    Tick { to: usize },
+    Kept { to: usize, life: u64, number: u64 },
+}
+
+/// Letters have no order of their own: their number is one.
+#[derive(Clone, Debug)]
+struct LetterBox(u64, Box<Letter>);
+
+impl PartialEq for LetterBox {
+    fn eq(&self, other: &LetterBox) -> bool {
+        self.0 == other.0
+    }
+}
+impl Eq for LetterBox {}
+impl PartialOrd for LetterBox {
+    fn partial_cmp(&self, other: &LetterBox) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for LetterBox {
+    fn cmp(&self, other: &LetterBox) -> std::cmp::Ordering {
+        self.0.cmp(&other.0)
+    }
+}
+
+/// What a client waits for, and what had been acknowledged when it asked.
+#[derive(Clone, Debug)]
+struct Asked {
+    order: Order,
+    acked: u64,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub chance: Chance,
+    pub machines: Vec<Machine>,
+    due: BinaryHeap<std::cmp::Reverse<(Millis, u64, Due)>>,
+    count: u64,
+    /// Pairs that letters don't get across, from and to.
+    pub cut: BTreeSet<(usize, usize)>,
+    asked: BTreeMap<u64, Asked>,
+    /// The newest configuration that was acknowledged to anybody, and what was sent under each number.
+    pub acked: u64,
+    pub sent: BTreeMap<u64, String>,
+    pub acks: u64,
+    pub reads: u64,
+    /// Who led under each epoch, by what it answered with authority.
+    pub broken: Vec<String>,
+    tolerance: u32,
+}
+
+impl World {
+    pub fn new(seed: u64, machines: usize, tolerance: u32) -> World {
+        let seeds: Vec<Ipv4Addr> =
+            (0..machines.min(3)).map(|n| Ipv4Addr::new(10, 0, 0, n as u8 + 1)).collect();
+        let mut world = World {
+            now: 1,
+            chance: Chance(seed),
+            machines: Vec::new(),
+            due: BinaryHeap::new(),
+            count: 0,
+            cut: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            acked: 0,
+            sent: BTreeMap::new(),
+            acks: 0,
+            reads: 0,
+            broken: Vec::new(),
+            tolerance,
+        };
+        for n in 0..machines {
+            let zone = if n % 3 == 1 { "b" } else { "a" };
+            world.machines.push(Machine {
+                ip: Ipv4Addr::new(10, 0, 0, n as u8 + 1),
+                zone: zone.into(),
+                register: None,
+                slots: [Vec::new(), Vec::new()],
+                number: 0,
+                next: 0,
+                writing: Vec::new(),
+                stalled_until: 0,
+                frozen_until: 0,
+                late: Vec::new(),
+                life: 0,
+            });
+        }
+        for n in 0..machines {
+            world.start(n, &seeds, true);
+            world.at(1 + n as u64, Due::Tick { to: n });
+        }
+        world
+    }
+
+    fn at(&mut self, when: Millis, due: Due) {
+        self.count += 1;
+        self.due.push(std::cmp::Reverse((when, self.count, due)));
+    }
+
+    fn start(&mut self, n: usize, seeds: &[Ipv4Addr], bootstrap: bool) {
+        let drawn = self.chance.below(u64::MAX - 1) + 1;
+        let now = self.now;
+        let machine = &mut self.machines[n];
+        let found = machine.slots.iter().enumerate().filter_map(|(place, bytes)| match disk::read(bytes) {
+            disk::Found::State { number, state } => Some((number, place, *state)),
+            _ => None,
+        });
+        let newest = found.max_by_key(|(number, ..)| *number);
+        (machine.number, machine.next) =
+            newest.as_ref().map_or((0, 0), |(number, place, _)| (*number, 1 - place));
+        let start = Start {
+            ip: machine.ip,
+            zone: machine.zone.clone(),
+            seeds: seeds.to_vec(),
+            tolerance: self.tolerance,
+            kept: newest.map(|(.., state)| state).unwrap_or_default(),
+        };
+        machine.life += 1;
+        machine.register = Some(Register::new(start, now, drawn, bootstrap));
+    }
+
+    /// The process ends. With the power, what is not synced is lost, and the slot that was being written may be torn.
+    pub fn kill(&mut self, n: usize, power: bool) {
+        let tear = self.chance.below(3);
+        let machine = &mut self.machines[n];
+        machine.register = None;
+        machine.late.clear();
+        if let (true, Some((_, state, _))) = (power, machine.writing.first()) {
+            let whole = disk::write(machine.number + 1, state);
+            match tear {
+                0 => {}
+                1 => machine.slots[machine.next] = whole[..whole.len() / 2].to_vec(),
+                _ => machine.slots[machine.next] = whole,
+            }
+        } else if let Some((_, state, _)) = machine.writing.last().cloned() {
+            // Bytes that a process wrote stay when only the process dies.
+            machine.slots[machine.next] = disk::write(machine.number + 1, &state);
+        }
+        machine.writing.clear();
+    }
+
+    pub fn wipe(&mut self, n: usize) {
+        self.kill(n, true);
+        self.machines[n].slots = [Vec::new(), Vec::new()];
+    }
+
+    pub fn restart(&mut self, n: usize) {
+        if self.machines[n].register.is_none() {
+            let seeds: Vec<Ipv4Addr> = self.machines.iter().take(3).map(|machine| machine.ip).collect();
+            self.start(n, &seeds, false);
+        }
+    }
+
+    pub fn up(&self, n: usize) -> bool {
+        self.machines[n].register.is_some()
+    }
+
+    /// A client gives a store an order.
+    pub fn order(&mut self, n: usize, order: Order) {
+        self.count += 1;
+        let client = self.count;
+        if let Order::Replace { version, text } = &order {
+            self.sent.insert(*version, text.clone());
+        }
+        self.asked.insert(client, Asked { order: order.clone(), acked: self.acked });
+        self.event(n, Event::Order { client, order });
+    }
+
+    pub fn run(&mut self, until: Millis) {
+        while let Some(std::cmp::Reverse((when, ..))) = self.due.peek() {
+            if *when > until {
+                break;
+            }
+            let Some(std::cmp::Reverse((when, _, due))) = self.due.pop() else { break };
+            self.now = when;
+            match due {
+                Due::Letter { to, letter } => self.event(to, Event::Letter(*letter.1)),
+                Due::Tick { to } => {
+                    let disk = self.now >= self.machines[to].stalled_until + 600
+                        || self.now < self.machines[to].stalled_until.saturating_sub(3_000)
+                        || self.machines[to].writing.is_empty();
+                    self.event(to, Event::Tick { disk });
+                    let step = 45 + self.chance.below(10);
+                    self.at(when + step, Due::Tick { to });
+                }
+                Due::Kept { to, life, number } => {
+                    let machine = &mut self.machines[to];
+                    if machine.life == life && machine.register.is_some() {
+                        if let Some(place) = machine.writing.iter().position(|(asked, ..)| *asked == number) {
+                            let state = machine.writing[place].1.clone();
+                            machine.writing.drain(..=place);
+                            machine.number += 1;
+                            machine.slots[machine.next] = disk::write(machine.number, &state);
+                            machine.next = 1 - machine.next;
+                            self.event(to, Event::Kept(number));
+                        }
+                    }
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    fn event(&mut self, n: usize, event: Event) {
+        let now = self.now;
+        let machine = &mut self.machines[n];
+        if machine.register.is_none() {
+            return;
+        }
+        if now < machine.frozen_until {
+            if !matches!(event, Event::Tick { .. }) {
+                machine.late.push(event);
+            }
+            return;
+        }
+        let mut events = std::mem::take(&mut machine.late);
+        events.push(event);
+        for event in events {
+            let Some(register) = &mut self.machines[n].register else { return };
+            for effect in register.handle(now, event) {
+                self.effect(n, effect);
+            }
+        }
+    }
+
+    fn effect(&mut self, n: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, word } => {
+                let Some(place) = self.machines.iter().position(|machine| machine.ip == to) else { return };
+                if self.cut.contains(&(n, place)) || !self.up(place) {
+                    return;
+                }
+                let Some(register) = &self.machines[n].register else { return };
+                let letter =
+                    LetterBox(self.count, Box::new(Letter { from: register.member().clone(), word }));
+                let delay = self.chance.below(4);
+                self.at(self.now + delay, Due::Letter { to: place, letter });
+            }
+            Effect::Keep { number, state } => {
+                let took = 1 + self.chance.below(6);
+                let machine = &mut self.machines[n];
+                let done =
+                    machine.writing.last().map_or(0, |(.., at)| *at).max(self.now).max(machine.stalled_until)
+                        + took;
+                machine.writing.push((number, state, done));
+                let life = machine.life;
+                self.at(done, Due::Kept { to: n, life, number });
+            }
+            Effect::Answer { client, outcome } => self.answered(client, outcome),
+            Effect::Publish => {
+                let committed = self.machines[n].register.as_ref().and_then(Register::committed).cloned();
+                if let Some(held) = committed.filter(|held| held.version > 0) {
+                    self.known(&held, "told");
+                }
+            }
+        }
+    }
+
+    /// A configuration that anybody is told must be one that was sent.
+    fn known(&mut self, held: &Held, how: &str) {
+        if held.version > 0 && self.sent.get(&held.version) != Some(&held.text) {
+            self.broken.push(format!("{how}: version {} is not what was sent under it", held.version));
+        }
+    }
+
+    fn answered(&mut self, client: u64, outcome: Outcome) {
+        let Some(asked) = self.asked.remove(&client) else { return };
+        match (asked.order, outcome) {
+            (Order::Replace { version, .. }, Outcome::Acknowledged) => {
+                self.acks += 1;
+                self.acked = self.acked.max(version);
+            }
+            (Order::Read, Outcome::Read(held)) => {
+                self.reads += 1;
+                self.known(&held, "read");
+                if held.version < asked.acked {
+                    let now = self.now;
+                    self.broken.push(format!(
+                        "{now} ms: read {} after {} was acknowledged",
+                        held.version, asked.acked
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/station/src/settings.rs
+++ b/crates/station/src/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 /// Why no settings could be had.
@@ -172,6 +172,15 @@
         (first + process as u16).min(last)
     }
 
+    /// The machines that `seeds` names.
+    pub fn seeds(&self) -> Vec<Ipv4Addr> {
+        let seeds = self.network.seeds.iter().filter_map(|seed| match seed.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        });
+        seeds.collect()
+    }
+
     /// The region of a zone, or nothing that any region is called.
     pub fn region_of(&self, zone: &str) -> &str {
         self.network.zones.get(zone).map_or("", String::as_str)
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -16,18 +16,24 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use stores::Stores;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::{interval, Instant, MissedTickBehavior};
+use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
 use violetyoke_mast::link::{self, Sender};
 use violetyoke_mast::words::{Backend, Gossip, Held, RegistryAsk};
 use violetyoke_station::settings::{Process, Settings};
 
+/// After a SIGTERM, the longest that orders are waited for, and the least for answers to be on their way.
+const LEAVES: Duration = Duration::from_millis(3_000);
+const LINGERS: Duration = Duration::from_millis(200);
 const TICK: Duration = Duration::from_millis(50);
 /// So often other registries are told that the list still holds.
 const TELL_LIST: Millis = 700;
@@ -73,7 +79,8 @@
     log: Logger,
 }
 
-pub async fn run(settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(Failed)?;
     let (inputs, mut queue) = unbounded_channel();
     let me = settings.me.ip;
     let inner = bind((me, settings.inner(Process::Registry)).into(), "network.internal-ports").await?;
@@ -105,7 +112,9 @@
     }));
     tokio::task::spawn_local(outside::serve(control, registry.clone(), outside::Door::Control));
     tokio::task::spawn_local(outside::serve(directory, registry.clone(), outside::Door::Directory));
+    let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
     info!(registry.borrow().log, "begins");
+    let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -114,7 +123,20 @@
                 Some(input) => registry.borrow_mut().input(input),
                 None => return Ok(()),
             },
-            _ = ticks.tick() => registry.borrow_mut().tick(),
+            Some(settings) = changes.recv() => registry.borrow_mut().settings = settings,
+            _ = term.recv(), if leaves.is_none() => {
+                info!(registry.borrow().log, "leaves");
+                leaves = Some(Instant::now());
+            }
+            _ = ticks.tick() => {
+                registry.borrow_mut().tick();
+                // Orders that are on their way are answered first.
+                let idle = registry.borrow().orders.is_empty();
+                if leaves.is_some_and(|since| since.elapsed() > LEAVES || (idle && since.elapsed() > LINGERS)) {
+                    info!(registry.borrow().log, "ends");
+                    return Ok(());
+                }
+            }
         }
     }
 }
@@ -140,24 +162,14 @@
 
     fn tick(&mut self) {
         let now = self.now();
-        let seeds = self.settings.network.seeds.iter().filter_map(|seed| match seed.ip() {
-            IpAddr::V4(ip) => Some(ip),
-            IpAddr::V6(_) => None,
-        });
+        let seeds = self.settings.seeds().into_iter();
         let known: BTreeSet<Ipv4Addr> = seeds.chain(self.stores.known()).collect();
         self.stores.connect(&known, &self.inputs);
         for ip in known {
             if ip != self.settings.me.ip && !self.registries.contains_key(&ip) {
                 self.registries.insert(ip, None);
                 let inputs = self.inputs.clone();
-                let address = (ip, self.settings.inner(Process::Registry)).into();
-                let address = std::net::SocketAddrV4::new(
-                    ip,
-                    match address {
-                        SocketAddr::V4(a) => a.port(),
-                        SocketAddr::V6(a) => a.port(),
-                    },
-                );
+                let address = SocketAddrV4::new(ip, self.settings.inner(Process::Registry));
                 tokio::task::spawn_local(link::keep(address, move |event| {
                     drop(inputs.send(Input::Registry(ip, event)));
                 }));
--- a/crates/windvane/src/daemon/orders.rs
+++ b/crates/windvane/src/daemon/orders.rs
@@ -48,6 +48,10 @@
         }
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     pub fn done(&mut self, now: Millis, call: u64, outcome: Outcome) {
         if outcome == Outcome::Elsewhere {
             if let Some(one) = self.waiting.get_mut(&call) {
