Find silence sooner, and answer a store on whichever connection stands

Change: letters go on a connection that the other opened where one's own does not stand; connecting is given up after 350 ms, silence after 1,100 ms; clients keep addresses for 1 s.

--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/barograph/src/daemon/mod.rs
@@ -54,8 +54,9 @@
     begun: Instant,
     keeper: Keeper,
     inputs: UnboundedSender<Input>,
-    /// Connections to other stores.
+    /// Connections to other stores, and those that others opened: letters go on either.
     peers: HashMap<Ipv4Addr, Option<Sender>>,
+    heard: HashMap<Ipv4Addr, (u64, Sender)>,
     watchers: Watchers,
     log: Logger,
     told: (u64, bool),
@@ -98,6 +99,7 @@
         keeper: Keeper::new(slots, inputs.clone()),
         inputs,
         peers: HashMap::new(),
+        heard: HashMap::new(),
         watchers: Watchers::default(),
         log,
         told: (0, false),
@@ -164,25 +166,37 @@
             }
             Input::Peer(ip, link::Event::Up(sender)) => drop(self.peers.insert(ip, Some(sender))),
             Input::Peer(ip, link::Event::Down) => drop(self.peers.insert(ip, None)),
-            // A store answers on a connection of its own.
-            Input::Peer(_, link::Event::Frame(_)) => {}
+            Input::Peer(_, link::Event::Frame(frame)) => self.frame(None, &frame),
             Input::Connection(number, link::Event::Up(sender)) => self.watchers.opened(number, sender),
             Input::Connection(number, link::Event::Down) => {
+                self.heard.retain(|_, (other, _)| *other != number);
                 self.watchers.closed(number);
                 self.publish();
             }
-            Input::Connection(number, link::Event::Frame(frame)) => match decode(&frame) {
-                Ok(StoreAsk::Letter(letter)) => self.handle(Event::Letter(letter)),
-                Ok(StoreAsk::Watch { registry, have }) => {
-                    self.watchers.watch(number, registry, have);
-                    self.publish();
-                }
-                Ok(StoreAsk::Do { call, order }) => {
-                    let client = self.watchers.client(number, call);
-                    self.handle(Event::Order { client, order });
+            Input::Connection(number, link::Event::Frame(frame)) => self.frame(Some(number), &frame),
+        }
+    }
+
+    /// What came on a connection that another opened (`number`), or on one of this store's own.
+    fn frame(&mut self, number: Option<u64>, frame: &[u8]) {
+        match (decode(frame), number) {
+            (Ok(StoreAsk::Letter(letter)), number) => {
+                // Its connection here may stand before this store's own to it does.
+                if let Some((number, sender)) = number.and_then(|it| Some((it, self.watchers.sender(it)?))) {
+                    self.heard.insert(letter.from.ip, (number, sender));
                 }
-                Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
-            },
+                self.handle(Event::Letter(letter));
+            }
+            (Ok(StoreAsk::Watch { registry, have }), Some(number)) => {
+                self.watchers.watch(number, registry, have);
+                self.publish();
+            }
+            (Ok(StoreAsk::Do { call, order }), Some(number)) => {
+                let client = self.watchers.client(number, call);
+                self.handle(Event::Order { client, order });
+            }
+            (Ok(_), None) => {}
+            (Err(error), _) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
         }
     }
 
@@ -191,7 +205,8 @@
         for effect in self.register.handle(now, event) {
             match effect {
                 Effect::Send { to, word } => {
-                    if let Some(Some(sender)) = self.peers.get(&to) {
+                    let own = self.peers.get(&to).and_then(Option::as_ref);
+                    if let Some(sender) = own.or(self.heard.get(&to).map(|(_, sender)| sender)) {
                         sender.send(encode(&StoreAsk::Letter(Letter { from: self.me.clone(), word })));
                     }
                 }
--- a/crates/barograph/src/daemon/watchers.rs
+++ b/crates/barograph/src/daemon/watchers.rs
@@ -28,6 +28,10 @@
         self.by_connection.insert(number, watcher);
     }
 
+    pub fn sender(&self, number: u64) -> Option<Sender> {
+        self.by_connection.get(&number).map(|watcher| watcher.sender.clone())
+    }
+
     pub fn closed(&mut self, number: u64) {
         self.by_connection.remove(&number);
         self.clients.retain(|_, (connection, _)| *connection != number);
--- a/crates/mast/src/link.rs
+++ b/crates/mast/src/link.rs
@@ -15,12 +15,12 @@
 use tokio_util::codec::FramedRead;
 
 /// An empty frame after so much silence of one's own.
-const BEAT: Duration = Duration::from_millis(350);
+const BEAT: Duration = Duration::from_millis(300);
 /// So much silence of the other ends a connection.
-pub const SILENCE: Duration = Duration::from_millis(1400);
-const CONNECT: Duration = Duration::from_millis(700);
+pub const SILENCE: Duration = Duration::from_millis(1100);
+const CONNECT: Duration = Duration::from_millis(350);
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_millis(300);
 /// Bytes written in one go.
 const BATCH: usize = 64 << 10;
 
--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/windvane/src/daemon/outside.rs
@@ -20,7 +20,7 @@
 const LARGEST: usize = 8 << 20;
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
 /// Clients keep an answer for so long, at most.
-const TTL_S: f64 = 2.0;
+const TTL_S: f64 = 1.0;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Door {
