--- a/crates/anemometer/src/daemon.rs
+++ b/crates/anemometer/src/daemon.rs
@@ -23,6 +23,12 @@
 /// Clients that were sent here before may still come for so long after a SIGTERM.
 const STILL_COME: Duration = Duration::from_millis(2_200);
 
+/// The program, with the arguments after its name.
+pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
+    let about = "The proxy: carries clients' requests to backends; one process on each edge machine.";
+    violetyoke_mast::program::run("anemometer", about, arguments, run)
+}
+
 /// Why the proxy can't run.
 #[derive(Debug)]
 pub struct Failed;
--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/barograph/src/daemon/mod.rs
@@ -28,6 +28,12 @@
 const LEAVES: Duration = Duration::from_millis(2_500);
 const TICK: Duration = Duration::from_millis(50);
 
+/// The program, with the arguments after its name.
+pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
+    let about = "The store of configuration: one process on each core machine.";
+    violetyoke_mast::program::run("barograph", about, arguments, run)
+}
+
 /// Why the store can't run.
 #[derive(Debug)]
 pub struct Failed;
--- a/crates/mast/src/program.rs
+++ b/crates/mast/src/program.rs
@@ -39,10 +39,11 @@
     }
 }
 
-/// Runs a daemon until it ends.
+/// Runs a daemon until it ends; `arguments` are those after its name.
 pub fn run<F, E>(
     program: &'static str,
     about: &str,
+    mut arguments: lexopt::Parser,
     main: impl FnOnce(PathBuf, Settings, Logger) -> F,
 ) -> ExitCode
 where
@@ -50,7 +51,7 @@
     E: Debug,
 {
     let standard = std::env::var_os(Settings::VARIABLE).map(PathBuf::from);
-    let (file, check) = match command_line(&mut lexopt::Parser::from_env(), standard) {
+    let (file, check) = match command_line(&mut arguments, standard) {
         Ok(Wanted::Run { settings, check }) => (settings, check),
         Ok(Wanted::Help) => {
             println!("{program} [--settings FILE] [--check]\n\n{about}\n{REST}");
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod cause;
 pub mod client;
 pub mod datagrams;
-mod driven;
+pub mod driven;
 pub mod fleet;
 pub mod gate;
 pub mod history;
--- /dev/null
+++ b/crates/screen/src/lib.rs
@@ -0,0 +1,7 @@
+//! The whole system on one machine: real processes on loopback addresses, each machine with an address of its own, and
+//! stand-ins for what the platform and the backends do. For trying and for tests.
+
+pub mod backends;
+pub mod calls;
+pub mod machines;
+pub mod platform;
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -38,6 +38,13 @@
 /// So often other registries are told that the list still holds.
 const TELL_LIST: Millis = 700;
 
+/// The program, with the arguments after its name.
+pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
+    let about =
+        "The registry: one process on each core machine; it takes the outside calls for the store too.";
+    violetyoke_mast::program::run("windvane", about, arguments, run)
+}
+
 /// Why the registry can't run.
 #[derive(Debug)]
 pub struct Failed;
--- a/crates/windvane/src/main.rs
+++ b/crates/windvane/src/main.rs
@@ -3,6 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let about = "The registry: one process on each core machine, which takes the outside calls for the store beside it too.";
-    violetyoke_mast::program::run("windvane", about, violetyoke_windvane::daemon::run)
+    violetyoke_windvane::daemon::program(lexopt::Parser::from_env())
 }
