Tell proxies what has changed, deflated, and members by number

Change: a state goes as rows that differ from the one a proxy has, MessagePack deflated, checked by digest, a whole as fallback; lists of backends as differences too; members as sorted numbers, told at most every 250 ms; registries that are not asked first wait 600 ms.

--- a/crates/anemometer/src/news.rs
+++ b/crates/anemometer/src/news.rs
@@ -8,11 +8,14 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedSender;
-use violetyoke_ceilometer::fleet::Line;
+use violetyoke_ceilometer::fleet::{Fleet, Line};
+use violetyoke_ceilometer::Millis;
 use violetyoke_mast::frame::{decode, encode};
 use violetyoke_mast::link;
-use violetyoke_mast::words::{List, Members, ProxyAsk, ProxySays, RegistryAsk, Session};
+use violetyoke_mast::words::{Backend, Members, ProxyAsk, ProxySays, RegistryAsk, Session, Stamp};
+use violetyoke_station::change::Change;
 use violetyoke_station::settings::Process;
+use violetyoke_station::Configuration;
 
 impl Proxy {
     /// Keeps a session with each registry that is known.
@@ -66,7 +69,7 @@
         for (ip, registry) in registries.iter() {
             let Some(sender) = &registry.sender else { continue };
             let ask = ProxyAsk::Poll {
-                have: self.stamp(),
+                have: if self.lacking.get() { Stamp::default() } else { self.stamp() },
                 list: self.list.get(),
                 members: registry.members.digest,
                 lead: lead == Some(*ip),
@@ -95,11 +98,30 @@
                 self.poll();
             }
             link::Event::Frame(frame) => match decode(&frame) {
-                Ok(ProxySays::News(held)) => {
-                    self.take(held);
-                    self.poll();
+                Ok(ProxySays::Whole { stamp, evacuated, packed }) => {
+                    let configuration = packed.open::<Configuration>();
+                    self.told(stamp, evacuated, configuration.map(Some));
                 }
-                Ok(ProxySays::List(list)) => self.list(list),
+                Ok(ProxySays::Change { from, stamp, evacuated, packed }) => {
+                    let old = self.snapshot().filter(|snapshot| snapshot.stamp == from);
+                    let change = packed.open::<Change>();
+                    let next = change.map(|change| old.and_then(|old| change.apply(&old.configuration)));
+                    self.told(stamp, evacuated, next);
+                }
+                Ok(ProxySays::List(list)) => {
+                    let (digest, age) = (list.digest, list.age_ms);
+                    let lines = list.backends.into_iter().map(|it| self.line(it)).collect();
+                    self.listed(digest, age, |fleet, now, at| fleet.list(now, at, lines));
+                }
+                Ok(ProxySays::ListChange(list)) if list.from == self.list.get() => {
+                    let lines = list.set.into_iter().map(|it| self.line(it)).collect();
+                    let gone = list.gone;
+                    self.listed(list.digest, list.age_ms, |fleet, now, at| {
+                        fleet.list_change(now, at, lines, &gone)
+                    });
+                }
+                // Made for another list than the one that is known here by now.
+                Ok(ProxySays::ListChange(_)) => self.poll(),
                 Ok(ProxySays::Members(members)) => {
                     if let Some(registry) = self.registries.borrow_mut().get_mut(&ip) {
                         registry.members = members;
@@ -115,10 +137,20 @@
         }
     }
 
-    fn list(&self, list: List) {
-        let now = self.now();
-        let at = now.saturating_sub(list.age_ms);
-        let lines = list.backends.into_iter().map(|backend| Line {
+    /// A state of control was told; where it can't be made of what is known here, the whole is asked for.
+    fn told(&self, stamp: Stamp, evacuated: BTreeSet<String>, next: std::io::Result<Option<Configuration>>) {
+        match next {
+            Ok(Some(configuration)) => self.take(stamp, evacuated, configuration),
+            Ok(None) if stamp > self.stamp() => self.lacking.set(true),
+            Ok(None) => {}
+            Err(error) => slog::error!(self.log, "configuration not taken"; "why" => error.to_string()),
+        }
+        self.poll();
+        self.lacking.set(false);
+    }
+
+    fn line(&self, backend: Backend) -> Line {
+        Line {
             region: self.settings.region_of(&backend.zone).to_owned(),
             id: backend.id,
             service: backend.service,
@@ -127,11 +159,16 @@
             slots: backend.slots,
             draining: backend.draining,
             cold_left_ms: backend.cold_left_ms,
-        });
-        if !self.fleet.borrow_mut().list(now, at, lines.collect()) {
+        }
+    }
+
+    /// A list was told that was asked for so long ago.
+    fn listed(&self, digest: u64, age_ms: u64, take: impl FnOnce(&mut Fleet, Millis, Millis) -> bool) {
+        let now = self.now();
+        if !take(&mut self.fleet.borrow_mut(), now, now.saturating_sub(age_ms)) {
             return;
         }
-        self.list.set(list.digest);
+        self.list.set(digest);
         self.pools.borrow_mut().retain(&self.fleet.borrow());
         self.waiting.borrow_mut().all();
         self.poll();
--- a/crates/anemometer/src/state.rs
+++ b/crates/anemometer/src/state.rs
@@ -15,7 +15,7 @@
 use violetyoke_ceilometer::fleet::{Fleet, Place, Warming};
 use violetyoke_ceilometer::Millis;
 use violetyoke_mast::link::Sender;
-use violetyoke_mast::words::{Held, Members, Stamp};
+use violetyoke_mast::words::{member, Members, Stamp};
 use violetyoke_station::routing::Table;
 use violetyoke_station::{Configuration, Settings};
 
@@ -24,6 +24,8 @@
 pub struct Snapshot {
     pub stamp: Stamp,
     pub table: Table,
+    /// What the table was made of, for the next change.
+    pub configuration: Configuration,
 }
 
 /// A connection to a registry, and what was last told there.
@@ -52,6 +54,8 @@
     pub pools: RefCell<Pools>,
     pub registries: RefCell<BTreeMap<Ipv4Addr, Registry>>,
     pub lead: Cell<Option<Ipv4Addr>>,
+    /// What was told could not be made of what is known: the whole is wanted.
+    pub lacking: Cell<bool>,
     pub ready: Cell<bool>,
     pub leaving: Cell<bool>,
     /// Told when it begins to leave.
@@ -62,7 +66,7 @@
 impl Proxy {
     pub fn new(settings: Settings, life: u64, log: Logger) -> Proxy {
         let place = Place {
-            me: settings.me.node.clone(),
+            me: member(&settings.me.node),
             zone: settings.me.zone.clone(),
             region: settings.me.region.clone(),
             members: Vec::new(),
@@ -83,6 +87,7 @@
             pools: RefCell::default(),
             registries: RefCell::default(),
             lead: Cell::new(None),
+            lacking: Cell::new(false),
             ready: Cell::new(false),
             leaving: Cell::new(false),
             leave: Notify::new(),
@@ -113,31 +118,22 @@
     }
 
     /// A newer state of control; an older one changes nothing.
-    pub fn take(&self, held: Held) {
-        if held.stamp <= self.stamp() {
+    pub fn take(&self, stamp: Stamp, evacuated: BTreeSet<String>, configuration: Configuration) {
+        if stamp <= self.stamp() {
             return;
         }
-        let configuration = match Configuration::parse(held.text.as_bytes()) {
-            Ok(configuration) => configuration,
-            Err(error) if held.version > 0 => {
-                slog::error!(self.log, "configuration not taken"; "field" => error.field, "why" => error.why);
-                return;
-            }
-            // Nothing was ever sent.
-            Err(_) => return,
-        };
         let warming = configuration.services.iter().map(|service| {
             let warming = Warming { cold_ms: (service.cold_s * 1000.0) as Millis, rate: service.cold_rate_s };
             (service.name.clone(), warming)
         });
         let lag = self.settings.platform.cloud_api.as_ref().map_or(1000.0, |api| api.lag_ms) as Millis + 700;
-        self.fleet.borrow_mut().configure(self.now(), warming.collect(), held.evacuated.clone(), lag);
-        slog::info!(self.log, "in force"; "version" => held.version, "epoch" => held.stamp.epoch,
-            "evacuated" => held.evacuated.len());
-        *self.evacuated.borrow_mut() = held.evacuated;
-        let table = Table::new(configuration);
+        self.fleet.borrow_mut().configure(self.now(), warming.collect(), evacuated.clone(), lag);
+        slog::info!(self.log, "in force"; "version" => configuration.version, "epoch" => stamp.epoch,
+            "evacuated" => evacuated.len());
+        *self.evacuated.borrow_mut() = evacuated;
+        let table = Table::new(&configuration);
         self.counting.borrow_mut().retain(&table);
-        *self.snapshot.borrow_mut() = Some(Rc::new(Snapshot { stamp: held.stamp, table }));
+        *self.snapshot.borrow_mut() = Some(Rc::new(Snapshot { stamp, table, configuration }));
         self.waiting.borrow_mut().all();
     }
 
--- a/crates/ceilometer/src/backend.rs
+++ b/crates/ceilometer/src/backend.rs
@@ -2,6 +2,8 @@
 
 use crate::cold::Cold;
 use crate::Millis;
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
 use std::net::SocketAddrV4;
 
 /// What others had there fades from a told load within this time (ms).
@@ -31,9 +33,17 @@
     Nothing,
 }
 
+fn seed(id: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(id.as_bytes());
+    hasher.finish()
+}
+
 #[derive(Clone, Debug)]
 pub struct Backend {
     pub id: String,
+    /// Drawn from its id: ranks of ingresses differ from backend to backend.
+    pub seed: u64,
     pub service: String,
     pub address: SocketAddrV4,
     pub zone: String,
@@ -63,6 +73,7 @@
         slots: u32,
     ) -> Backend {
         Backend {
+            seed: seed(&id),
             id,
             service,
             address,
--- a/crates/ceilometer/src/choose.rs
+++ b/crates/ceilometer/src/choose.rs
@@ -77,7 +77,7 @@
 
     fn cold_part(&self, backend: &Backend) -> u32 {
         let rate = self.warming.get(&backend.service).map_or(0.0, |warming| warming.rate);
-        part(&backend.id, rate, &self.place.me, &self.place.members)
+        part(backend.seed, rate, self.place.me, &self.place.members)
     }
 
     /// What an answer from there is held to take (ms), ways paid for among it; nothing where it has no room.
--- a/crates/ceilometer/src/cold.rs
+++ b/crates/ceilometer/src/cold.rs
@@ -3,7 +3,6 @@
 
 use crate::Millis;
 use std::collections::VecDeque;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Every span of this length is held to the rate (ms).
 const SPAN: Millis = 1_000;
@@ -47,17 +46,17 @@
 }
 
 /// This ingress's part of what a cold backend bears a second: `rate` cut over `members`, by rank.
-pub fn part(backend: &str, rate: f64, me: &str, members: &[String]) -> u32 {
-    if members.is_empty() || !members.iter().any(|member| member == me) {
+pub fn part(seed: u64, rate: f64, me: u32, members: &[u32]) -> u32 {
+    if members.binary_search(&me).is_err() {
         return 0;
     }
-    let weight = |member: &str| {
-        let mut hasher = DefaultHasher::new();
-        (backend, member).hash(&mut hasher);
-        hasher.finish()
+    let weight = |member: u32| {
+        let mut x = seed ^ u64::from(member).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x ^ (x >> 27)
     };
     let mine = weight(me);
-    let rank = members.iter().filter(|member| weight(member) > mine).count();
+    let rank = members.iter().filter(|member| weight(**member) > mine).count();
     let whole = rate.max(0.0) as usize;
     let (each, rest) = (whole / members.len(), whole % members.len());
     (each + usize::from(rank < rest)) as u32
--- a/crates/ceilometer/src/fleet.rs
+++ b/crates/ceilometer/src/fleet.rs
@@ -20,11 +20,11 @@
 /// Where this ingress stands, and who the others are.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Place {
-    pub me: String,
+    pub me: u32,
     pub zone: String,
     pub region: String,
-    /// All ingresses, this one among them; none while no session stands.
-    pub members: Vec<String>,
+    /// All ingresses in order, this one among them; none while no session stands.
+    pub members: Vec<u32>,
 }
 
 /// What a service's operator says of cold backends.
@@ -65,6 +65,12 @@
         let named: BTreeSet<&str> = lines.iter().map(|line| line.id.as_str()).collect();
         let gone: Vec<String> =
             self.backends.keys().filter(|id| !named.contains(id.as_str())).cloned().collect();
+        self.end(now, gone);
+        self.set(lines, at);
+        true
+    }
+
+    fn end(&mut self, now: Millis, gone: Vec<String>) {
         for id in gone {
             self.ended.insert(id.clone(), now);
             match self.backends.get_mut(&id) {
@@ -73,6 +79,20 @@
                 _ => drop(self.backends.remove(&id)),
             }
         }
+    }
+
+    /// What has changed since the newest list; made from one that was asked for at `at`.
+    pub fn list_change(&mut self, now: Millis, at: Millis, set: Vec<Line>, gone: &[String]) -> bool {
+        if self.listed.is_some_and(|listed| at < listed) {
+            return false;
+        }
+        self.listed = Some(at);
+        self.end(now, gone.to_vec());
+        self.set(set, at);
+        true
+    }
+
+    fn set(&mut self, lines: Vec<Line>, at: Millis) {
         for line in lines {
             if self.ended.contains_key(&line.id) {
                 continue;
@@ -87,7 +107,6 @@
             backend.cold.set(if cold_left_ms > 0 { at + cold_left_ms } else { 0 });
         }
         self.index();
-        true
     }
 
     fn index(&mut self) {
--- a/crates/ceilometer/tests/choice.rs
+++ b/crates/ceilometer/tests/choice.rs
@@ -21,12 +21,12 @@
     }
 }
 
-fn members(count: usize) -> Vec<String> {
-    (0..count).map(|n| format!("edge-{n}")).collect()
+fn members(count: u32) -> Vec<u32> {
+    (0..count).collect()
 }
 
 fn fleet(lines: Vec<Line>) -> Fleet {
-    let place = Place { me: "edge-0".into(), zone: "a1".into(), region: "a".into(), members: members(9) };
+    let place = Place { me: 0, zone: "a1".into(), region: "a".into(), members: members(9) };
     let mut fleet = Fleet::new(place);
     let warming = Warming { cold_ms: 3_000, rate: 21.0 };
     fleet.configure(0, HashMap::from([("finder".into(), warming)]), BTreeSet::new(), 1_500);
@@ -150,13 +150,13 @@
 fn cold_backends_get_their_rate_from_all_ingresses_together() {
     for count in [1, 4, 9, 11, 74] {
         let members = members(count);
-        for backend in ["i-1", "i-2", "i-3"] {
-            let sum: u32 = members.iter().map(|me| part(backend, 21.0, me, &members)).sum();
+        for seed in [1, 0xfeed, u64::MAX] {
+            let sum: u32 = members.iter().map(|me| part(seed, 21.0, *me, &members)).sum();
             assert_eq!(sum, 21, "{count} ingresses");
         }
     }
     // Whoever has no session has no part: others have it by then.
-    assert_eq!(part("i-1", 21.0, "edge-0", &[]), 0);
+    assert_eq!(part(1, 21.0, 0, &[]), 0);
 }
 
 #[test]
@@ -174,7 +174,11 @@
             sent += 1;
         }
     }
-    assert_eq!(sent, part("one", 21.0, "edge-0", &members(9)), "in the second after it was taken back");
+    assert_eq!(
+        sent,
+        part(fleet.get("one").expect("a backend").seed, 21.0, 0, &members(9)),
+        "in the second after it was taken back"
+    );
 }
 
 #[test]
--- a/crates/mast/src/lib.rs
+++ b/crates/mast/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod frame;
 pub mod link;
 pub mod log;
+pub mod pack;
 pub mod program;
 pub mod words;
--- /dev/null
+++ b/crates/mast/src/words/proxies.rs
@@ -0,0 +1,140 @@
+//! Words between registries and proxies, and between registries.
+
+use super::{Owners, Stamp};
+use crate::pack::Packed;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeSet;
+use std::hash::Hasher;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// A proxy, as registries know it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Session {
+    pub node: String,
+    /// Drawn at each start of the process.
+    pub life: u64,
+    pub front: SocketAddrV4,
+    pub zone: String,
+    pub region: String,
+    pub ready: bool,
+}
+
+/// A proxy to a registry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProxyAsk {
+    Hello(Session),
+    /// Tell me what is newer than this; `lead`: tell me first of all registries.
+    Poll {
+        have: Stamp,
+        list: u64,
+        members: u64,
+        lead: bool,
+    },
+    /// One more of a tenant, and how many of it this proxy let go lately, for a holder that knows nothing.
+    Add {
+        call: u32,
+        tenant: String,
+        fence: Stamp,
+    },
+    /// What this proxy let pass of a tenant in its last two windows, for a holder that knows nothing of it.
+    Tell {
+        tenant: String,
+        fence: Stamp,
+        current: u32,
+        previous: u32,
+    },
+}
+
+/// A registry to a proxy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ProxySays {
+    /// The whole state: a packed [`violetyoke_station::Configuration`].
+    Whole {
+        stamp: Stamp,
+        evacuated: BTreeSet<String>,
+        packed: Packed,
+    },
+    /// From the state under `from` to the next: a packed [`violetyoke_station::change::Change`].
+    Change {
+        from: Stamp,
+        stamp: Stamp,
+        evacuated: BTreeSet<String>,
+        packed: Packed,
+    },
+    List(List),
+    ListChange(ListChange),
+    Members(Members),
+    /// Of an [`ProxyAsk::Add`]: `retry_ms` where it is past the limit.
+    Counted {
+        call: u32,
+        retry_ms: Option<u32>,
+    },
+    /// This registry does not count for that tenant.
+    NotMine {
+        call: u32,
+    },
+}
+
+/// Which proxies there are, and which registries, and who counts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    pub digest: u64,
+    /// Numbers of all proxies ([`member`]), in order.
+    pub proxies: Vec<u32>,
+    pub registries: Vec<Ipv4Addr>,
+    pub owners: Owners,
+}
+
+/// The platform's list of backends, as it was some time ago.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct List {
+    pub digest: u64,
+    /// How long ago it was asked for (ms).
+    pub age_ms: u64,
+    pub backends: Vec<Backend>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Backend {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    pub slots: u32,
+    pub draining: bool,
+    /// How much longer it stays cold, when the list was asked for (ms).
+    pub cold_left_ms: u64,
+}
+
+/// What makes one list another.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ListChange {
+    pub from: u64,
+    pub digest: u64,
+    pub age_ms: u64,
+    pub set: Vec<Backend>,
+    pub gone: Vec<String>,
+}
+
+/// A proxy's number: the same in every process and every build.
+pub fn member(name: &str) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish() as u32
+}
+
+/// A registry to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    pub from: Ipv4Addr,
+    pub sessions: Vec<Session>,
+    pub list: Option<List>,
+}
+
+/// What comes in at a registry's inner port.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RegistryAsk {
+    Proxy(ProxyAsk),
+    Registry(Gossip),
+}
--- a/crates/station/src/configuration.rs
+++ b/crates/station/src/configuration.rs
@@ -15,7 +15,7 @@
 
 use crate::columns::rows;
 use crate::sound;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// What is wrong, and where.
@@ -39,7 +39,7 @@
 
 impl std::error::Error for Invalid {}
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct Configuration {
     pub version: u64,
     pub routes: Vec<Route>,
@@ -48,14 +48,14 @@
     pub limits: Limits,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     Idempotent,
     Nonidempotent,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub struct Route {
     pub name: String,
@@ -83,13 +83,13 @@
     pub service: Option<String>,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 pub struct Part {
     pub service: String,
     pub weight: f64,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub struct Service {
     pub name: String,
@@ -104,7 +104,7 @@
     pub cold_rate_s: f64,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub struct Tenant {
     pub name: String,
@@ -121,7 +121,7 @@
     pub home_regions: Vec<String>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct Limits {
     pub max_header_bytes: f64,
--- a/crates/station/src/lib.rs
+++ b/crates/station/src/lib.rs
@@ -2,6 +2,7 @@
 //! of it is checked here, once, against the schema files in `schema/` and then for what no schema can say.
 
 pub mod calls;
+pub mod change;
 mod columns;
 pub mod configuration;
 pub mod routing;
--- a/crates/station/src/routing.rs
+++ b/crates/station/src/routing.rs
@@ -39,7 +39,7 @@
 }
 
 impl Table {
-    pub fn new(configuration: Configuration) -> Table {
+    pub fn new(configuration: &Configuration) -> Table {
         let numbers: HashMap<&str, usize> = configuration
             .services
             .iter()
@@ -85,8 +85,8 @@
         Table {
             version: configuration.version,
             limits: configuration.limits,
-            services: configuration.services,
-            tenants: configuration.tenants,
+            services: configuration.services.clone(),
+            tenants: configuration.tenants.clone(),
             routes,
             prefixes,
             keys,
--- a/crates/station/tests/configuration.rs
+++ b/crates/station/tests/configuration.rs
@@ -90,7 +90,7 @@
 }
 
 fn table() -> Table {
-    Table::new(Configuration::parse(whole().to_string().as_bytes()).expect("a configuration"))
+    Table::new(&Configuration::parse(whole().to_string().as_bytes()).expect("a configuration"))
 }
 
 #[test]
--- a/crates/windvane/src/backends.rs
+++ b/crates/windvane/src/backends.rs
@@ -2,9 +2,10 @@
 
 use crate::Millis;
 use std::collections::hash_map::DefaultHasher;
+use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{Backend, List};
+use violetyoke_mast::words::{Backend, List, ListChange};
 
 /// The pause between two calls for the list.
 const EVERY: Millis = 500;
@@ -36,6 +37,26 @@
     hasher.finish()
 }
 
+/// What makes one list another.
+pub fn change(old: &List, new: &List) -> ListChange {
+    let before: HashMap<&str, &Backend> = old.backends.iter().map(|it| (it.id.as_str(), it)).collect();
+    let after: HashSet<&str> = new.backends.iter().map(|it| it.id.as_str()).collect();
+    // Cold times run down by themselves; one that is warm by now, or has become cold, is another.
+    let same = |a: &Backend, b: &Backend| {
+        let but_cold = Backend { cold_left_ms: b.cold_left_ms, ..a.clone() };
+        but_cold == *b && (a.cold_left_ms > 0) == (b.cold_left_ms > 0)
+    };
+    let set = new.backends.iter().filter(|it| !before.get(it.id.as_str()).is_some_and(|old| same(old, it)));
+    let gone = old.backends.iter().filter(|it| !after.contains(it.id.as_str())).map(|it| it.id.clone());
+    ListChange {
+        from: old.digest,
+        digest: new.digest,
+        age_ms: new.age_ms,
+        set: set.cloned().collect(),
+        gone: gone.collect(),
+    }
+}
+
 impl Lists {
     /// Whether this registry, one of `registries`, is to ask now: the first does, and whoever hears of no fresh list.
     pub fn due(&self, now: Millis, me: Ipv4Addr, registries: &[Ipv4Addr]) -> bool {
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod outside;
 mod proxies;
 mod stores;
+mod telling;
 
 use crate::backends::Lists;
 use crate::platform;
@@ -21,6 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use stores::Stores;
+use telling::Telling;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
@@ -78,6 +80,7 @@
     stores: Stores,
     orders: Orders,
     proxies: Proxies,
+    telling: Telling,
     held: Held,
     /// Other registries: connections to them, and those that are here from them.
     registries: BTreeMap<Ipv4Addr, Option<Sender>>,
@@ -109,6 +112,7 @@
         stores: Stores::new(me, settings.inner(Process::Store)),
         orders: Orders::default(),
         proxies: Proxies::default(),
+        telling: Telling::default(),
         held: Held::default(),
         registries: BTreeMap::new(),
         heard: BTreeMap::new(),
--- /dev/null
+++ b/crates/windvane/src/daemon/telling.rs
@@ -0,0 +1,175 @@
+//! What proxies are told: states of control, lists of backends and members, each as what has changed since the one that
+//! a proxy has, where that is still known here, and else as a whole.
+
+use super::Registry;
+use crate::backends::change;
+use crate::Millis;
+use bytes::Bytes;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
+use violetyoke_mast::frame::encode;
+use violetyoke_mast::pack::Packed;
+use violetyoke_mast::words::{Held, List, Members, ProxySays, Stamp};
+use violetyoke_station::change::Change;
+use violetyoke_station::Configuration;
+
+/// A proxy that asks another registry first is told so much later, and only if it has not heard by then.
+const SECOND: Millis = 600;
+/// Earlier states and lists that are known here.
+const KNOWN: usize = 8;
+/// Members are told of no more often: many come and go at once.
+const MEMBERS_EVERY: Millis = 250;
+
+/// A state of control, ready to be told.
+struct State {
+    stamp: Stamp,
+    evacuated: BTreeSet<String>,
+    configuration: Configuration,
+}
+
+/// Messages are made once for all proxies that have the same.
+#[derive(Default)]
+pub(super) struct Telling {
+    states: VecDeque<State>,
+    made: HashMap<Stamp, Bytes>,
+    lists: VecDeque<List>,
+    list_made: HashMap<u64, Bytes>,
+    pub members: Members,
+    members_at: Millis,
+    members_made: Option<Bytes>,
+}
+
+impl Telling {
+    /// A newer state; whether proxies have to be told of it.
+    pub fn state(&mut self, held: &Held, configuration: Configuration) -> bool {
+        let same =
+            |last: &State| last.configuration.version == held.version && last.evacuated == held.evacuated;
+        if self.states.back().is_some_and(same) {
+            return false;
+        }
+        self.made.clear();
+        let evacuated = held.evacuated.clone();
+        self.states.push_back(State { stamp: held.stamp, evacuated, configuration });
+        if self.states.len() > KNOWN {
+            self.states.pop_front();
+        }
+        true
+    }
+
+    /// The newest state's stamp.
+    fn stamp(&self) -> Option<Stamp> {
+        self.states.back().map(|state| state.stamp)
+    }
+
+    /// The message for a proxy that has the state under that stamp.
+    fn state_since(&mut self, have: Stamp) -> Option<Bytes> {
+        if let Some(made) = self.made.get(&have) {
+            return Some(made.clone());
+        }
+        let newest = self.states.back()?;
+        let (stamp, evacuated) = (newest.stamp, newest.evacuated.clone());
+        let old = self.states.iter().find(|state| state.stamp == have);
+        let change = old.and_then(|old| Change::between(&old.configuration, &newest.configuration));
+        let says = match change.map(|change| Packed::new(&change)) {
+            Some(Ok(packed)) => ProxySays::Change { from: have, stamp, evacuated, packed },
+            _ => ProxySays::Whole { stamp, evacuated, packed: Packed::new(&newest.configuration).ok()? },
+        };
+        let frame = encode(&says);
+        self.made.insert(have, frame.clone());
+        Some(frame)
+    }
+
+    /// The newest list is another.
+    pub fn list(&mut self, list: Option<List>) {
+        if let Some(list) =
+            list.filter(|list| self.lists.back().is_none_or(|last| last.digest != list.digest))
+        {
+            self.list_made.clear();
+            self.lists.push_back(list);
+            if self.lists.len() > KNOWN {
+                self.lists.pop_front();
+            }
+        }
+    }
+
+    fn list_since(&mut self, have: u64, newest: List) -> Bytes {
+        if let Some(made) = self.list_made.get(&have) {
+            return made.clone();
+        }
+        let old = self.lists.iter().find(|list| list.digest == have);
+        let says = match old {
+            Some(old) => ProxySays::ListChange(change(old, &newest)),
+            None => ProxySays::List(newest),
+        };
+        let frame = encode(&says);
+        self.list_made.insert(have, frame.clone());
+        frame
+    }
+}
+
+impl Registry {
+    /// Tells each proxy what is newer than what it has: at once where it asks here first, else a little later.
+    pub(super) fn publish(&mut self) {
+        let now = self.now();
+        self.gather_members(now);
+        self.telling.list(self.lists.newest(now, true));
+        let digest = self.lists.digest();
+        let newest = self.telling.stamp();
+        // Ages in messages that were made before are too young by now.
+        self.telling.list_made.clear();
+        for proxy in self.proxies.by_connection.values_mut().filter(|proxy| proxy.hello) {
+            let news = newest.filter(|stamp| *stamp > proxy.have);
+            let other_list = digest != 0 && proxy.list != digest;
+            let other_members = proxy.members != self.telling.members.digest;
+            if news.is_none() && !other_list && !other_members {
+                proxy.since = None;
+                continue;
+            }
+            let since = *proxy.since.get_or_insert(now);
+            if !proxy.lead && now < since + SECOND {
+                continue;
+            }
+            if let Some(stamp) = news {
+                if let Some(frame) = self.telling.state_since(proxy.have) {
+                    proxy.have = stamp;
+                    proxy.sender.send(frame);
+                }
+            }
+            if let Some(list) = self.lists.newest(now, true).filter(|_| other_list) {
+                let frame = self.telling.list_since(proxy.list, list);
+                proxy.list = digest;
+                proxy.sender.send(frame);
+            }
+            if other_members {
+                proxy.members = self.telling.members.digest;
+                let members = &self.telling.members;
+                let made = || encode(&ProxySays::Members(members.clone()));
+                proxy.sender.send(self.telling.members_made.get_or_insert_with(made).clone());
+            }
+        }
+    }
+
+    fn gather_members(&mut self, now: Millis) {
+        let mut members = Members {
+            digest: 0,
+            proxies: self.sessions.members(),
+            registries: self.live(),
+            owners: self.stores.owners.clone(),
+        };
+        let mut hasher = DefaultHasher::new();
+        (&members.proxies, &members.registries, members.owners.fence).hash(&mut hasher);
+        members.digest = hasher.finish() | 1;
+        let last = &self.telling.members;
+        let dealt = members.owners != last.owners;
+        if members.digest == last.digest || !(dealt || now >= self.telling.members_at + MEMBERS_EVERY) {
+            return;
+        }
+        if dealt {
+            self.proxies.deal(&members.owners);
+        }
+        self.telling.members_at = now;
+        self.telling.members_made = None;
+        self.telling.members = members;
+    }
+}
--- a/crates/windvane/src/sessions.rs
+++ b/crates/windvane/src/sessions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use violetyoke_mast::words::Session;
+use violetyoke_mast::words::{member, Session};
 
 /// The most addresses in one answer.
 const MOST: usize = 64;
@@ -47,9 +47,10 @@
         all
     }
 
-    /// Names of all proxies, in order.
-    pub fn members(&self) -> Vec<String> {
-        self.all().keys().map(|name| (*name).to_owned()).collect()
+    /// Numbers of all proxies, in order.
+    pub fn members(&self) -> Vec<u32> {
+        let members: BTreeSet<u32> = self.all().keys().map(|name| member(name)).collect();
+        members.into_iter().collect()
     }
 
     /// Where a client of that zone is to go: ready proxies of its zone, or else of its region, or else any.
--- a/crates/windvane/tests/registry.rs
+++ b/crates/windvane/tests/registry.rs
@@ -1,7 +1,7 @@
 //! Sessions, the backends' list, and the platform's pages.
 
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{Backend, List, Session};
+use violetyoke_mast::words::{member, Backend, List, Session};
 use violetyoke_windvane::backends::Lists;
 use violetyoke_windvane::platform::page;
 use violetyoke_windvane::sessions::Sessions;
@@ -34,7 +34,7 @@
     assert_eq!(ports(&sessions, "a", "a1"), [3], "another registry's session is one too");
     sessions.lost(Ipv4Addr::new(10, 0, 0, 9));
     assert!(ports(&sessions, "a", "a1").is_empty());
-    assert_eq!(sessions.members(), ["edge-1"], "not ready, and still a member");
+    assert_eq!(sessions.members(), [member("edge-1")], "not ready, and still a member");
 }
 
 fn backend(id: &str, draining: bool, cold_left_ms: u64) -> Backend {
