--- a/crates/anemometer/src/attempts.rs
+++ b/crates/anemometer/src/attempts.rs
@@ -146,6 +146,7 @@
     bytes.extend_from_slice(&job.body);
     Some(Try {
         id: id.to_owned(),
+        service: job.service.clone(),
         address: backend.address,
         same_region: backend.region == fleet.place.region,
         attempt: job.attempt.clone(),
--- a/crates/anemometer/src/backend/exchange.rs
+++ b/crates/anemometer/src/backend/exchange.rs
@@ -16,16 +16,13 @@
 /// A connection comes up within this, or the backend is taken for dead: in the same region, and from another.
 const NEAR: Duration = Duration::from_millis(150);
 const FAR: Duration = Duration::from_millis(450);
-/// Idle connections that a request which may run only once goes out on are no older: a backend that closes one just
-/// then leaves it unknown whether it ran.
-const FRESH: Duration = Duration::from_millis(2_500);
-const ANY: Duration = Duration::from_secs(3600);
 /// Answers to earlier requests that are passed over before the one that is due.
 const MOST_EARLIER: usize = 4;
 
 /// What is sent where.
 pub struct Try {
     pub id: String,
+    pub service: String,
     pub address: SocketAddrV4,
     pub same_region: bool,
     pub attempt: String,
@@ -49,41 +46,66 @@
     }
 }
 
+/// What went wrong on a connection, and whether anything had come back before it did.
+struct Broken {
+    answered: bool,
+}
+
 pub async fn attempt(proxy: &Rc<Proxy>, one: &Try) -> Ended {
-    let fresh = if one.repeatable { ANY } else { FRESH };
-    let idle = proxy.pools.borrow_mut().take(&one.id, fresh);
+    let idle = proxy.pools.borrow_mut().take(&one.id, one.repeatable);
+    let reused = idle.is_some();
     let (mut stream, mut buffer) = match idle {
         Some(idle) => (idle.stream, idle.buffer),
-        None => match connect(one).await {
+        None => match connect(proxy, one).await {
             Ok(stream) => (stream, BytesMut::new()),
             Err(_) => return Ended::without(Verdict::NeverRan, Showed::Dead),
         },
     };
-    crate::figures::add(&proxy.figures.connections);
     let begun = Instant::now();
-    let due = async {
-        stream.write_all(&one.bytes).await?;
-        for _ in 0..MOST_EARLIER {
-            let answer = answer::read(&mut stream, &mut buffer, one.head_only).await?;
-            // One that bears another's id is late: it belongs to no request.
-            if answer.attempt.as_deref() == Some(&one.attempt) || refuses(&answer) {
-                return Ok(answer);
-            }
+    let mut due = timeout_at(one.until, exchange(&mut stream, &mut buffer, one)).await;
+    if reused && matches!(due, Ok(Err(Broken { answered: false }))) {
+        proxy.pools.borrow_mut().forgotten();
+        // The backend had forgotten the connection: where the request may run again, it goes out on a new one.
+        let again = || proxy.budget(&one.service, |budget| budget.further(proxy.now(), proxy.ingresses()));
+        if one.repeatable && again() {
+            buffer.clear();
+            stream = match connect(proxy, one).await {
+                Ok(stream) => stream,
+                Err(_) => return Ended::without(Verdict::MayHaveRun, Showed::Dead),
+            };
+            due = timeout_at(one.until, exchange(&mut stream, &mut buffer, one)).await;
         }
-        Err(io::Error::from(io::ErrorKind::InvalidData))
-    };
-    let answer = match timeout_at(one.until, due).await {
+    }
+    let answer = match due {
         Err(_) => return Ended::without(Verdict::MayHaveRun, Showed::Silent),
+        Ok(Err(_)) if reused && !one.repeatable => {
+            return Ended::without(Verdict::MayHaveRun, Showed::Nothing)
+        }
         Ok(Err(_)) => return Ended::without(Verdict::MayHaveRun, Showed::Broke),
         Ok(Ok(answer)) => answer,
     };
     // Bytes past a complete answer are nobody's: the connection goes with them.
     if answer.keep && buffer.is_empty() {
-        proxy.pools.borrow_mut().give(&one.id, stream, buffer, answer.keep_for);
+        let most = proxy.fleet.borrow().connections(&one.service);
+        proxy.pools.borrow_mut().give(&one.id, stream, buffer, answer.keep_for, most);
     }
     judge(answer, begun.elapsed())
 }
 
+/// Sends the request and reads the answer to it.
+async fn exchange(stream: &mut TcpStream, buffer: &mut BytesMut, one: &Try) -> Result<Answer, Broken> {
+    stream.write_all(&one.bytes).await.map_err(|_| Broken { answered: false })?;
+    for earlier in 0..MOST_EARLIER {
+        let answer = answer::read(stream, buffer, one.head_only).await;
+        let answer = answer.map_err(|_| Broken { answered: earlier > 0 || !buffer.is_empty() })?;
+        // One that bears another's id is late: it belongs to no request.
+        if answer.attempt.as_deref() == Some(&one.attempt) || refuses(&answer) {
+            return Ok(answer);
+        }
+    }
+    Err(Broken { answered: true })
+}
+
 /// The backend says that it did not run the request.
 fn refuses(answer: &Answer) -> bool {
     answer.not_executed || answer.status == 421
@@ -105,7 +127,8 @@
     Ended { verdict: Verdict::MayHaveRun, answer: Some(answer), showed }
 }
 
-async fn connect(one: &Try) -> io::Result<TcpStream> {
+async fn connect(proxy: &Rc<Proxy>, one: &Try) -> io::Result<TcpStream> {
+    crate::figures::add(&proxy.figures.connections);
     let within = Instant::now() + if one.same_region { NEAR } else { FAR };
     let stream = timeout_at(within.min(one.until), TcpStream::connect(one.address)).await??;
     stream.set_nodelay(true)?;
--- a/crates/anemometer/src/state.rs
+++ b/crates/anemometer/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use violetyoke_ceilometer::budget::{Budget, Terms};
-use violetyoke_ceilometer::fleet::{Fleet, Place, Warming};
+use violetyoke_ceilometer::fleet::{self, Fleet, Place};
 use violetyoke_ceilometer::Millis;
 use violetyoke_mast::link::Sender;
 use violetyoke_mast::words::{member, Members, Stamp};
@@ -122,12 +122,16 @@
         if stamp <= self.stamp() {
             return;
         }
-        let warming = configuration.services.iter().map(|service| {
-            let warming = Warming { cold_ms: (service.cold_s * 1000.0) as Millis, rate: service.cold_rate_s };
-            (service.name.clone(), warming)
+        let terms = configuration.services.iter().map(|service| {
+            let terms = fleet::Terms {
+                cold_ms: (service.cold_s * 1000.0) as Millis,
+                cold_rate: service.cold_rate_s,
+                connections: service.max_conns.unwrap_or(0.0) as u32,
+            };
+            (service.name.clone(), terms)
         });
         let lag = self.settings.platform.cloud_api.as_ref().map_or(1000.0, |api| api.lag_ms) as Millis + 700;
-        self.fleet.borrow_mut().configure(self.now(), warming.collect(), evacuated.clone(), lag);
+        self.fleet.borrow_mut().configure(self.now(), terms.collect(), evacuated.clone(), lag);
         slog::info!(self.log, "in force"; "version" => configuration.version, "epoch" => stamp.epoch,
             "evacuated" => evacuated.len());
         *self.evacuated.borrow_mut() = evacuated;
--- a/crates/ceilometer/src/choose.rs
+++ b/crates/ceilometer/src/choose.rs
@@ -12,6 +12,8 @@
 const UNKNOWN_PACE: f64 = 100.0;
 /// A cold backend is slower by about so much.
 const COLD: f64 = 2.0;
+/// Costs that differ by less than this part are the same: all ingresses see the same list, and must not choose alike.
+const SPREAD: f64 = 0.3;
 /// Requests beyond its slots that a backend may have waiting there, as part of its slots.
 const QUEUED: f64 = 0.34;
 
@@ -41,6 +43,7 @@
         let mut best: Option<(f64, &Backend)> = None;
         let mut resting: Option<&Backend> = None;
         let mut known = false;
+        let connections = self.connections(wanted.service);
         for backend in ids.iter().filter_map(|id| self.backends.get(id)) {
             if !self.allowed(backend, wanted) {
                 continue;
@@ -57,7 +60,9 @@
                 }
                 continue;
             }
-            let Some(cost) = self.cost(now, backend) else { continue };
+            let room = backend.open < connections;
+            let Some(cost) = self.cost(now, backend).filter(|_| room) else { continue };
+            let cost = cost * (1.0 + SPREAD * self.draw());
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, backend));
             }
@@ -69,6 +74,15 @@
         }
     }
 
+    /// Uniform in 0..1, other each time.
+    fn draw(&self) -> f64 {
+        let state = self.draws.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.draws.set(state);
+        let mut x = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
     fn allowed(&self, backend: &Backend, wanted: Wanted<'_>) -> bool {
         !self.evacuated.contains(&backend.zone)
             && wanted.homes.iter().all(|homes| homes.is_empty() || homes.contains(&backend.region))
@@ -76,7 +90,7 @@
     }
 
     fn cold_part(&self, backend: &Backend) -> u32 {
-        let rate = self.warming.get(&backend.service).map_or(0.0, |warming| warming.rate);
+        let rate = self.terms.get(&backend.service).map_or(0.0, |terms| terms.cold_rate);
         part(backend.seed, rate, self.place.me, &self.place.members)
     }
 
--- a/crates/ceilometer/src/fleet.rs
+++ b/crates/ceilometer/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{Backend, Showed};
 use crate::Millis;
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 
 /// One line of the list.
@@ -27,18 +28,23 @@
     pub members: Vec<u32>,
 }
 
-/// What a service's operator says of cold backends.
+/// What a service's operator says of its backends.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Warming {
+pub struct Terms {
     pub cold_ms: Millis,
-    pub rate: f64,
+    /// What a cold one bears a second, of all ingresses together.
+    pub cold_rate: f64,
+    /// Connections that one takes, of all ingresses together; 0: no bound is told.
+    pub connections: u32,
 }
 
 #[derive(Debug, Default)]
 pub struct Fleet {
     pub(crate) backends: HashMap<String, Backend>,
     pub(crate) by_service: HashMap<String, Vec<String>>,
-    pub(crate) warming: HashMap<String, Warming>,
+    pub(crate) terms: HashMap<String, Terms>,
+    /// Chance in the choice among equals.
+    pub(crate) draws: Cell<u64>,
     pub(crate) evacuated: BTreeSet<String>,
     pub place: Place,
     /// When the newest list was asked for.
@@ -52,7 +58,8 @@
 
 impl Fleet {
     pub fn new(place: Place) -> Fleet {
-        Fleet { place, ..Fleet::default() }
+        let draws = Cell::new(u64::from(place.me) << 32);
+        Fleet { place, draws, ..Fleet::default() }
     }
 
     /// A list that was asked for at `at`; an older one than is known changes nothing, and is not taken.
@@ -123,21 +130,31 @@
     pub fn configure(
         &mut self,
         now: Millis,
-        warming: HashMap<String, Warming>,
+        terms: HashMap<String, Terms>,
         evacuated: BTreeSet<String>,
         lag: Millis,
     ) {
-        self.warming = warming;
+        self.terms = terms;
         for zone in self.evacuated.difference(&evacuated) {
             // Taken back: its backends may have become cold, and a list that says so comes later.
             for backend in self.backends.values_mut().filter(|backend| backend.zone == *zone) {
-                let cold = self.warming.get(&backend.service).map_or(0, |warming| warming.cold_ms);
+                let cold = self.terms.get(&backend.service).map_or(0, |terms| terms.cold_ms);
                 backend.cold.doubt(now + cold + lag);
             }
         }
         self.evacuated = evacuated;
     }
 
+    /// Connections that this ingress may hold to one backend of a service: its even part, with room for those who have
+    /// just come.
+    pub fn connections(&self, service: &str) -> u32 {
+        let most = self.terms.get(service).map_or(0, |terms| terms.connections);
+        match most {
+            0 => u32::MAX,
+            most => (most * 9 / 10 / self.place.members.len().max(1) as u32).max(1),
+        }
+    }
+
     pub fn get(&self, id: &str) -> Option<&Backend> {
         self.backends.get(id)
     }
--- a/crates/ceilometer/tests/choice.rs
+++ b/crates/ceilometer/tests/choice.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeSet, HashMap};
 use violetyoke_ceilometer::backend::Showed;
-use violetyoke_ceilometer::budget::{Budget, Terms};
+use violetyoke_ceilometer::budget::{self, Budget};
 use violetyoke_ceilometer::cold::part;
-use violetyoke_ceilometer::fleet::{Line, Place, Warming};
+use violetyoke_ceilometer::fleet::{Line, Place, Terms};
 use violetyoke_ceilometer::queue::Queue;
 use violetyoke_ceilometer::{Choice, Fleet, Wanted};
 
@@ -28,7 +28,7 @@
 fn fleet(lines: Vec<Line>) -> Fleet {
     let place = Place { me: 0, zone: "a1".into(), region: "a".into(), members: members(9) };
     let mut fleet = Fleet::new(place);
-    let warming = Warming { cold_ms: 3_000, rate: 21.0 };
+    let warming = Terms { cold_ms: 3_000, cold_rate: 21.0, connections: 100 };
     fleet.configure(0, HashMap::from([("finder".into(), warming)]), BTreeSet::new(), 1_500);
     assert!(fleet.list(10, 10, lines));
     fleet
@@ -67,6 +67,28 @@
     assert_eq!(chosen(&fleet, 150, ANY).as_deref(), Some("far"));
 }
 
+#[test]
+fn connections_to_a_backend_are_cut_over_all_ingresses() {
+    for (ingresses, most) in [(1, 90), (9, 10), (74, 1), (200, 1)] {
+        let mut fleet = fleet(vec![line("one", "a1", 500)]);
+        fleet.place.members = members(ingresses);
+        assert_eq!(fill(&mut fleet, 100, 1000)["one"], most, "{ingresses} ingresses");
+    }
+}
+
+#[test]
+fn ingresses_that_see_the_same_list_don_t_choose_alike() {
+    let ids: Vec<String> = (0..20).map(|n| format!("i-{n}")).collect();
+    let mut chosen_by: HashMap<String, usize> = HashMap::new();
+    for me in 0..200 {
+        let mut fleet = fleet(ids.iter().map(|id| line(id, "a1", 6)).collect());
+        fleet = Fleet::new(Place { me, ..fleet.place.clone() });
+        fleet.list(10, 10, ids.iter().map(|id| line(id, "a1", 6)).collect());
+        *chosen_by.entry(chosen(&fleet, 100, ANY).expect("one of twenty")).or_default() += 1;
+    }
+    assert!(chosen_by.len() == 20 && chosen_by.values().all(|count| *count < 30), "{chosen_by:?}");
+}
+
 #[test]
 fn homes_of_route_and_tenant_bind_both() {
     let fleet = fleet(vec![line("west", "a1", 6), line("east", "b1", 6)]);
@@ -162,7 +184,7 @@
 #[test]
 fn a_zone_that_is_taken_back_is_cold_until_a_list_could_say() {
     let mut fleet = fleet(vec![line("one", "a1", 6)]);
-    let warming = Warming { cold_ms: 3_000, rate: 21.0 };
+    let warming = Terms { cold_ms: 3_000, cold_rate: 21.0, connections: 100 };
     let warming = HashMap::from([("finder".into(), warming)]);
     fleet.configure(1_000, warming.clone(), BTreeSet::from(["a1".to_owned()]), 1_500);
     fleet.configure(9_000, warming, BTreeSet::new(), 1_500);
@@ -183,7 +205,7 @@
 
 #[test]
 fn further_attempts_stay_within_the_part_of_one_ingress() {
-    let terms = Terms { ratio: 0.2, window_ms: 10_000, slack: 58.0 };
+    let terms = budget::Terms { ratio: 0.2, window_ms: 10_000, slack: 58.0 };
     let mut budget = Budget::new(terms);
     let mut further: Vec<u64> = Vec::new();
     for now in (0..40_000u64).step_by(10) {
