Serve again as soon as all registries have told how new a state they have

Change: a proxy that begins is told by all registries at once who there is and how new a state they have; the state itself still comes from one. Stores greet each other as soon as a connection stands.

--- a/crates/anemometer/src/daemon.rs
+++ b/crates/anemometer/src/daemon.rs
@@ -13,10 +13,11 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use violetyoke_mast::words::Members;
 use violetyoke_mast::{changes, link};
 use violetyoke_station::Settings;
 
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 const BACKLOG: u32 = 1024;
 /// Registries that may know something newer are waited for so long, once one has told its state.
 const ALL_HEARD: Duration = Duration::from_millis(700);
@@ -124,9 +125,11 @@
     proxy.snapshot.borrow().is_some() && proxy.list.get() != 0
 }
 
-/// All registries that are connected have told what they have, and they are more than half of those that are known.
+/// All registries that are connected have told how new a state they have, none a newer one than is known here, and
+/// they are more than half of those that are known.
 fn all_heard(proxy: &Proxy) -> bool {
     let registries = proxy.registries.borrow();
     let up = registries.values().filter(|registry| registry.sender.is_some());
-    up.clone().all(|registry| registry.members.digest != 0) && up.count() * 2 > registries.len()
+    let told = |members: &Members| members.digest != 0 && members.newest <= proxy.stamp();
+    up.clone().all(|registry| told(&registry.members)) && up.count() * 2 > registries.len()
 }
--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/barograph/src/daemon/mod.rs
@@ -170,7 +170,10 @@
                 self.keeper.kept(number);
                 self.handle(Event::Kept(number));
             }
-            Input::Peer(ip, link::Event::Up(sender)) => drop(self.peers.insert(ip, Some(sender))),
+            Input::Peer(ip, link::Event::Up(sender)) => {
+                self.peers.insert(ip, Some(sender));
+                self.register.greet();
+            }
             Input::Peer(ip, link::Event::Down) => drop(self.peers.insert(ip, None)),
             Input::Peer(_, link::Event::Frame(frame)) => self.frame(None, &frame),
             Input::Connection(number, link::Event::Up(sender)) => self.watchers.opened(number, sender),
--- a/crates/barograph/src/register/peers.rs
+++ b/crates/barograph/src/register/peers.rs
@@ -50,6 +50,11 @@
         self.peers.insert(from.ip, Peer { member: from, beat, heard: self.now });
     }
 
+    /// Another store can be reached now: the next beat is due at once.
+    pub fn greet(&mut self) {
+        self.beat_at = 0;
+    }
+
     /// Sends each known store a beat when one is due.
     pub(super) fn beat_all(&mut self) {
         if self.now < self.beat_at + BEAT_EVERY && self.beat_at != 0 {
--- a/crates/mast/src/words/proxies.rs
+++ b/crates/mast/src/words/proxies.rs
@@ -84,6 +84,8 @@
     pub proxies: Vec<u32>,
     pub registries: Vec<Ipv4Addr>,
     pub owners: Owners,
+    /// The newest state of control that the registry has; no part of the digest.
+    pub newest: Stamp,
 }
 
 /// The platform's list of backends, as it was some time ago.
--- a/crates/windvane/src/daemon/telling.rs
+++ b/crates/windvane/src/daemon/telling.rs
@@ -37,7 +37,6 @@
     list_made: HashMap<u64, Bytes>,
     pub members: Members,
     members_at: Millis,
-    members_made: Option<Bytes>,
 }
 
 impl Telling {
@@ -127,25 +126,27 @@
                 continue;
             }
             let since = *proxy.since.get_or_insert(now);
-            if !proxy.lead && now < since + SECOND {
+            // One that knows of nobody here begins: it waits to hear from all registries before it serves.
+            let begins = proxy.members == 0;
+            if !proxy.lead && !begins && now < since + SECOND {
                 continue;
             }
-            if let Some(stamp) = news {
+            let first = proxy.lead || now >= since + SECOND;
+            if let Some(stamp) = news.filter(|_| first) {
                 if let Some(frame) = self.telling.state_since(proxy.have) {
                     proxy.have = stamp;
                     proxy.sender.send(frame);
                 }
             }
-            if let Some(list) = self.lists.newest(now, true).filter(|_| other_list) {
+            if let Some(list) = self.lists.newest(now, true).filter(|_| other_list && first) {
                 let frame = self.telling.list_since(proxy.list, list);
                 proxy.list = digest;
                 proxy.sender.send(frame);
             }
             if other_members {
                 proxy.members = self.telling.members.digest;
-                let members = &self.telling.members;
-                let made = || encode(&ProxySays::Members(members.clone()));
-                proxy.sender.send(self.telling.members_made.get_or_insert_with(made).clone());
+                let members = Members { newest: newest.unwrap_or_default(), ..self.telling.members.clone() };
+                proxy.sender.send(encode(&ProxySays::Members(members)));
             }
         }
     }
@@ -156,6 +157,7 @@
             proxies: self.sessions.members(),
             registries: self.live(),
             owners: self.stores.owners.clone(),
+            newest: Stamp::default(),
         };
         let mut hasher = DefaultHasher::new();
         (&members.proxies, &members.registries, members.owners.fence).hash(&mut hasher);
@@ -169,7 +171,6 @@
             self.proxies.deal(&members.owners);
         }
         self.telling.members_at = now;
-        self.telling.members_made = None;
         self.telling.members = members;
     }
 }
