--- a/crates/barograph/src/register/mod.rs
+++ b/crates/barograph/src/register/mod.rs
@@ -8,76 +8,18 @@
 //! - An order is acknowledged when all holders have it on their disks.
 //! - A voter is a disk, not a machine: one that comes back empty is another voter, which the primary has to take in.
 
+mod model;
 mod orders;
 mod peers;
+mod quorum;
 mod takeover;
 mod voter;
 
-use serde::{Deserialize, Serialize};
+pub use model::{Client, Durable, Effect, Event, Millis, Start};
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{Beat, Held, Letter, Member, Order, Outcome, PeerWord, Record, Stamp};
-
-/// Milliseconds of a clock that only advances; it begins anywhere.
-pub type Millis = u64;
-/// Who is to get an answer.
-pub type Client = u64;
-
-/// What must not be forgotten: the whole of it is written each time.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Durable {
-    pub id: u64,
-    /// First start of the whole system, and no record since.
-    pub fresh: bool,
-    pub promised: u64,
-    pub record: Record,
-    pub held: Held,
-}
-
-#[derive(Clone, Debug)]
-pub enum Event {
-    Letter(Letter),
-    /// All that was asked to be kept up to this number is on the disk.
-    Kept(u64),
-    /// Time has passed; whether the disk answers.
-    Tick {
-        disk: bool,
-    },
-    Order {
-        client: Client,
-        order: Order,
-    },
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    Send {
-        to: Ipv4Addr,
-        word: PeerWord,
-    },
-    Keep {
-        number: u64,
-        state: Durable,
-    },
-    Answer {
-        client: Client,
-        outcome: Outcome,
-    },
-    /// There is a newer state that all holders have, or this store's standing is another.
-    Publish,
-}
-
-/// Where the store begins from.
-#[derive(Clone, Debug)]
-pub struct Start {
-    pub ip: Ipv4Addr,
-    pub zone: String,
-    /// Machines whose stores are asked first.
-    pub seeds: Vec<Ipv4Addr>,
-    /// Machines that may be lost at once.
-    pub tolerance: u32,
-    pub kept: Durable,
-}
+use violetyoke_mast::words::{Beat, Held, Member, Order, Outcome, PeerWord, Record, Stamp};
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -305,21 +247,3 @@
         self.out.push(Effect::Publish);
     }
 }
-
-/// Enough have said yes to a record: of its voters, and of those of records before it that may not have stood.
-fn enough(record: &Record, has: impl Fn(u64) -> bool + Copy) -> bool {
-    majority(&record.voters, has) && record.bases.iter().all(|voters| majority(voters, has))
-}
-
-/// More than half of the members of a list are in a set.
-fn majority(of: &[Member], has: impl Fn(u64) -> bool) -> bool {
-    of.iter().filter(|member| has(member.id)).count() * 2 > of.len()
-}
-
-/// A figure in `0..most` that differs between stores and epochs, the same for the same two.
-fn drawn(id: u64, epoch: u64, most: u64) -> u64 {
-    let mut x = id ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (x ^ (x >> 31)) % most.max(1)
-}
--- /dev/null
+++ b/crates/barograph/src/register/model.rs
@@ -0,0 +1,66 @@
+//! What goes into a register and what comes out of it.
+
+use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
+use violetyoke_mast::words::{Held, Letter, Order, Outcome, PeerWord, Record};
+
+/// Milliseconds of a clock that only advances; it begins anywhere.
+pub type Millis = u64;
+/// Who is to get an answer.
+pub type Client = u64;
+
+/// What must not be forgotten: the whole of it is written each time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Durable {
+    pub id: u64,
+    /// First start of the whole system, and no record since.
+    pub fresh: bool,
+    pub promised: u64,
+    pub record: Record,
+    pub held: Held,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Letter(Letter),
+    /// All that was asked to be kept up to this number is on the disk.
+    Kept(u64),
+    /// Time has passed; whether the disk answers.
+    Tick {
+        disk: bool,
+    },
+    Order {
+        client: Client,
+        order: Order,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Send {
+        to: Ipv4Addr,
+        word: PeerWord,
+    },
+    Keep {
+        number: u64,
+        state: Durable,
+    },
+    Answer {
+        client: Client,
+        outcome: Outcome,
+    },
+    /// There is a newer state that all holders have, or this store's standing is another.
+    Publish,
+}
+
+/// Where the store begins from.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    /// Machines whose stores are asked first.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Machines that may be lost at once.
+    pub tolerance: u32,
+    pub kept: Durable,
+}
--- a/crates/barograph/src/register/takeover.rs
+++ b/crates/barograph/src/register/takeover.rs
@@ -1,7 +1,8 @@
 //! Who takes over, and how an epoch comes to stand: promises first, then a record that names the holders.
 
 use super::peers::GONE;
-use super::{drawn, enough, majority, Effect, Millis, Register, Role};
+use super::quorum::{drawn, enough, majority};
+use super::{Effect, Millis, Register, Role};
 use std::collections::{BTreeMap, BTreeSet};
 use violetyoke_mast::words::{Held, Member, Outcome, PeerWord, Record, Stamp};
 
--- a/crates/barograph/tests/world/mod.rs
+++ b/crates/barograph/tests/world/mod.rs
@@ -1,28 +1,21 @@
 //! Stores in virtual time, seeded: links with delays and cuts, disks that stall, tear and vanish, processes that are
 //! killed, frozen and come back. Its rules are taken from what clients were answered, never from a store's own belief.
 
+mod clients;
+mod due;
+mod faults;
+
+use clients::Asked;
+pub use due::Chance;
+use due::{Due, LetterBox};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::Ipv4Addr;
 use violetyoke_barograph::disk;
 use violetyoke_barograph::register::{Durable, Effect, Event, Register, Start};
-use violetyoke_mast::words::{Held, Letter, Order, Outcome};
+use violetyoke_mast::words::{Letter, Order};
 
 pub type Millis = u64;
 
-/// Chance: the same for the same seed.
-#[derive(Clone, Debug)]
-pub struct Chance(pub u64);
-
-impl Chance {
-    pub fn below(&mut self, most: u64) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut x = self.0;
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (x ^ (x >> 31)) % most.max(1)
-    }
-}
-
 /// A machine: its process while it runs, and its disk.
 pub struct Machine {
     pub ip: Ipv4Addr,
@@ -40,41 +33,6 @@
     life: u64,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Letter { to: usize, letter: LetterBox },
-    Tick { to: usize },
-    Kept { to: usize, life: u64, number: u64 },
-}
-
-/// Letters have no order of their own: their number is one.
-#[derive(Clone, Debug)]
-struct LetterBox(u64, Box<Letter>);
-
-impl PartialEq for LetterBox {
-    fn eq(&self, other: &LetterBox) -> bool {
-        self.0 == other.0
-    }
-}
-impl Eq for LetterBox {}
-impl PartialOrd for LetterBox {
-    fn partial_cmp(&self, other: &LetterBox) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for LetterBox {
-    fn cmp(&self, other: &LetterBox) -> std::cmp::Ordering {
-        self.0.cmp(&other.0)
-    }
-}
-
-/// What a client waits for, and what had been acknowledged when it asked.
-#[derive(Clone, Debug)]
-struct Asked {
-    order: Order,
-    acked: u64,
-}
-
 pub struct World {
     pub now: Millis,
     pub chance: Chance,
@@ -163,42 +121,6 @@
         machine.register = Some(Register::new(start, now, drawn, bootstrap));
     }
 
-    /// The process ends. With the power, what is not synced is lost, and the slot that was being written may be torn.
-    pub fn kill(&mut self, n: usize, power: bool) {
-        let tear = self.chance.below(3);
-        let machine = &mut self.machines[n];
-        machine.register = None;
-        machine.late.clear();
-        if let (true, Some((_, state, _))) = (power, machine.writing.first()) {
-            let whole = disk::write(machine.number + 1, state);
-            match tear {
-                0 => {}
-                1 => machine.slots[machine.next] = whole[..whole.len() / 2].to_vec(),
-                _ => machine.slots[machine.next] = whole,
-            }
-        } else if let Some((_, state, _)) = machine.writing.last().cloned() {
-            // Bytes that a process wrote stay when only the process dies.
-            machine.slots[machine.next] = disk::write(machine.number + 1, &state);
-        }
-        machine.writing.clear();
-    }
-
-    pub fn wipe(&mut self, n: usize) {
-        self.kill(n, true);
-        self.machines[n].slots = [Vec::new(), Vec::new()];
-    }
-
-    pub fn restart(&mut self, n: usize) {
-        if self.machines[n].register.is_none() {
-            let seeds: Vec<Ipv4Addr> = self.machines.iter().take(3).map(|machine| machine.ip).collect();
-            self.start(n, &seeds, false);
-        }
-    }
-
-    pub fn up(&self, n: usize) -> bool {
-        self.machines[n].register.is_some()
-    }
-
     /// A client gives a store an order.
     pub fn order(&mut self, n: usize, order: Order) {
         self.count += 1;
@@ -299,33 +221,4 @@
             }
         }
     }
-
-    /// A configuration that anybody is told must be one that was sent.
-    fn known(&mut self, held: &Held, how: &str) {
-        if held.version > 0 && self.sent.get(&held.version) != Some(&held.text) {
-            self.broken.push(format!("{how}: version {} is not what was sent under it", held.version));
-        }
-    }
-
-    fn answered(&mut self, client: u64, outcome: Outcome) {
-        let Some(asked) = self.asked.remove(&client) else { return };
-        match (asked.order, outcome) {
-            (Order::Replace { version, .. }, Outcome::Acknowledged) => {
-                self.acks += 1;
-                self.acked = self.acked.max(version);
-            }
-            (Order::Read, Outcome::Read(held)) => {
-                self.reads += 1;
-                self.known(&held, "read");
-                if held.version < asked.acked {
-                    let now = self.now;
-                    self.broken.push(format!(
-                        "{now} ms: read {} after {} was acknowledged",
-                        held.version, asked.acked
-                    ));
-                }
-            }
-            _ => {}
-        }
-    }
 }
--- /dev/null
+++ b/crates/screen/tests/control.rs
@@ -0,0 +1,135 @@
+//! Control of the whole system as real processes, while machines stop, die, leave and are cut off.
+
+mod common;
+
+use common::{configuration, stage, Stage, LONG, REPLACE};
+use serde_json::json;
+use std::time::Duration;
+use violetyoke_rig::link::Link;
+use violetyoke_rig::until;
+use violetyoke_screen::calls::{call, order, resolve};
+
+#[test]
+fn control_outlives_its_primary_and_an_edge_follows_within_the_bound() {
+    let mut stage = stage();
+    // Whichever leads: each store in turn is stopped, killed or left without its registry, and a change is taken.
+    for victim in 0..3 {
+        stage.system.cores[victim].store.kill().expect("killed");
+        stage.system.cores[victim].registry.kill().expect("killed");
+        let version = 10 + victim as u64;
+        let mut next = configuration(version);
+        next["routes"]["rows"][0][2] = json!(format!("/search-{version}/"));
+        stage.put(next);
+        assert_eq!(stage.version(), version);
+        for edge in 0..4 {
+            let path = format!("/search-{version}/1");
+            assert!(
+                until(Duration::from_secs(3), || stage.status(edge, &path, "key-1", b"") == 200),
+                "edge {edge}"
+            );
+            assert_eq!(stage.status(edge, "/search/1", "key-1", b""), 404);
+        }
+        stage.system.cores[victim].store.again().expect("started");
+        stage.system.cores[victim].registry.again().expect("started");
+        let up = |stage: &Stage| resolve(stage.system.cores[victim].directory, "west", "a").len() == 1;
+        assert!(until(LONG, || up(&stage)), "core {victim} does not come back");
+    }
+    // An older one is acknowledged and has no effect; an invalid one is refused by its field.
+    stage.put(configuration(3));
+    assert_eq!(stage.version(), 12);
+    let mut invalid = configuration(20);
+    invalid["routes"]["rows"][1][8] = json!("nobody");
+    let answer =
+        order(&stage.system.controls(), REPLACE, invalid.to_string().as_bytes()).expect("a clear answer");
+    assert_eq!(answer.status(), 400);
+    assert!(String::from_utf8_lossy(&answer.body).contains("routes.rows[1].service"));
+    assert_eq!(stage.version(), 12);
+}
+
+#[test]
+fn a_stopped_core_machine_and_a_cut_link_cost_no_request() {
+    let mut stage = stage();
+    // One finder is reached over a link that is cut.
+    let link = Link::start(stage.driven.handle(), stage.finders[0].address).expect("a link");
+    let mut line = stage.finders[0].line();
+    line["address"] = json!(link.address.to_string());
+    line["service"] = json!("finder");
+    stage.platform.set("finder-0", None);
+    stage.platform.set("finder-9", Some(line));
+    link.cut(true);
+    stage.system.cores[0].store.stop().expect("stopped");
+    stage.system.cores[0].registry.stop().expect("stopped");
+    stage.put(configuration(2));
+    let served = (0..60).filter(|n| stage.status(n % 4, "/search/1", "key-1", b"") == 200).count();
+    assert_eq!(served, 60);
+    stage.system.cores[0].store.go_on().expect("goes on");
+    stage.system.cores[0].registry.go_on().expect("goes on");
+    stage.put(configuration(4));
+    assert_eq!(stage.version(), 4);
+}
+
+#[test]
+fn an_evacuated_zone_gets_nothing_and_a_drained_backend_neither() {
+    let mut stage = stage();
+    let controls = stage.system.controls();
+    let answer = order(&controls, "/api/rpc?call=evacuation.begin&of=a", b"").expect("a clear answer");
+    assert_eq!(answer.status(), 200);
+    let zone_a = |stage: &Stage| {
+        stage.finders.iter().filter(|it| it.zone == "a").map(|it| it.runs().len()).sum::<usize>()
+    };
+    let quiet = |stage: &mut Stage| {
+        let before = zone_a(stage);
+        (0..12).all(|n| stage.status(n % 4, "/search/1", "key-1", b"") == 200) && zone_a(stage) == before
+    };
+    assert!(until(Duration::from_secs(5), || quiet(&mut stage)), "zone a still gets requests");
+    let mut line = stage.finders[1].line();
+    line["state"] = json!("draining");
+    stage.platform.set("finder-1", Some(line));
+    let still = |stage: &mut Stage| {
+        let before = stage.finders[1].runs().len();
+        (0..12).all(|n| stage.status(n % 4, "/search/1", "key-1", b"") == 200)
+            && stage.finders[1].runs().len() == before
+    };
+    assert!(until(Duration::from_secs(3), || still(&mut stage)), "the drained one still gets requests");
+    assert_eq!(
+        order(&controls, "/api/rpc?call=evacuation.finish&of=a", b"").map(|it| it.status()),
+        Some(200)
+    );
+    assert!(
+        until(LONG, || {
+            stage.status(0, "/search/1", "key-1", b"");
+            !quiet(&mut stage)
+        }),
+        "zone a stays empty"
+    );
+    assert_eq!(
+        order(&controls, "/api/rpc?call=evacuation.begin&of=nowhere", b"").map(|it| it.status()),
+        Some(400)
+    );
+}
+
+#[test]
+fn an_edge_that_is_told_to_end_finishes_what_it_has() {
+    let mut stage = stage();
+    let front = stage.system.edges[0].front;
+    let flood = std::thread::spawn(move || {
+        let mut statuses = Vec::new();
+        for n in 0..400 {
+            let id = format!("flood-{n}");
+            let fields = [("host", "rooms.example"), ("x-attempt-id", &id[..]), ("x-credential", "key-1")];
+            match call(front, "GET", "/search/1", &fields, b"") {
+                Some(answer) => statuses.push(answer.status()),
+                // Nobody listens there any more.
+                None => break,
+            }
+        }
+        statuses
+    });
+    assert!(until(LONG, || stage.finders.iter().any(|it| it.runs().len() > 20)));
+    stage.system.edges[0].proxy.terminate().expect("told");
+    assert!(until(LONG, || stage.system.edges[0].proxy.has_ended()), "it does not end");
+    let statuses = flood.join().expect("the flood");
+    assert!(statuses.len() > 20 && statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    let gone = |stage: &Stage| !resolve(stage.system.cores[0].directory, "west", "a").contains(&front);
+    assert!(until(LONG, || gone(&stage)));
+}
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! The registry as a process.
 
+mod listing;
 mod orders;
 mod outside;
 mod proxies;
@@ -7,7 +8,6 @@
 mod telling;
 
 use crate::backends::Lists;
-use crate::platform;
 use crate::sessions::Sessions;
 use crate::Millis;
 use error_stack::{Report, ResultExt};
@@ -37,8 +37,6 @@
 const LEAVES: Duration = Duration::from_millis(3_000);
 const LINGERS: Duration = Duration::from_millis(200);
 const TICK: Duration = Duration::from_millis(50);
-/// So often other registries are told that the list still holds.
-const TELL_LIST: Millis = 700;
 
 /// The program, with the arguments after its name.
 pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
@@ -188,42 +186,14 @@
         }
         self.orders.tick(now, &self.stores);
         self.ask_platform(now);
-        if self.lists.digest() != 0
-            && now > self.told_list + TELL_LIST
-            && !self.lists.due(now, self.settings.me.ip, &[])
-        {
-            let first = self.live().first() == Some(&self.settings.me.ip);
-            if first {
-                self.told_list = now;
-                self.gossip(self.lists.newest(now, false));
-            }
-        }
+        self.tell_list(now);
         self.publish();
     }
 
-    fn ask_platform(&mut self, now: Millis) {
-        let Some(api) = &self.settings.platform.cloud_api else { return };
-        if self.lists.due(now, self.settings.me.ip, &self.live()) {
-            self.lists.asked();
-            let (address, inputs) = (api.address, self.inputs.clone());
-            tokio::task::spawn_local(async move {
-                let backends = platform::whole(address).await;
-                drop(inputs.send(Input::Listed { asked_at: now, backends }));
-            });
-        }
-    }
-
     fn input(&mut self, input: Input) {
         let now = self.now();
         match input {
-            Input::Listed { asked_at, backends: Some(backends) } => {
-                if self.lists.answered(now, asked_at, backends) {
-                    self.told_list = now;
-                    self.gossip(self.lists.newest(now, true));
-                    self.publish();
-                }
-            }
-            Input::Listed { backends: None, .. } => self.lists.failed(now),
+            Input::Listed { asked_at, backends } => self.listed(now, asked_at, backends),
             Input::Store(ip, event) => self.store(ip, event),
             Input::Registry(ip, link::Event::Up(sender)) => {
                 self.registries.insert(ip, Some(sender));
