Join everywhere at once: acknowledge when all hold it, and ask before denying

Need (the users' wish): a newcomer's requests are treated alike wherever they land, from the moment its change is taken. Change: an order that is taken is answered once every proxy with a session holds the version, 450 ms at most; a proxy that does not know a key or a route asks all registries whether there is anything newer before it denies, one question for all who wait and none for 300 ms after an answer. Tests: 12 newcomers, known at all four edges right after their acknowledgement; the same with each registry stopped in turn; a key that leaves and comes back; 50 invented keys.

--- a/crates/anemometer/src/lib.rs
+++ b/crates/anemometer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 mod figures;
 mod front;
+mod learning;
 mod news;
 mod ready;
 mod request;
--- a/crates/anemometer/src/news.rs
+++ b/crates/anemometer/src/news.rs
@@ -98,6 +98,7 @@
                 self.poll();
             }
             link::Event::Frame(frame) => match decode(&frame) {
+                Ok(ProxySays::Newest { .. }) => self.learning.nothing(),
                 Ok(ProxySays::Whole { stamp, evacuated, packed }) => {
                     let configuration = packed.open::<Configuration>();
                     self.told(stamp, evacuated, configuration.map(Some));
--- a/crates/anemometer/src/request.rs
+++ b/crates/anemometer/src/request.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 use violetyoke_ceilometer::Millis;
 use violetyoke_station::calls::header;
+use violetyoke_station::configuration::Tenant;
 use violetyoke_station::routing::{Caller, Entry, Table};
 use violetyoke_station::verdict::{Ending, Verdict};
 
@@ -64,29 +65,47 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// What a table knows of a request: its route and whose it is, or the status that denies it.
+enum Known<'a> {
+    Yes(&'a Entry, Option<&'a Tenant>),
+    No(u16),
+}
+
+fn known<'a>(table: &'a Table, parts: &Parts) -> Known<'a> {
+    let authority = parts.uri.authority().map(|authority| authority.as_str());
+    let host = text(&parts.headers, "host").or(authority).unwrap_or_default();
+    let Some(entry) = table.find(host, parts.uri.path()) else { return Known::No(404) };
+    let mut keys = parts.headers.get_all(header::CREDENTIAL).iter();
+    let key = keys.next().and_then(|key| key.to_str().ok()).filter(|_| keys.next().is_none());
+    match table.caller(entry, key) {
+        Caller::Unknown => Known::No(401),
+        Caller::Anyone => Known::Yes(entry, None),
+        Caller::Tenant(number) => Known::Yes(entry, table.tenants.get(number)),
+    }
+}
+
 pub async fn handle(proxy: &Rc<Proxy>, request: Request<Incoming>) -> Reply {
     let arrived = Instant::now();
     add(&proxy.figures.requests);
-    let Some(snapshot) = proxy.snapshot().filter(|_| proxy.ready.get()) else {
-        return given_up(Verdict::NeverRan, Ending::Overload, Some(200));
-    };
-    let table = &snapshot.table;
     let (parts, body) = request.into_parts();
-    let authority = parts.uri.authority().map(|authority| authority.as_str());
-    let host = text(&parts.headers, "host").or(authority).unwrap_or_default();
-    let Some(entry) = table.find(host, parts.uri.path()) else {
-        add(&proxy.figures.no_route);
-        return plain(404, "no such route");
+    let mut snapshot = match proxy.snapshot().filter(|_| proxy.ready.get()) {
+        Some(snapshot) => snapshot,
+        None => return given_up(Verdict::NeverRan, Ending::Overload, Some(200)),
     };
-    let mut keys = parts.headers.get_all(header::CREDENTIAL).iter();
-    let key = keys.next().and_then(|key| key.to_str().ok()).filter(|_| keys.next().is_none());
-    let tenant = match table.caller(entry, key) {
-        Caller::Unknown => {
-            add(&proxy.figures.no_key);
-            return plain(401, "no such key");
+    if matches!(known(&snapshot.table, &parts), Known::No(_)) && proxy.learn().await {
+        snapshot = proxy.snapshot().unwrap_or(snapshot);
+    }
+    let table = &snapshot.table;
+    let (entry, tenant) = match known(table, &parts) {
+        Known::Yes(entry, tenant) => (entry, tenant),
+        Known::No(status) => {
+            let (figure, why) = match status {
+                404 => (&proxy.figures.no_route, "no such route"),
+                _ => (&proxy.figures.no_key, "no such key"),
+            };
+            add(figure);
+            return plain(status, why);
         }
-        Caller::Anyone => None,
-        Caller::Tenant(number) => table.tenants.get(number),
     };
     let most = table.limits.max_body_bytes as usize;
     let body = match Limited::new(body, most).collect().await {
@@ -115,7 +134,7 @@
         priority: priority(entry, tenant.and_then(|tenant| tenant.priority)),
         head_only: parts.method == Method::HEAD,
         attempt: text(&parts.headers, header::ATTEMPT).unwrap_or_default().to_owned(),
-        head: head(&parts, table, name, body.len()),
+        head: head(&parts, name, body.len()),
         body,
         arrived,
         target: Duration::from_secs_f64(entry.target_ms.clamp(0.0, 600_000.0) / 1000.0),
@@ -147,7 +166,7 @@
 }
 
 /// The head of what a backend gets, but for what each attempt sets.
-fn head(parts: &Parts, _table: &Table, tenant: Option<&str>, length: usize) -> Bytes {
+fn head(parts: &Parts, tenant: Option<&str>, length: usize) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.extend_from_slice(parts.method.as_str().as_bytes());
     out.extend_from_slice(b" ");
--- a/crates/anemometer/src/state.rs
+++ b/crates/anemometer/src/state.rs
@@ -3,6 +3,7 @@
 use crate::backend::Pools;
 use crate::counting::Counting;
 use crate::figures::Figures;
+use crate::learning::Learning;
 use crate::waiting::Waiting;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
@@ -56,6 +57,7 @@
     pub lead: Cell<Option<Ipv4Addr>>,
     /// What was told could not be made of what is known: the whole is wanted.
     pub lacking: Cell<bool>,
+    pub learning: Learning,
     pub ready: Cell<bool>,
     pub leaving: Cell<bool>,
     /// Told when it begins to leave.
@@ -88,6 +90,7 @@
             registries: RefCell::default(),
             lead: Cell::new(None),
             lacking: Cell::new(false),
+            learning: Learning::default(),
             ready: Cell::new(false),
             leaving: Cell::new(false),
             leave: Notify::new(),
@@ -139,6 +142,7 @@
         self.counting.borrow_mut().retain(&table);
         *self.snapshot.borrow_mut() = Some(Rc::new(Snapshot { stamp, table, configuration }));
         self.waiting.borrow_mut().all();
+        self.learning.answered();
     }
 
     /// The budget of further attempts at a service.
--- a/crates/mast/src/words/proxies.rs
+++ b/crates/mast/src/words/proxies.rs
@@ -37,6 +37,10 @@
         tenant: String,
         fence: Stamp,
     },
+    /// A key or a route is not known here: is there anything newer? Answered in any case.
+    Newer {
+        have: Stamp,
+    },
     /// What this proxy let pass of a tenant in its last two windows, for a holder that knows nothing of it.
     Tell {
         tenant: String,
@@ -62,6 +66,10 @@
         evacuated: BTreeSet<String>,
         packed: Packed,
     },
+    /// Nothing newer than that is known.
+    Newest {
+        stamp: Stamp,
+    },
     List(List),
     ListChange(ListChange),
     Members(Members),
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::Notify;
 use tokio::time::{interval, Instant, MissedTickBehavior};
 use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
@@ -84,6 +85,8 @@
     registries: BTreeMap<Ipv4Addr, Option<Sender>>,
     heard: BTreeMap<u64, Ipv4Addr>,
     told_list: Millis,
+    /// Told whenever a proxy says what it holds.
+    polled: Rc<Notify>,
     log: Logger,
 }
 
@@ -115,6 +118,7 @@
         registries: BTreeMap::new(),
         heard: BTreeMap::new(),
         told_list: 0,
+        polled: Rc::default(),
         settings,
         inputs,
         log,
--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/windvane/src/daemon/outside.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::{timeout_at, Instant};
 use violetyoke_mast::words::{Order, Outcome};
 use violetyoke_station::calls::{find, query, Call, Taker};
 use violetyoke_station::{Configuration, Invalid};
@@ -19,6 +20,8 @@
 /// The largest body of an order.
 const LARGEST: usize = 8 << 20;
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
+/// The longest that an order which is taken waits for all proxies to hold it.
+const HELD_WITHIN: Duration = Duration::from_millis(450);
 /// Clients keep an answer for so long, at most.
 const TTL_S: f64 = 1.0;
 
@@ -112,11 +115,27 @@
         return refusal(400, &Invalid::new("document", "is not UTF-8"));
     };
     match order(registry, Order::Replace { version, text }).await {
-        Some(Outcome::Acknowledged) => plain(200, "{}"),
+        Some(Outcome::Acknowledged) => {
+            held_by_all(registry, version).await;
+            plain(200, "{}")
+        }
         _ => unclear(),
     }
 }
 
+/// Waits until each proxy with a session here holds the version: whoever is told that a change is taken finds it in
+/// force everywhere. One that does not answer is not waited for longer than a moment.
+async fn held_by_all(registry: &Shared, version: u64) {
+    let polled = registry.borrow().polled.clone();
+    let until = Instant::now() + HELD_WITHIN;
+    loop {
+        let next = polled.notified();
+        if registry.borrow().all_hold(version) || timeout_at(until, next).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn order(registry: &Shared, order: Order) -> Option<Outcome> {
     let outcome = {
         let registry = &mut *registry.borrow_mut();
--- a/crates/windvane/src/daemon/proxies.rs
+++ b/crates/windvane/src/daemon/proxies.rs
@@ -16,7 +16,9 @@
     pub sender: Sender,
     pub hello: bool,
     pub lead: bool,
+    /// The state that it was sent, and the one that it says it holds.
     pub have: Stamp,
+    pub holds: Stamp,
     pub list: u64,
     pub members: u64,
     /// Since when there has been news for it here.
@@ -34,7 +36,8 @@
 impl Proxies {
     pub fn opened(&mut self, number: u64, sender: Sender) {
         let (have, list, members) = (Stamp::default(), 0, 0);
-        let proxy = Proxy { sender, hello: false, lead: false, have, list, members, since: None };
+        let proxy =
+            Proxy { sender, hello: false, lead: false, have, holds: have, list, members, since: None };
         self.by_connection.insert(number, proxy);
     }
 
@@ -65,6 +68,12 @@
         self.publish();
     }
 
+    /// All proxies that have a session here hold that version, or a later one.
+    pub(super) fn all_hold(&self, version: u64) -> bool {
+        let Some(stamp) = self.telling.stamp_of(version) else { return self.held.version > version };
+        self.proxies.by_connection.values().filter(|proxy| proxy.hello).all(|proxy| proxy.holds >= stamp)
+    }
+
     pub(super) fn proxy(&mut self, number: u64, ask: ProxyAsk) {
         let now = self.now();
         match ask {
@@ -80,8 +89,23 @@
             ProxyAsk::Poll { have, list, members, lead } => {
                 if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
                     (proxy.have, proxy.list, proxy.members, proxy.lead) = (have, list, members, lead);
+                    proxy.holds = have;
                     proxy.since = None;
                 }
+                self.polled.notify_waiters();
+                self.publish();
+            }
+            ProxyAsk::Newer { have } => {
+                let newest = self.telling.stamp().unwrap_or_default();
+                if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
+                    if newest > have {
+                        // Sent before, perhaps; told again to one that waits for it.
+                        proxy.have = have;
+                        proxy.lead = true;
+                    } else {
+                        proxy.sender.send(encode(&ProxySays::Newest { stamp: newest }));
+                    }
+                }
                 self.publish();
             }
             ProxyAsk::Add { call, tenant, fence } => {
--- a/crates/windvane/src/daemon/telling.rs
+++ b/crates/windvane/src/daemon/telling.rs
@@ -57,10 +57,15 @@
     }
 
     /// The newest state's stamp.
-    fn stamp(&self) -> Option<Stamp> {
+    pub fn stamp(&self) -> Option<Stamp> {
         self.states.back().map(|state| state.stamp)
     }
 
+    /// Under which stamp proxies were told of a version first.
+    pub fn stamp_of(&self, version: u64) -> Option<Stamp> {
+        self.states.iter().find(|state| state.configuration.version == version).map(|state| state.stamp)
+    }
+
     /// The message for a proxy that has the state under that stamp.
     fn state_since(&mut self, have: Stamp) -> Option<Bytes> {
         if let Some(made) = self.made.get(&have) {
