--- a/crates/anemometer/src/daemon.rs
+++ b/crates/anemometer/src/daemon.rs
@@ -117,7 +117,7 @@
             }
         }
     }
-    info!(proxy.log, "ends"; "connections" => proxy.open.get());
+    info!(proxy.log, "ends"; "connections" => proxy.open.get(), "figures" => proxy.figures.line());
     Ok(())
 }
 
--- a/crates/anemometer/src/ready.rs
+++ b/crates/anemometer/src/ready.rs
@@ -1,8 +1,8 @@
-//! What the platform asks: is this ingress ready?
+//! What the platform asks: is this ingress ready? And what a scraper asks.
 
 use crate::state::Proxy;
 use bytes::Bytes;
-use http_body_util::Empty;
+use http_body_util::Full;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -22,12 +22,14 @@
             let service = service_fn(|request: Request<hyper::body::Incoming>| {
                 let uri = request.uri();
                 let call = find(Taker::Edge, request.method().as_str(), uri.path(), uri.query());
-                let mut answer = Response::new(Empty::<Bytes>::new());
-                *answer.status_mut() = match call {
-                    Some(Call::Readiness) if proxy.serving() => StatusCode::OK,
-                    Some(_) => StatusCode::SERVICE_UNAVAILABLE,
-                    None => StatusCode::NOT_FOUND,
+                let (status, body) = match call {
+                    Some(Call::Readiness) if proxy.serving() => (StatusCode::OK, String::new()),
+                    Some(Call::Figures) => (StatusCode::OK, proxy.figures.text()),
+                    Some(_) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+                    None => (StatusCode::NOT_FOUND, String::new()),
                 };
+                let mut answer = Response::new(Full::new(Bytes::from(body)));
+                *answer.status_mut() = status;
                 async move { Ok::<_, Infallible>(answer) }
             });
             // The platform may break off as it likes.
--- a/crates/station/src/calls.rs
+++ b/crates/station/src/calls.rs
@@ -19,6 +19,7 @@
     EvacuationFinish,
     Resolve,
     Readiness,
+    Figures,
     Instances,
 }
 
@@ -40,6 +41,7 @@
     line(Call::EvacuationFinish, Taker::Controller, "POST", "/api/rpc", Some("evacuation.finish")),
     line(Call::Resolve, Taker::Locator, "GET", "/api/resolve", None),
     line(Call::Readiness, Taker::Edge, "GET", "/api/readiness", None),
+    line(Call::Figures, Taker::Edge, "GET", "/api/figures", None),
     line(Call::Instances, Taker::Platform, "GET", "/instances", None),
 ];
 
--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/windvane/src/daemon/outside.rs
@@ -95,7 +95,9 @@
                 _ => unclear(),
             }
         }
-        Call::Readiness | Call::Instances => refusal(404, &Invalid::new("call", "is not taken here")),
+        Call::Readiness | Call::Figures | Call::Instances => {
+            refusal(404, &Invalid::new("call", "is not taken here"))
+        }
     }
 }
 
