--- a/crates/screen/tests/control.rs
+++ b/crates/screen/tests/control.rs
@@ -5,6 +5,7 @@
 use common::{configuration, stage, Stage, LONG, REPLACE};
 use serde_json::json;
 use std::time::Duration;
+use violetyoke_nephoscope::verbs::{self, Ended};
 use violetyoke_rig::link::Link;
 use violetyoke_rig::until;
 use violetyoke_screen::calls::{call, order, resolve};
@@ -133,3 +134,36 @@
     let gone = |stage: &Stage| !resolve(stage.system.cores[0].directory, "west", "a").contains(&front);
     assert!(until(LONG, || gone(&stage)));
 }
+
+/// What a verb of the operators' client prints, and how it ends.
+fn verb(stage: &Stage, words: &[&str]) -> (String, Ended) {
+    let mut line: Vec<String> = words.iter().map(|word| (*word).to_owned()).collect();
+    for control in stage.system.controls() {
+        line.extend(["--control".to_owned(), control.to_string()]);
+    }
+    let wanted = verbs::read(lexopt::Parser::from_args(line)).expect("a command line");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let mut out = Vec::new();
+    let ended = runtime.block_on(verbs::run(&wanted, &mut out));
+    (String::from_utf8_lossy(&out).into_owned(), ended)
+}
+
+#[test]
+fn the_client_plans_sends_and_evacuates_though_a_core_machine_is_gone() {
+    let mut stage = stage();
+    stage.system.cores[0].registry.kill().expect("killed");
+    let mut next = configuration(5);
+    next["tenants"]["rows"][1][2] = json!(40);
+    let file = stage.system.folder.join("next.json");
+    std::fs::write(&file, next.to_string()).expect("a file");
+    let name = file.to_str().expect("a name");
+    let told = "version 1 -> 5\ntenant svaneti: changed, rate-per-s 20 -> 40\n";
+    assert_eq!(verb(&stage, &["plan", name]), (told.to_owned(), Ended::Done));
+    let (text, ended) = verb(&stage, &["put", name]);
+    assert_eq!((text, ended), (format!("{told}version 5 is acknowledged\n"), Ended::Done));
+    assert_eq!(verb(&stage, &["get"]).0.trim_end(), next.to_string());
+    assert_eq!(verb(&stage, &["plan", name]).1.status(), 1, "it would have no effect any more");
+    assert_eq!(verb(&stage, &["evacuate", "a"]).1, Ended::Done);
+    assert_eq!(verb(&stage, &["evacuate", "nowhere"]).1.status(), 1);
+    assert_eq!(verb(&stage, &["restore", "a"]).1, Ended::Done);
+}
