Let clients keep addresses as long as they may: five seconds

Cause: with 1 s (set for sooner notice of edges that are gone) nearly each request of the far region waited for a way to the directory and back; when a zone with two core machines was dark, each question hung on a dead directory first.

--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/windvane/src/daemon/outside.rs
@@ -22,8 +22,9 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
 /// The longest that an order which is taken waits for all proxies to hold it.
 const HELD_WITHIN: Duration = Duration::from_millis(450);
-/// Clients keep an answer for so long, at most.
-const TTL_S: f64 = 1.0;
+/// Clients keep an answer for so long, at most: each time that they ask they wait for a way to the core and back, and an
+/// edge that is gone is passed over by who tries it.
+const TTL_S: f64 = 5.0;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Door {
