--- a/crates/anemometer/src/attempts.rs
+++ b/crates/anemometer/src/attempts.rs
@@ -55,8 +55,7 @@
     proxy.budget(&job.service, |budget| budget.request(proxy.now()));
     let ended = |verdict, ending, retry_ms| Outcome::Ended { verdict, ending, retry_ms };
     loop {
-        let left = job.until.saturating_duration_since(Instant::now());
-        if left < LEAST {
+        if left(job) < LEAST {
             return ended(verdict, Ending::TimeUp, None);
         }
         let Some(id) = choose(proxy, job, &tried).await else {
@@ -79,11 +78,10 @@
         let again = verdict.may_repeat(job.repeatable) && (tried.len() as u32) < job.attempts;
         match end.answer {
             // A backend's own failure of a request that may run again is worth another backend.
-            Some(answer) if answer.status >= 500 && job.repeatable && again && may(proxy, job) => {}
+            Some(answer) if answer.status >= 500 && job.repeatable && again && left(job) > LEAST * 2 => {}
             Some(answer) => return Outcome::Answer(answer),
             None if !again => {
-                let time_up = job.until.saturating_duration_since(Instant::now()) < LEAST;
-                let ending = if time_up { Ending::TimeUp } else { Ending::Overload };
+                let ending = if left(job) < LEAST { Ending::TimeUp } else { Ending::Overload };
                 return ended(verdict, ending, (verdict == Verdict::NeverRan).then_some(COME_BACK));
             }
             None => {}
@@ -91,10 +89,9 @@
     }
 }
 
-/// There is time for one more.
-fn may(proxy: &Rc<Proxy>, job: &Job) -> bool {
-    let _ = proxy;
-    job.until.saturating_duration_since(Instant::now()) > LEAST * 2
+/// What is left of the time that the client waits.
+fn left(job: &Job) -> Duration {
+    job.until.saturating_duration_since(Instant::now())
 }
 
 /// A backend with room; waits for one as long as that is worth it.
@@ -109,8 +106,8 @@
         Choice::Full => {}
     }
     let until = (job.arrived + job.target.mul_f64(WAITS)).min(job.until);
-    let left = until.saturating_duration_since(Instant::now()).as_millis() as Millis;
-    let mut place = proxy.waiting.borrow_mut().wait(&job.service, job.priority, proxy.now() + left)?;
+    let waits = until.saturating_duration_since(Instant::now()).as_millis() as Millis;
+    let mut place = proxy.waiting.borrow_mut().wait(&job.service, job.priority, proxy.now() + waits)?;
     let mut found = None;
     loop {
         match look() {
@@ -138,10 +135,10 @@
     let fleet = proxy.fleet.borrow();
     let backend = fleet.get(id)?;
     let now = Instant::now();
-    let left = job.until.saturating_duration_since(now).saturating_sub(WAY).as_millis();
+    let deadline_ms = left(job).saturating_sub(WAY).as_millis();
     let mut bytes = BytesMut::with_capacity(job.head.len() + job.body.len() + 96);
     bytes.extend_from_slice(&job.head);
-    let set = format!("x-deadline-ms: {left}\r\nx-target-instance: {id}\r\n\r\n");
+    let set = format!("x-deadline-ms: {deadline_ms}\r\nx-target-instance: {id}\r\n\r\n");
     bytes.extend_from_slice(set.as_bytes());
     bytes.extend_from_slice(&job.body);
     Some(Try {
@@ -164,8 +161,7 @@
     }
     let usual = Duration::from_millis(pace.unwrap_or(100.0) as u64);
     let most = (usual * 6).max(job.target.mul_f64(0.9));
-    let left = job.until.saturating_duration_since(now);
-    if left < most + usual * 2 {
+    if left(job) < most + usual * 2 {
         return job.until;
     }
     now + most
--- a/crates/anemometer/src/daemon.rs
+++ b/crates/anemometer/src/daemon.rs
@@ -4,7 +4,6 @@
 use crate::{front, ready};
 use error_stack::{Report, ResultExt};
 use slog::{info, Logger};
-use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -13,6 +12,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use violetyoke_mast::program::Failed;
 use violetyoke_mast::words::Members;
 use violetyoke_mast::{changes, link};
 use violetyoke_station::Settings;
@@ -30,40 +30,30 @@
     violetyoke_mast::program::run("anemometer", about, arguments, run)
 }
 
-/// Why the proxy can't run.
-#[derive(Debug)]
-pub struct Failed;
-
-impl fmt::Display for Failed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the proxy can't run")
-    }
-}
-
-impl std::error::Error for Failed {}
+const FAILED: Failed = Failed("proxy");
 
 pub enum Input {
     Registry(Ipv4Addr, link::Event),
 }
 
 fn listen(address: Option<SocketAddr>, field: &str) -> Result<TcpListener, Report<Failed>> {
-    let address = address.ok_or_else(|| Report::new(Failed).attach(format!("{field} is missing")))?;
+    let address = address.ok_or_else(|| Report::new(FAILED).attach(format!("{field} is missing")))?;
     let open = || -> std::io::Result<TcpListener> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
-    open().change_context(Failed).attach_with(|| format!("{field}: {address}"))
+    open().change_context(FAILED).attach_with(|| format!("{field}: {address}"))
 }
 
 pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
     let front = listen(settings.network.listen.front, "network.listen.front")?;
     let readiness = listen(settings.network.listen.ready, "network.listen.ready")?;
-    let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
-    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(Failed)?;
+    let mut term = signal(SignalKind::terminate()).change_context(FAILED)?;
+    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(FAILED)?;
     let mut bytes = [0; 8];
-    getrandom::fill(&mut bytes).change_context(Failed)?;
+    getrandom::fill(&mut bytes).change_context(FAILED)?;
     let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(0.5, 60.0));
     let proxy = Rc::new(Proxy::new(settings, u64::from_le_bytes(bytes), log));
     let (inputs, mut queue) = unbounded_channel();
--- a/crates/anemometer/src/request.rs
+++ b/crates/anemometer/src/request.rs
@@ -119,7 +119,9 @@
             return given_up(Verdict::NeverRan, Ending::Quota, Some(retry_ms));
         }
     }
-    let Some(service) = entry.service(draw(proxy)).and_then(|number| table.services.get(number)) else {
+    let Some(service) =
+        entry.service(proxy.fleet.borrow().draw()).and_then(|number| table.services.get(number))
+    else {
         return given_up(Verdict::NeverRan, Ending::Overload, None);
     };
     let name = tenant.map(|tenant| tenant.name.as_str());
@@ -157,14 +159,6 @@
     tenant.unwrap_or(entry.priority)
 }
 
-/// Uniform in 0..1, other for each request.
-fn draw(proxy: &Rc<Proxy>) -> f64 {
-    let mut x = proxy.life.wrapping_add(proxy.figures.requests.get().wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// The head of what a backend gets, but for what each attempt sets.
 fn head(parts: &Parts, tenant: Option<&str>, length: usize) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/barograph/src/daemon/mod.rs
@@ -9,7 +9,6 @@
 use keeper::Keeper;
 use slog::{info, Logger};
 use std::collections::HashMap;
-use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -20,6 +19,7 @@
 use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
 use violetyoke_mast::link::{self, Sender};
+use violetyoke_mast::program::Failed;
 use violetyoke_mast::words::{Letter, Member, StoreAsk};
 use violetyoke_station::settings::{Process, Settings};
 use watchers::Watchers;
@@ -34,17 +34,7 @@
     violetyoke_mast::program::run("barograph", about, arguments, run)
 }
 
-/// Why the store can't run.
-#[derive(Debug)]
-pub struct Failed;
-
-impl fmt::Display for Failed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the store can't run")
-    }
-}
-
-impl std::error::Error for Failed {}
+const FAILED: Failed = Failed("store");
 
 /// What comes in: from connections by their number, from the disk, from the clock.
 pub(crate) enum Input {
@@ -71,13 +61,13 @@
 pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
     let folder = settings.me.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("barograph"));
     let (slots, kept) = Slots::open(&folder)
-        .change_context(Failed)
+        .change_context(FAILED)
         .attach_with(|| format!("self.data-dir: {}", folder.display()))?;
-    let drawn = random().change_context(Failed)?;
+    let drawn = random().change_context(FAILED)?;
     let port = settings.inner(Process::Store);
     let listener = TcpListener::bind((settings.me.ip, port))
         .await
-        .change_context(Failed)
+        .change_context(FAILED)
         .attach_with(|| format!("network.internal-ports: {}:{port}", settings.me.ip))?;
     let start = Start {
         ip: settings.me.ip,
@@ -87,7 +77,7 @@
         kept: kept.unwrap_or_default(),
     };
     info!(log, "begins"; "epoch" => start.kept.record.epoch, "version" => start.kept.held.version);
-    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(Failed)?;
+    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(FAILED)?;
     let (inputs, mut queue) = unbounded_channel();
     let opened = inputs.clone();
     let numbers = std::cell::Cell::new(0u64);
@@ -110,7 +100,7 @@
         log,
         told: (0, false),
     };
-    let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
+    let mut term = signal(SignalKind::terminate()).change_context(FAILED)?;
     let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/ceilometer/src/choose.rs
+++ b/crates/ceilometer/src/choose.rs
@@ -75,7 +75,7 @@
     }
 
     /// Uniform in 0..1, other each time.
-    fn draw(&self) -> f64 {
+    pub fn draw(&self) -> f64 {
         let state = self.draws.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.draws.set(state);
         let mut x = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/mast/src/program.rs
+++ b/crates/mast/src/program.rs
@@ -2,7 +2,7 @@
 
 use lexopt::prelude::*;
 use slog::Logger;
-use std::fmt::Debug;
+use std::fmt::{self, Debug};
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -15,6 +15,18 @@
 
 Exit status: 0 fine, 1 it can't run, 2 the command line is wrong.";
 
+/// Why a daemon can't run; what is wrong is attached.
+#[derive(Clone, Copy, Debug)]
+pub struct Failed(pub &'static str);
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the {} can't run", self.0)
+    }
+}
+
+impl std::error::Error for Failed {}
+
 /// What the command line says.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Wanted {
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -16,7 +16,6 @@
 use slog::{info, Logger};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -31,6 +30,7 @@
 use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
 use violetyoke_mast::link::{self, Sender};
+use violetyoke_mast::program::Failed;
 use violetyoke_mast::words::{Backend, Gossip, Held, RegistryAsk};
 use violetyoke_station::settings::{Process, Settings};
 
@@ -46,17 +46,7 @@
     violetyoke_mast::program::run("windvane", about, arguments, run)
 }
 
-/// Why the registry can't run.
-#[derive(Debug)]
-pub struct Failed;
-
-impl fmt::Display for Failed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the registry can't run")
-    }
-}
-
-impl std::error::Error for Failed {}
+const FAILED: Failed = Failed("registry");
 
 /// What comes in.
 pub(crate) enum Input {
@@ -91,7 +81,7 @@
 }
 
 pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
-    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(Failed)?;
+    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(FAILED)?;
     let (inputs, mut queue) = unbounded_channel();
     let me = settings.me.ip;
     let inner = bind((me, settings.inner(Process::Registry)).into(), "network.internal-ports").await?;
@@ -125,7 +115,7 @@
     }));
     tokio::task::spawn_local(outside::serve(control, registry.clone(), outside::Door::Control));
     tokio::task::spawn_local(outside::serve(directory, registry.clone(), outside::Door::Directory));
-    let mut term = signal(SignalKind::terminate()).change_context(Failed)?;
+    let mut term = signal(SignalKind::terminate()).change_context(FAILED)?;
     info!(registry.borrow().log, "begins");
     let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
@@ -155,11 +145,11 @@
 }
 
 async fn bind(address: SocketAddr, field: &str) -> Result<TcpListener, Report<Failed>> {
-    TcpListener::bind(address).await.change_context(Failed).attach_with(|| format!("{field}: {address}"))
+    TcpListener::bind(address).await.change_context(FAILED).attach_with(|| format!("{field}: {address}"))
 }
 
 fn outside_address(address: Option<SocketAddr>, field: &str) -> Result<SocketAddr, Report<Failed>> {
-    address.ok_or_else(|| Report::new(Failed).attach(format!("{field} is missing")))
+    address.ok_or_else(|| Report::new(FAILED).attach(format!("{field} is missing")))
 }
 
 impl Registry {
