Show what each backend was given and has shown: nephoscope capacity

Need: operators see per backend what it was given, what it has shown and why it is held back, over all edges. Proxies tell it at GET /api/backends (ready address); the client gathers it as a table or JSON. Tests: rows gathered from two edges, and from four real edges eight requests given in sum.

--- a/crates/anemometer/src/ready.rs
+++ b/crates/anemometer/src/ready.rs
@@ -9,6 +9,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use violetyoke_ceilometer::shown::Shown;
 use violetyoke_station::calls::{find, Call, Taker};
 
 pub async fn serve(listener: TcpListener, proxy: Rc<Proxy>) {
@@ -25,6 +26,7 @@
                 let (status, body) = match call {
                     Some(Call::Readiness) if proxy.serving() => (StatusCode::OK, String::new()),
                     Some(Call::Figures) => (StatusCode::OK, proxy.figures.text()),
+                    Some(Call::Backends) => (StatusCode::OK, backends(&proxy)),
                     Some(_) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
                     None => (StatusCode::NOT_FOUND, String::new()),
                 };
@@ -39,3 +41,16 @@
         });
     }
 }
+
+/// What each backend was given and has shown, as JSON.
+fn backends(proxy: &Proxy) -> String {
+    let shown = proxy.fleet.borrow().shown(proxy.now());
+    let line = |one: &Shown| {
+        serde_json::json!({
+            "id": one.id, "service": one.service, "zone": one.zone, "slots": one.slots, "open": one.open,
+            "load": one.load, "pace-ms": one.pace_ms, "given": one.counts.given, "answered": one.counts.answered,
+            "turned-away": one.counts.turned_away, "failed": one.counts.failed, "state": one.held.text(),
+        })
+    };
+    serde_json::Value::from_iter(shown.iter().map(line)).to_string()
+}
--- a/crates/ceilometer/src/backend.rs
+++ b/crates/ceilometer/src/backend.rs
@@ -1,6 +1,7 @@
 //! One life of a backend: what is known of it, and what it has shown.
 
 use crate::cold::Cold;
+use crate::shown::Counts;
 use crate::Millis;
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
@@ -61,6 +62,7 @@
     failures: u32,
     pub resting_until: Millis,
     pub answered: Millis,
+    pub counts: Counts,
 }
 
 impl Backend {
@@ -89,6 +91,7 @@
             failures: 0,
             resting_until: 0,
             answered: 0,
+            counts: Counts::default(),
         }
     }
 
@@ -104,11 +107,13 @@
 
     pub fn sent(&mut self, now: Millis) {
         self.open += 1;
+        self.counts.given += 1;
         self.cold.sent(now);
     }
 
     /// An attempt has ended.
     pub fn ended(&mut self, now: Millis, showed: Showed) {
+        self.counts.ended(showed);
         let open = self.open;
         self.open = self.open.saturating_sub(1);
         match showed {
--- a/crates/ceilometer/src/choose.rs
+++ b/crates/ceilometer/src/choose.rs
@@ -94,13 +94,18 @@
         part(backend.seed, rate, self.place.me, &self.place.members)
     }
 
+    /// One more would wait there for a short while at most.
+    pub(crate) fn room(&self, now: Millis, backend: &Backend) -> bool {
+        let slots = f64::from(backend.slots);
+        backend.load(now) + 1.0 <= (slots * (1.0 + QUEUED)).max(slots + 1.0).floor()
+    }
+
     /// What an answer from there is held to take (ms), ways paid for among it; nothing where it has no room.
     fn cost(&self, now: Millis, backend: &Backend) -> Option<f64> {
-        let slots = f64::from(backend.slots);
-        let load = backend.load(now);
-        if load + 1.0 > (slots * (1.0 + QUEUED)).max(slots + 1.0).floor() {
+        if !self.room(now, backend) {
             return None;
         }
+        let (slots, load) = (f64::from(backend.slots), backend.load(now));
         let pace = backend.pace.unwrap_or(UNKNOWN_PACE) * if backend.cold.is(now) { COLD } else { 1.0 };
         let waits = (load + 1.0 - slots).max(0.0) / slots;
         // Among free ones the emptier: loads that were told are old, and others choose by them too.
--- a/crates/ceilometer/src/lib.rs
+++ b/crates/ceilometer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod fleet;
 pub mod queue;
+pub mod shown;
 
 /// Milliseconds of a clock that only advances.
 pub type Millis = u64;
--- /dev/null
+++ b/crates/ceilometer/src/shown.rs
@@ -0,0 +1,102 @@
+//! What each backend was given and has shown, for operators.
+
+use crate::backend::{Backend, Showed};
+use crate::fleet::Fleet;
+use crate::Millis;
+
+/// Attempts by how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub given: u64,
+    pub answered: u64,
+    pub turned_away: u64,
+    pub failed: u64,
+}
+
+impl Counts {
+    pub(crate) fn ended(&mut self, showed: Showed) {
+        match showed {
+            Showed::Answer { .. } => self.answered += 1,
+            Showed::TurnedAway | Showed::NotThere => self.turned_away += 1,
+            Showed::Dead | Showed::Broke | Showed::Silent => self.failed += 1,
+            Showed::Nothing => {}
+        }
+    }
+}
+
+/// Why a backend gets less than it could, or nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    /// It gets what it has room for.
+    Back,
+    Leaving,
+    Evacuated,
+    Resting,
+    Cold,
+    Full,
+}
+
+impl Held {
+    pub fn text(self) -> &'static str {
+        match self {
+            Held::Back => "well",
+            Held::Leaving => "leaving",
+            Held::Evacuated => "evacuated",
+            Held::Resting => "resting",
+            Held::Cold => "cold",
+            Held::Full => "full",
+        }
+    }
+}
+
+/// One backend as this ingress sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub slots: u32,
+    /// Requests of this ingress that are there, and those of all as far as answers told.
+    pub open: u32,
+    pub load: f64,
+    /// Mean time of an answer (ms).
+    pub pace_ms: Option<f64>,
+    pub counts: Counts,
+    pub held: Held,
+}
+
+impl Fleet {
+    /// All backends by service and id.
+    pub fn shown(&self, now: Millis) -> Vec<Shown> {
+        let mut all: Vec<Shown> = self.backends.values().map(|backend| self.show(now, backend)).collect();
+        all.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
+        all
+    }
+
+    fn show(&self, now: Millis, backend: &Backend) -> Shown {
+        let held = if backend.leaving {
+            Held::Leaving
+        } else if self.evacuated.contains(&backend.zone) {
+            Held::Evacuated
+        } else if backend.resting(now) {
+            Held::Resting
+        } else if backend.cold.is(now) {
+            Held::Cold
+        } else if self.room(now, backend) {
+            Held::Back
+        } else {
+            Held::Full
+        };
+        Shown {
+            id: backend.id.clone(),
+            service: backend.service.clone(),
+            zone: backend.zone.clone(),
+            slots: backend.slots,
+            open: backend.open,
+            load: backend.load(now),
+            pace_ms: backend.pace,
+            counts: backend.counts,
+            held,
+        }
+    }
+}
--- a/crates/nephoscope/src/calls.rs
+++ b/crates/nephoscope/src/calls.rs
@@ -36,6 +36,11 @@
     pub body: Bytes,
 }
 
+/// The method of a call, as the one table of calls has it.
+fn method(call: Call) -> &'static str {
+    TABLE.iter().find(|line| line.call == call).map_or("GET", |line| line.method)
+}
+
 /// The target of a call, as the one table of calls has it; `of`: the zone that it is about.
 pub fn target(call: Call, of: Option<&str>) -> String {
     let line = TABLE.iter().find(|line| line.call == call);
@@ -57,7 +62,7 @@
     let mut last = String::from("no address was given");
     loop {
         for address in to {
-            match timeout(ONE, one(*address, target(call, of), body.clone())).await {
+            match timeout(ONE, one(*address, method(call), target(call, of), body.clone())).await {
                 Ok(Ok(answer)) if answer.status < 500 && answer.status != 408 && answer.status != 429 => {
                     return Ok(answer)
                 }
@@ -76,6 +81,7 @@
 
 async fn one(
     address: SocketAddr,
+    method: &str,
     target: String,
     body: Bytes,
 ) -> Result<Answer, Box<dyn std::error::Error + Send + Sync>> {
@@ -84,7 +90,9 @@
         let stream = TcpStream::connect(address).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
-        let request = Request::post(&target)
+        let request = Request::builder()
+            .method(method)
+            .uri(&target)
             .header("host", address.to_string())
             .header("content-type", "application/json")
             .body(Full::new(body.clone()))?;
--- a/crates/nephoscope/src/lib.rs
+++ b/crates/nephoscope/src/lib.rs
@@ -2,5 +2,6 @@
 //! (`verbs`). Plans are made by the code that the system itself runs on.
 
 pub mod calls;
+pub mod capacity;
 pub mod plan;
 pub mod verbs;
--- a/crates/nephoscope/src/verbs.rs
+++ b/crates/nephoscope/src/verbs.rs
@@ -1,6 +1,7 @@
 //! The command line: verbs, options, and what each prints.
 
 use crate::calls::{call, Answer};
+use crate::capacity::{gather, table};
 use crate::plan::Plan;
 use bytes::Bytes;
 use lexopt::prelude::*;
@@ -21,8 +22,10 @@
   put FILE                sends FILE; what it changes is told first
   evacuate ZONE           nothing more is sent to the backends of a zone
   restore ZONE            takes that back
+  capacity                what each backend was given and has shown, gathered from edges
 
   --control ADDRESS       a core machine's address for operators; several may be given
+  --edge ADDRESS          capacity: an edge's `ready` address; several may be given
   --from FILE             plan: against this file, not against the running system
   --within SECONDS        how long a clear answer is waited for (20)
   --json                  for programs
@@ -37,6 +40,7 @@
     pub verb: Option<String>,
     pub operand: Option<String>,
     pub control: Vec<SocketAddr>,
+    pub edge: Vec<SocketAddr>,
     pub from: Option<PathBuf>,
     pub within: Duration,
     pub json: bool,
@@ -69,6 +73,7 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("control") => wanted.control.push(parser.value()?.parse()?),
+            Long("edge") => wanted.edge.push(parser.value()?.parse()?),
             Long("from") => wanted.from = Some(parser.value()?.into()),
             Long("within") => wanted.within = Duration::from_secs(parser.value()?.parse()?),
             Long("json") => wanted.json = true,
@@ -141,11 +146,37 @@
             order(wanted, Call::EvacuationFinish, Some(operand()?), Bytes::new()).await?;
             say(out, &format!("{} is taken back", operand()?))
         }
+        Some("capacity") => capacity(wanted, out).await,
         Some(other) => Err(Ended::Wrong(format!("{other}: no such verb"))),
         None => Err(Ended::Wrong("a verb is missing".into())),
     }
 }
 
+/// Edges that give no answer are named and left out; where none does, there is no clear answer.
+async fn capacity(wanted: &Wanted, out: &mut dyn Write) -> Result<(), Ended> {
+    if wanted.edge.is_empty() {
+        return Err(Ended::Wrong("no --edge was given".into()));
+    }
+    let mut edges = Vec::new();
+    for edge in &wanted.edge {
+        let answer = call(&[*edge], Call::Backends, None, Bytes::new(), Duration::ZERO).await;
+        let seen = answer.ok().and_then(|answer| serde_json::from_slice(&answer.body).ok());
+        match seen {
+            Some(seen) => edges.push(seen),
+            None => say(out, &format!("{edge}: no answer"))?,
+        }
+    }
+    if edges.is_empty() {
+        return Err(Ended::Unclear("no edge gave an answer".into()));
+    }
+    let rows = gather(&edges);
+    if wanted.json {
+        let text = serde_json::to_string_pretty(&rows).map_err(|error| Ended::Wrong(error.to_string()))?;
+        return say(out, &text);
+    }
+    table(&rows).iter().try_for_each(|line| say(out, line))
+}
+
 fn file(path: &Path) -> Result<Vec<u8>, Ended> {
     std::fs::read(path).map_err(|error| Ended::Wrong(format!("{}: {error}", path.display())))
 }
--- a/crates/nephoscope/tests/plan.rs
+++ b/crates/nephoscope/tests/plan.rs
@@ -1,5 +1,6 @@
 //! What a change would move, in words.
 
+use violetyoke_nephoscope::capacity::{gather, table, Seen};
 use violetyoke_nephoscope::plan::Plan;
 use violetyoke_nephoscope::verbs::{read, HELP};
 use violetyoke_station::Configuration;
@@ -83,7 +84,33 @@
     );
     assert!(read(lexopt::Parser::from_args(["--control", "nowhere"])).is_err());
     assert!(read(lexopt::Parser::from_args(["plan", "a", "b"])).is_err());
-    for verb in ["plan", "check", "get", "put", "evacuate", "restore"] {
+    for verb in ["plan", "check", "get", "put", "evacuate", "restore", "capacity"] {
         assert!(HELP.lines().any(|line| line.trim_start().starts_with(verb)), "{verb}");
     }
 }
+
+#[test]
+fn what_edges_saw_of_a_backend_is_one_row() {
+    let seen = |id: &str, given: u64, pace: f64, state: &str| Seen {
+        id: id.into(),
+        service: "finder".into(),
+        zone: "a".into(),
+        slots: 6,
+        open: 1,
+        pace_ms: Some(pace),
+        given,
+        answered: given,
+        turned_away: 0,
+        failed: 0,
+        state: state.into(),
+    };
+    let rows = gather(&[
+        vec![seen("i-1", 30, 50.0, "well")],
+        vec![seen("i-1", 10, 90.0, "resting"), seen("i-2", 0, 0.0, "cold")],
+    ]);
+    insta::assert_snapshot!(table(&rows).join("\n"), @r"
+    service  backend  zone  slots  open  given  answered  turned  failed  pace ms  state
+    finder   i-1      a     6      2     40     40        0       0       60       resting, well
+    finder   i-2      a     6      1     0      0         0       0       -        cold
+    ");
+}
--- a/crates/screen/tests/control.rs
+++ b/crates/screen/tests/control.rs
@@ -163,6 +163,17 @@
     assert_eq!((text, ended), (format!("{told}version 5 is acknowledged\n"), Ended::Done));
     assert_eq!(verb(&stage, &["get"]).0.trim_end(), next.to_string());
     assert_eq!(verb(&stage, &["plan", name]).1.status(), 1, "it would have no effect any more");
+    for n in 0..8 {
+        assert_eq!(stage.status(n % 4, "/search/1", "key-1", b""), 200);
+    }
+    let ready: Vec<String> = stage.system.edges.iter().map(|edge| edge.ready.to_string()).collect();
+    let mut words = vec!["capacity", "--json"];
+    words.extend(ready.iter().flat_map(|address| ["--edge", address]));
+    let rows: serde_json::Value = serde_json::from_str(&verb(&stage, &words).0).expect("rows");
+    let rows = rows.as_array().expect("a list");
+    assert_eq!(rows.len(), 6, "each backend once");
+    let given = |row: &serde_json::Value| row["given"].as_u64().unwrap_or(0);
+    assert_eq!(rows.iter().map(given).sum::<u64>(), 8, "what all edges gave: {rows:?}");
     assert_eq!(verb(&stage, &["evacuate", "a"]).1, Ended::Done);
     assert_eq!(verb(&stage, &["evacuate", "nowhere"]).1.status(), 1);
     assert_eq!(verb(&stage, &["restore", "a"]).1, Ended::Done);
--- a/crates/station/src/calls.rs
+++ b/crates/station/src/calls.rs
@@ -20,6 +20,7 @@
     Resolve,
     Readiness,
     Figures,
+    Backends,
     Instances,
 }
 
@@ -42,6 +43,7 @@
     line(Call::Resolve, Taker::Locator, "GET", "/api/resolve", None),
     line(Call::Readiness, Taker::Edge, "GET", "/api/readiness", None),
     line(Call::Figures, Taker::Edge, "GET", "/api/figures", None),
+    line(Call::Backends, Taker::Edge, "GET", "/api/backends", None),
     line(Call::Instances, Taker::Platform, "GET", "/instances", None),
 ];
 
--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/windvane/src/daemon/outside.rs
@@ -96,7 +96,7 @@
                 _ => unclear(),
             }
         }
-        Call::Readiness | Call::Figures | Call::Instances => {
+        Call::Readiness | Call::Figures | Call::Backends | Call::Instances => {
             refusal(404, &Invalid::new("call", "is not taken here"))
         }
     }
