Break an attempt off only where another can be made, and never while leaving

Ruled out: the deadline (1.5 s was not over), a budget that was used up (two attempts are the route's bound). Change: past its patience an attempt is broken off only where the route allows another, the budget has room for it and a backend has room, and never by an ingress that leaves; else it is looked at again every 50 ms. A backend's own failure is passed on where nobody else can be asked. Test: one slow backend alone answers after 1.1 s, run once; beside another, one that hangs is given up for it.

--- a/crates/anemometer/src/attempts.rs
+++ b/crates/anemometer/src/attempts.rs
@@ -72,13 +72,17 @@
         tried.push(id.clone());
         let guard = Open { proxy, id, service: &job.service, showed: Showed::Nothing };
         proxy.fleet.borrow_mut().sent(proxy.now(), &guard.id);
-        let end = attempt(proxy, &one).await;
+        let end = attempt(proxy, &one, &|| elsewhere(proxy, job, &tried)).await;
         guard.ended(end.showed);
         verdict = verdict.and(end.verdict);
         let again = verdict.may_repeat(job.repeatable) && (tried.len() as u32) < job.attempts;
         match end.answer {
             // A backend's own failure of a request that may run again is worth another backend.
-            Some(answer) if answer.status >= 500 && job.repeatable && again && left(job) > LEAST * 2 => {}
+            Some(answer)
+                if answer.status >= 500
+                    && again
+                    && left(job) > LEAST * 2
+                    && elsewhere(proxy, job, &tried) => {}
             Some(answer) => return Outcome::Answer(answer),
             None if !again => {
                 let ending = if left(job) < LEAST { Ending::TimeUp } else { Ending::Overload };
@@ -150,21 +154,26 @@
         bytes: bytes.freeze(),
         head_only: job.head_only,
         repeatable: job.repeatable,
-        until: patience(job, backend.pace, now),
+        patience: patience(job, backend.pace, now),
+        until: job.until,
     })
 }
 
-/// How long this attempt may be silent: to the end, unless the request may run again elsewhere in time.
-fn patience(job: &Job, pace: Option<f64>, now: Instant) -> Instant {
-    if !job.repeatable || job.attempts < 2 {
-        return job.until;
-    }
+/// From when on this attempt may be given up for another, which then is still in time.
+fn patience(job: &Job, pace: Option<f64>, now: Instant) -> Option<Instant> {
     let usual = Duration::from_millis(pace.unwrap_or(100.0) as u64);
     let most = (usual * 6).max(job.target.mul_f64(0.9));
-    if left(job) < most + usual * 2 {
-        return job.until;
-    }
-    now + most
+    (job.repeatable && left(job) >= most + usual * 2).then_some(now + most)
+}
+
+/// Another attempt may and can be made: none is broken off for one that could not be. Not by an ingress that leaves: what
+/// backends are at work at then is waited for.
+fn elsewhere(proxy: &Rc<Proxy>, job: &Job, tried: &[String]) -> bool {
+    let wanted = Wanted { service: &job.service, tried, homes: [&job.homes[0], &job.homes[1]] };
+    !proxy.leaving.get()
+        && (tried.len() as u32) < job.attempts
+        && proxy.budget(&job.service, |budget| budget.room(proxy.now(), proxy.ingresses()))
+        && matches!(proxy.fleet.borrow().choose(proxy.now(), wanted), Choice::Backend(_))
 }
 
 /// An attempt that is out: its end is noted however it comes.
--- a/crates/anemometer/src/backend/exchange.rs
+++ b/crates/anemometer/src/backend/exchange.rs
@@ -3,8 +3,10 @@
 use super::{answer, Answer};
 use crate::state::Proxy;
 use bytes::{Bytes, BytesMut};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -16,6 +18,8 @@
 /// A connection comes up within this, or the backend is taken for dead: in the same region, and from another.
 const NEAR: Duration = Duration::from_millis(150);
 const FAR: Duration = Duration::from_millis(450);
+/// Past its patience, an attempt that could not be made elsewhere looks so often whether it can by now.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Answers to earlier requests that are passed over before the one that is due.
 const MOST_EARLIER: usize = 4;
 
@@ -30,6 +34,8 @@
     pub bytes: Bytes,
     pub head_only: bool,
     pub repeatable: bool,
+    /// From when on another backend may be asked instead, where one can be; and when nobody waits any more.
+    pub patience: Option<Instant>,
     pub until: Instant,
 }
 
@@ -51,7 +57,8 @@
     answered: bool,
 }
 
-pub async fn attempt(proxy: &Rc<Proxy>, one: &Try) -> Ended {
+/// One attempt. Past its patience it is broken off only where `elsewhere` says that another can be made.
+pub async fn attempt(proxy: &Rc<Proxy>, one: &Try, elsewhere: &dyn Fn() -> bool) -> Ended {
     let idle = proxy.pools.borrow_mut().take(&one.id, one.repeatable);
     let reused = idle.is_some();
     let (mut stream, mut buffer) = match idle {
@@ -62,8 +69,8 @@
         },
     };
     let begun = Instant::now();
-    let mut due = timeout_at(one.until, exchange(&mut stream, &mut buffer, one)).await;
-    if reused && matches!(due, Ok(Err(Broken { answered: false }))) {
+    let mut due = wait(exchange(&mut stream, &mut buffer, one), one, elsewhere).await;
+    if reused && matches!(due, Some(Err(Broken { answered: false }))) {
         proxy.pools.borrow_mut().forgotten();
         // The backend had forgotten the connection: where the request may run again, it goes out on a new one.
         let again = || proxy.budget(&one.service, |budget| budget.further(proxy.now(), proxy.ingresses()));
@@ -73,16 +80,16 @@
                 Ok(stream) => stream,
                 Err(_) => return Ended::without(Verdict::MayHaveRun, Showed::Dead),
             };
-            due = timeout_at(one.until, exchange(&mut stream, &mut buffer, one)).await;
+            due = wait(exchange(&mut stream, &mut buffer, one), one, elsewhere).await;
         }
     }
     let answer = match due {
-        Err(_) => return Ended::without(Verdict::MayHaveRun, Showed::Silent),
-        Ok(Err(_)) if reused && !one.repeatable => {
+        None => return Ended::without(Verdict::MayHaveRun, Showed::Silent),
+        Some(Err(_)) if reused && !one.repeatable => {
             return Ended::without(Verdict::MayHaveRun, Showed::Nothing)
         }
-        Ok(Err(_)) => return Ended::without(Verdict::MayHaveRun, Showed::Broke),
-        Ok(Ok(answer)) => answer,
+        Some(Err(_)) => return Ended::without(Verdict::MayHaveRun, Showed::Broke),
+        Some(Ok(answer)) => answer,
     };
     // Bytes past a complete answer are nobody's: the connection goes with them.
     if answer.keep && buffer.is_empty() {
@@ -92,6 +99,20 @@
     judge(answer, begun.elapsed())
 }
 
+/// Waits for an answer until nobody waits any more, or until patience is over and another backend can be asked.
+async fn wait<T>(exchange: impl Future<Output = T>, one: &Try, elsewhere: &dyn Fn() -> bool) -> Option<T> {
+    let mut exchange = pin!(exchange);
+    let mut patience = one.patience;
+    while let Some(at) = patience.filter(|at| *at < one.until) {
+        match timeout_at(at, exchange.as_mut()).await {
+            Ok(ended) => return Some(ended),
+            Err(_) if elsewhere() => return None,
+            Err(_) => patience = Some(at + LOOK_AGAIN),
+        }
+    }
+    timeout_at(one.until, exchange).await.ok()
+}
+
 /// Sends the request and reads the answer to it.
 async fn exchange(stream: &mut TcpStream, buffer: &mut BytesMut, one: &Try) -> Result<Answer, Broken> {
     stream.write_all(&one.bytes).await.map_err(|_| Broken { answered: false })?;
--- a/crates/ceilometer/src/budget.rs
+++ b/crates/ceilometer/src/budget.rs
@@ -45,14 +45,20 @@
         self.requests[place] += 1;
     }
 
-    /// Takes one further attempt from the budget, where there is one, as one of `ingresses`.
-    pub fn further(&mut self, now: Millis, ingresses: usize) -> bool {
-        let place = self.roll(now);
+    /// There is one further attempt in the budget, for one of `ingresses`.
+    pub fn room(&mut self, now: Millis, ingresses: usize) -> bool {
+        self.roll(now);
         let requests: u32 = self.requests.iter().sum();
         let used: u32 = self.further.iter().sum();
         let slack = self.terms.slack / ingresses.max(1) as f64;
         let most = PART * (self.terms.ratio * f64::from(requests) + slack);
-        let room = f64::from(used) + 1.0 <= most;
+        f64::from(used) + 1.0 <= most
+    }
+
+    /// Takes one further attempt from the budget, where there is one.
+    pub fn further(&mut self, now: Millis, ingresses: usize) -> bool {
+        let room = self.room(now, ingresses);
+        let place = self.roll(now);
         self.further[place] += u32::from(room);
         room
     }
--- a/crates/screen/tests/requests.rs
+++ b/crates/screen/tests/requests.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use common::{stage, LONG};
+use common::{stage, Stage, LONG};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use violetyoke_rig::until;
 use violetyoke_screen::backends::{times_run, Backend, Fault};
 use violetyoke_screen::calls::{call, resolve};
@@ -89,3 +89,26 @@
     let (_, answer) = stage.send(0, "/search/1", "key-1", b"");
     assert_ne!(answer.expect("an answer").status(), 200);
 }
+
+#[test]
+fn an_attempt_is_broken_off_only_where_another_can_be_made() {
+    let mut stage = stage();
+    let slow = Duration::from_millis(1_100);
+    let only = Backend::start(stage.driven.handle(), "finder-slow", "finder", "a", slow).expect("a backend");
+    for finder in &stage.finders {
+        stage.platform.set(&finder.id, None);
+    }
+    stage.platform.set(&only.id, Some(only.line()));
+    // Longer than the patience that an attempt has where others could be asked.
+    assert!(until(LONG, || stage.status(0, "/search/1", "key-1", b"") == 200 && only.runs().len() == 1));
+    let before = only.runs().len();
+    assert_eq!(stage.status(0, "/search/1", "key-1", b""), 200);
+    assert_eq!(only.runs().len(), before + 1, "it ran once");
+    // With another beside it, one that hangs is given up for that.
+    let quick = Duration::from_millis(10);
+    let other = Backend::start(stage.driven.handle(), "finder-new", "finder", "a", quick).expect("a backend");
+    stage.platform.set(&other.id, Some(other.line()));
+    only.fail(Fault::Hangs);
+    let served = |stage: &mut Stage| (0..8).all(|n| stage.status(n % 4, "/search/1", "key-1", b"") == 200);
+    assert!(until(LONG, || served(&mut stage)));
+}
