--- a/crates/anemometer/src/attempts.rs
+++ b/crates/anemometer/src/attempts.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
+use violetyoke_ceilometer::again::{Bounds, COME_BACK, LEAST};
 use violetyoke_ceilometer::backend::Showed;
 use violetyoke_ceilometer::{Choice, Millis, Wanted};
 use violetyoke_station::verdict::{Ending, Verdict};
@@ -15,8 +16,7 @@
 pub struct Job {
     pub service: String,
     pub homes: [Vec<String>; 2],
-    pub repeatable: bool,
-    pub attempts: u32,
+    pub bounds: Bounds,
     pub priority: i64,
     pub head_only: bool,
     pub attempt: String,
@@ -24,7 +24,6 @@
     pub head: Bytes,
     pub body: Bytes,
     pub arrived: Instant,
-    pub target: Duration,
     /// When the client, or the operator, waits no longer.
     pub until: Instant,
 }
@@ -40,22 +39,15 @@
     },
 }
 
-/// A request waits for room no longer than this part of its target.
-const WAITS: f64 = 0.22;
 /// What the way back takes of the time that is left.
 const WAY: Duration = Duration::from_millis(5);
-/// Less than this is not worth an attempt.
-const LEAST: Duration = Duration::from_millis(20);
-/// Who is turned away for want of room is told to come back after this (ms).
-const COME_BACK: Millis = 120;
-
 pub async fn run(proxy: &Rc<Proxy>, job: &Job) -> Outcome {
     let mut verdict = Verdict::NeverRan;
     let mut tried: Vec<String> = Vec::new();
     proxy.budget(&job.service, |budget| budget.request(proxy.now()));
     let ended = |verdict, ending, retry_ms| Outcome::Ended { verdict, ending, retry_ms };
     loop {
-        if left(job) < LEAST {
+        if left(job) < Duration::from_millis(LEAST) {
             return ended(verdict, Ending::TimeUp, None);
         }
         let Some(id) = choose(proxy, job, &tried).await else {
@@ -75,17 +67,18 @@
         let end = attempt(proxy, &one, &|| elsewhere(proxy, job, &tried)).await;
         guard.ended(end.showed);
         verdict = verdict.and(end.verdict);
-        let again = verdict.may_repeat(job.repeatable) && (tried.len() as u32) < job.attempts;
+        let again = verdict.may_repeat(job.bounds.repeatable) && job.bounds.another(tried.len());
         match end.answer {
             // A backend's own failure of a request that may run again is worth another backend.
             Some(answer)
                 if answer.status >= 500
                     && again
-                    && left(job) > LEAST * 2
+                    && left(job) > Duration::from_millis(LEAST * 2)
                     && elsewhere(proxy, job, &tried) => {}
             Some(answer) => return Outcome::Answer(answer),
             None if !again => {
-                let ending = if left(job) < LEAST { Ending::TimeUp } else { Ending::Overload };
+                let ending =
+                    if left(job) < Duration::from_millis(LEAST) { Ending::TimeUp } else { Ending::Overload };
                 return ended(verdict, ending, (verdict == Verdict::NeverRan).then_some(COME_BACK));
             }
             None => {}
@@ -109,7 +102,7 @@
         Choice::Nobody => return None,
         Choice::Full => {}
     }
-    let until = (job.arrived + job.target.mul_f64(WAITS)).min(job.until);
+    let until = (job.arrived + Duration::from_millis(job.bounds.queues())).min(job.until);
     let waits = until.saturating_duration_since(Instant::now()).as_millis() as Millis;
     let mut place = proxy.waiting.borrow_mut().wait(&job.service, job.priority, proxy.now() + waits)?;
     let mut found = None;
@@ -139,6 +132,7 @@
     let fleet = proxy.fleet.borrow();
     let backend = fleet.get(id)?;
     let now = Instant::now();
+    let patience = job.bounds.patience(left(job).as_millis() as Millis, backend.pace);
     let deadline_ms = left(job).saturating_sub(WAY).as_millis();
     let mut bytes = BytesMut::with_capacity(job.head.len() + job.body.len() + 96);
     bytes.extend_from_slice(&job.head);
@@ -153,25 +147,18 @@
         attempt: job.attempt.clone(),
         bytes: bytes.freeze(),
         head_only: job.head_only,
-        repeatable: job.repeatable,
-        patience: patience(job, backend.pace, now),
+        repeatable: job.bounds.repeatable,
+        patience: patience.map(|ms| now + Duration::from_millis(ms)),
         until: job.until,
     })
 }
 
-/// From when on this attempt may be given up for another, which then is still in time.
-fn patience(job: &Job, pace: Option<f64>, now: Instant) -> Option<Instant> {
-    let usual = Duration::from_millis(pace.unwrap_or(100.0) as u64);
-    let most = (usual * 6).max(job.target.mul_f64(0.9));
-    (job.repeatable && left(job) >= most + usual * 2).then_some(now + most)
-}
-
 /// Another attempt may and can be made: none is broken off for one that could not be. Not by an ingress that leaves: what
 /// backends are at work at then is waited for.
 fn elsewhere(proxy: &Rc<Proxy>, job: &Job, tried: &[String]) -> bool {
     let wanted = Wanted { service: &job.service, tried, homes: [&job.homes[0], &job.homes[1]] };
     !proxy.leaving.get()
-        && (tried.len() as u32) < job.attempts
+        && job.bounds.another(tried.len())
         && proxy.budget(&job.service, |budget| budget.room(proxy.now(), proxy.ingresses()))
         && matches!(proxy.fleet.borrow().choose(proxy.now(), wanted), Choice::Backend(_))
 }
--- a/crates/anemometer/src/request.rs
+++ b/crates/anemometer/src/request.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
+use violetyoke_ceilometer::again::Bounds;
 use violetyoke_ceilometer::Millis;
 use violetyoke_station::calls::header;
 use violetyoke_station::configuration::Tenant;
@@ -131,15 +132,18 @@
     let job = Job {
         service: service.name.clone(),
         homes: [entry.homes.clone(), homes],
-        repeatable: entry.repeatable,
-        attempts: entry.attempts,
+        bounds: Bounds {
+            repeatable: entry.repeatable,
+            attempts: entry.attempts,
+            target: entry.target_ms.clamp(0.0, 600_000.0) as Millis,
+            deadline: held as Millis,
+        },
         priority: priority(entry, tenant.and_then(|tenant| tenant.priority)),
         head_only: parts.method == Method::HEAD,
         attempt: text(&parts.headers, header::ATTEMPT).unwrap_or_default().to_owned(),
         head: head(&parts, name, body.len()),
         body,
         arrived,
-        target: Duration::from_secs_f64(entry.target_ms.clamp(0.0, 600_000.0) / 1000.0),
         until: arrived + Duration::from_secs_f64(held / 1000.0),
     };
     match run(proxy, &job).await {
--- a/crates/ceilometer/src/lib.rs
+++ b/crates/ceilometer/src/lib.rs
@@ -1,6 +1,7 @@
 //! Which backend gets a request, how many at once, and whether a request may be sent again. Nothing here does I/O or
 //! reads a clock; chance is seeded.
 
+pub mod again;
 pub mod backend;
 pub mod budget;
 pub mod choose;
