Take no 503 of a backend for a promise that it does not make

Found by reading again. (a) REFUSED held by luck: a backend's 503, 429 or 408 without X-Not-Executed was passed to the client, whom these statuses promise that nothing ran. (b) TWICE by luck: a late second refusal with another request's id, or with none, could be taken for the answer to the next request on its connection, which then was sent again. Change: such a status counts as may-have-run; an answer with an id must bear this request's own; a connection that carried a refusal is not kept. Test: bookings that run and are refused without the word end with 502, once each. Gone: a session's life, which nobody used; a comment that told of what a message no longer holds.

--- a/crates/anemometer/src/backend/exchange.rs
+++ b/crates/anemometer/src/backend/exchange.rs
@@ -92,7 +92,8 @@
         Some(Ok(answer)) => answer,
     };
     // Bytes past a complete answer are nobody's: the connection goes with them.
-    if answer.keep && buffer.is_empty() {
+    // So it does after a refusal: those may bear no id, and a second one would be taken for the next request's.
+    if answer.keep && buffer.is_empty() && !refuses(&answer) {
         let most = proxy.fleet.borrow().connections(&one.service);
         proxy.pools.borrow_mut().give(&one.id, stream, buffer, answer.keep_for, most);
     }
@@ -119,8 +120,8 @@
     for earlier in 0..MOST_EARLIER {
         let answer = answer::read(stream, buffer, one.head_only).await;
         let answer = answer.map_err(|_| Broken { answered: earlier > 0 || !buffer.is_empty() })?;
-        // One that bears another's id is late: it belongs to no request.
-        if answer.attempt.as_deref() == Some(&one.attempt) || refuses(&answer) {
+        // One that bears another's id is late: it belongs to no request, also where it says that one did not run.
+        if answer.attempt.as_deref().map_or(refuses(&answer), |id| id == one.attempt) {
             return Ok(answer);
         }
     }
@@ -140,6 +141,10 @@
     if answer.not_executed {
         return Ended::without(Verdict::NeverRan, Showed::TurnedAway);
     }
+    // These would promise a client that nothing ran, which the backend has not said.
+    if matches!(answer.status, 408 | 429 | 503) {
+        return Ended::without(Verdict::MayHaveRun, Showed::Broke);
+    }
     let good = (200..300).contains(&answer.status);
     if good && !answer.sealed {
         return Ended::without(Verdict::MayHaveRun, Showed::Broke);
--- a/crates/anemometer/src/news.rs
+++ b/crates/anemometer/src/news.rs
@@ -43,7 +43,6 @@
         };
         ProxyAsk::Hello(Session {
             node: self.settings.me.node.clone(),
-            life: self.life,
             front,
             zone: self.settings.me.zone.clone(),
             region: self.settings.me.region.clone(),
--- a/crates/mast/src/words/proxies.rs
+++ b/crates/mast/src/words/proxies.rs
@@ -12,8 +12,6 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Session {
     pub node: String,
-    /// Drawn at each start of the process.
-    pub life: u64,
     pub front: SocketAddrV4,
     pub zone: String,
     pub region: String,
@@ -31,7 +29,7 @@
         members: u64,
         lead: bool,
     },
-    /// One more of a tenant, and how many of it this proxy let go lately, for a holder that knows nothing.
+    /// One more of a tenant.
     Add {
         call: u32,
         tenant: String,
--- a/crates/screen/src/backends.rs
+++ b/crates/screen/src/backends.rs
@@ -37,6 +37,8 @@
     AnswersTwice,
     /// It says that it did not run them.
     TurnsAway,
+    /// It runs them, and says 503 without saying that it did not.
+    RunsAndRefuses,
     /// It never answers.
     Hangs,
 }
@@ -180,6 +182,7 @@
     match fault {
         Fault::LosesAnswers => return Err(io::ErrorKind::ConnectionReset.into()),
         Fault::Hangs => std::future::pending::<()>().await,
+        Fault::RunsAndRefuses => return reply(backend, 503, &attempt, Bytes::new()),
         Fault::None | Fault::AnswersTwice | Fault::TurnsAway => {}
     }
     let told = if fault == Fault::AnswersTwice { "another" } else { &attempt };
--- a/crates/screen/tests/requests.rs
+++ b/crates/screen/tests/requests.rs
@@ -112,3 +112,16 @@
     let served = |stage: &mut Stage| (0..8).all(|n| stage.status(n % 4, "/search/1", "key-1", b"") == 200);
     assert!(until(LONG, || served(&mut stage)));
 }
+
+#[test]
+fn a_refusal_that_does_not_say_that_nothing_ran_is_no_promise() {
+    let mut stage = stage();
+    for ledger in &stage.ledgers {
+        ledger.fail(Fault::RunsAndRefuses);
+    }
+    let statuses: Vec<u16> = (0..8).map(|n| stage.status(n % 4, "/book/1", "key-1", b"x")).collect();
+    assert!(stage.ledgers.iter().any(|ledger| !ledger.runs().is_empty()));
+    let ran: usize = stage.ledgers.iter().map(|ledger| ledger.runs().len()).sum();
+    assert_eq!(statuses.iter().filter(|status| **status == 502).count(), ran, "{statuses:?}");
+    assert!(times_run(&stage.ledgers).values().all(|times| *times == 1));
+}
--- a/crates/windvane/src/sessions.rs
+++ b/crates/windvane/src/sessions.rs
@@ -38,7 +38,7 @@
         self.own.values().cloned().collect()
     }
 
-    /// The session of each proxy's newest life here, or else as others tell of it.
+    /// Each proxy's session here, or else as others tell of it.
     fn all(&self) -> BTreeMap<&str, &Session> {
         let mut all: BTreeMap<&str, &Session> = BTreeMap::new();
         for session in self.others.values().flatten().chain(self.own.values()) {
--- a/crates/windvane/tests/registry.rs
+++ b/crates/windvane/tests/registry.rs
@@ -9,7 +9,6 @@
 fn session(node: &str, zone: &str, port: u16, ready: bool) -> Session {
     Session {
         node: node.into(),
-        life: 1,
         front: format!("10.0.0.1:{port}").parse().expect("an address"),
         zone: zone.into(),
         region: zone[..1].into(),
