Count only what ingresses are told in the revision that GET /v1/ingresses gives

A lease's mark is a write without an audit entry: it raises the store's revision, and no ingress ever hears of it. Where one fell after the last change, revision was 14 for good and held 13. Ruled out: a lost wake-up of the long poll (the ingress had taken revision 13, the newest of its tenants). An operator no longer sees an ingress for ever behind. Test: tests/duties.rs causes a mark and holds the revision against the one before.

--- a/crates/control/src/api/openapi.rs
+++ b/crates/control/src/api/openapi.rs
@@ -33,7 +33,7 @@
 #[derive(utoipa::ToSchema)]
 #[allow(dead_code)]
 struct Ingresses {
-    /// The newest.
+    /// The newest that was told: bookkeeping (leases, marks) does not count.
     revision: u64,
     /// By their names.
     items: std::collections::BTreeMap<String, IngressState>,
--- a/crates/control/src/api/snapshots.rs
+++ b/crates/control/src/api/snapshots.rs
@@ -117,8 +117,10 @@
     })
 }
 
+/// `revision` is the newest that was told: what is written without an audit entry (leases, marks of duties) raises the
+/// store's own, and no ingress ever hears of it.
 pub fn ingresses(call: &Call<'_>) -> Outcome {
-    let revision = call.read(|read| Ok(read.revision()?))?;
+    let revision = call.read(|read| Ok(read.audited()?))?;
     Ok(Answer::ok(json!({ "revision": revision, "items": call.app.ingresses() })))
 }
 
--- a/crates/violetyoke/tests/duties.rs
+++ b/crates/violetyoke/tests/duties.rs
@@ -128,7 +128,11 @@
     };
     let shard = operator.get("/v1/duties/report/shards/3");
     let epoch = shard.body["epoch"].as_u64().unwrap();
+    // What is noted of a shard is no news for ingresses: none would ever hold a revision that counted it.
+    let told = || operator.get("/v1/ingresses").body["revision"].clone();
+    let before = told();
     assert_eq!(mark(epoch, 7).status, 204);
+    assert_eq!(told(), before);
     assert_eq!(mark(epoch, 6).body["errors"][0]["field"], "mark");
     let old = mark(epoch - 1, 9);
     assert_eq!((old.status, old.body["newest"].as_u64()), (409, Some(epoch)), "{old:?}");
