Pass bodies as they come, and hold the head's time apart from silence

Cause: bodies were held whole up to max-body-bytes on both ways; of 64 MiB, a few would end a process of 260 MB. A head could take as long as a connection may keep silent. Ruled out: streaming every body, as a small one that is held can be sent to a second backend, and an answer cut short be asked for again. Change: bodies up to 64 KiB are held; of larger ones the beginning, and the rest goes on as it comes, once (body.rs, backend/flow.rs, backend/reader.rs, which also replaces three readers of answers' bodies). An answer that ends early is broken off. front/heads.rs ends a connection whose head takes longer than header-timeout-ms. Tests, as real processes (screen/tests/bodies.rs): 12 MiB both ways unchanged with less than 6 MiB more memory at its peak, chunks of unknown length, answers and requests that break off in the middle, limits of bodies, a head that never ends.

--- a/crates/anemometer/src/attempts.rs
+++ b/crates/anemometer/src/attempts.rs
@@ -1,6 +1,7 @@
 //! A request's attempts: one backend after another, as the verdicts, the budget and the time allow.
 
-use crate::backend::{attempt, Answer, Try};
+use crate::backend::{attempt, Answer, Flow, Try};
+use crate::body::Body;
 use crate::figures::add;
 use crate::state::Proxy;
 use bytes::{Bytes, BytesMut};
@@ -22,7 +23,7 @@
     pub attempt: String,
     /// The head up to the headers that each attempt sets.
     pub head: Bytes,
-    pub body: Bytes,
+    pub body: Rc<Body>,
     pub arrived: Instant,
     /// When the client, or the operator, waits no longer.
     pub until: Instant,
@@ -31,6 +32,8 @@
 /// What became of it.
 pub enum Outcome {
     Answer(Answer),
+    /// The beginning of an answer that is too large to be held, its rest, and the place at the backend that it takes.
+    Flowing(Answer, Box<Flow>, Open),
     /// Given up on; whether there is a time to come back at (ms).
     Ended {
         verdict: Verdict,
@@ -62,12 +65,21 @@
         }
         let Some(one) = prepare(proxy, job, &id) else { continue };
         tried.push(id.clone());
-        let guard = Open { proxy, id, service: &job.service, showed: Showed::Nothing };
+        let mut guard =
+            Open { proxy: proxy.clone(), id, service: job.service.clone(), showed: Showed::Nothing };
         proxy.fleet.borrow_mut().sent(proxy.now(), &guard.id);
         let end = attempt(proxy, &one, &|| elsewhere(proxy, job, &tried)).await;
-        guard.ended(end.showed);
+        guard.showed = end.showed;
         verdict = verdict.and(end.verdict);
-        let again = verdict.may_repeat(job.bounds.repeatable) && job.bounds.another(tried.len());
+        let again =
+            verdict.may_repeat(job.bounds.repeatable) && job.bounds.another(tried.len()) && !job.body.spent();
+        if end.flow.is_none() {
+            drop(guard);
+        } else if let (Some(answer), Some(flow)) = (end.answer, end.flow) {
+            return Outcome::Flowing(answer, flow, guard);
+        } else {
+            return ended(verdict, Ending::Overload, None);
+        }
         match end.answer {
             // A backend's own failure of a request that may run again is worth another backend.
             Some(answer)
@@ -134,11 +146,12 @@
     let now = Instant::now();
     let patience = job.bounds.patience(left(job).as_millis() as Millis, backend.pace);
     let deadline_ms = left(job).saturating_sub(WAY).as_millis();
-    let mut bytes = BytesMut::with_capacity(job.head.len() + job.body.len() + 96);
+    let held = if job.body.flows() { crate::body::HELD } else { job.body.length().unwrap_or(0) as usize };
+    let mut bytes = BytesMut::with_capacity(job.head.len() + held + 96);
     bytes.extend_from_slice(&job.head);
     let set = format!("x-deadline-ms: {deadline_ms}\r\nx-target-instance: {id}\r\n\r\n");
     bytes.extend_from_slice(set.as_bytes());
-    bytes.extend_from_slice(&job.body);
+    job.body.beginning(&mut bytes);
     Some(Try {
         id: id.to_owned(),
         service: job.service.clone(),
@@ -146,8 +159,9 @@
         same_region: backend.region == fleet.place.region,
         attempt: job.attempt.clone(),
         bytes: bytes.freeze(),
+        body: job.body.clone(),
         head_only: job.head_only,
-        repeatable: job.bounds.repeatable,
+        repeatable: job.bounds.repeatable && !job.body.flows(),
         patience: patience.map(|ms| now + Duration::from_millis(ms)),
         until: job.until,
     })
@@ -158,29 +172,24 @@
 fn elsewhere(proxy: &Rc<Proxy>, job: &Job, tried: &[String]) -> bool {
     let wanted = Wanted { service: &job.service, tried, homes: [&job.homes[0], &job.homes[1]] };
     !proxy.leaving.get()
+        && !job.body.spent()
         && job.bounds.another(tried.len())
         && proxy.budget(&job.service, |budget| budget.room(proxy.now(), proxy.ingresses()))
         && matches!(proxy.fleet.borrow().choose(proxy.now(), wanted), Choice::Backend(_))
 }
 
 /// An attempt that is out: its end is noted however it comes.
-struct Open<'a> {
-    proxy: &'a Rc<Proxy>,
+pub struct Open {
+    proxy: Rc<Proxy>,
     id: String,
-    service: &'a str,
+    service: String,
     showed: Showed,
 }
 
-impl Open<'_> {
-    fn ended(mut self, showed: Showed) {
-        self.showed = showed;
-    }
-}
-
-impl Drop for Open<'_> {
+impl Drop for Open {
     fn drop(&mut self) {
         let now = self.proxy.now();
         self.proxy.fleet.borrow_mut().ended(now, &self.id, self.showed);
-        self.proxy.waiting.borrow_mut().room(self.service, now);
+        self.proxy.waiting.borrow_mut().room(&self.service, now);
     }
 }
--- a/crates/anemometer/src/backend/answer.rs
+++ b/crates/anemometer/src/backend/answer.rs
@@ -1,16 +1,15 @@
-//! A backend's answer: its head, read by `httparse`, and its whole body.
+//! A backend's answer: its head, read by `httparse`, and its body, whole where it is small.
 
+use super::reader::Reader;
+use crate::body::HELD;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt};
 use violetyoke_station::calls::header;
 
 const MOST_HEADERS: usize = 96;
-const LARGEST_HEAD: usize = 64 << 10;
-/// The largest body that is taken.
-const LARGEST_BODY: u64 = 64 << 20;
+pub(super) const LARGEST_HEAD: usize = 64 << 10;
 
 /// An answer as it came.
 #[derive(Debug, Default)]
@@ -18,7 +17,12 @@
     pub status: u16,
     /// Headers that are passed on, in their order.
     pub headers: Vec<(String, Bytes)>,
+    /// The body, or its beginning where it is too large to be held.
     pub body: Bytes,
+    /// Then this reads what is left of it.
+    pub rest: Option<Reader>,
+    /// Bytes of the body in all, where the backend says so.
+    pub length: Option<u64>,
     pub attempt: Option<String>,
     pub sealed: bool,
     pub not_executed: bool,
@@ -28,20 +32,12 @@
     pub keep_for: Option<Duration>,
 }
 
-enum Length {
-    None,
-    Exact(u64),
-    Chunks,
-    /// Until the connection ends.
-    Open,
-}
-
-fn bad(why: &'static str) -> io::Error {
+pub(super) fn bad(why: &'static str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
 
 /// Reads more; an end is an error, as something is due.
-async fn more(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<()> {
+pub(super) async fn more(stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) -> io::Result<()> {
     buffer.reserve(4096);
     match stream.read_buf(buffer).await? {
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
@@ -49,13 +45,17 @@
     }
 }
 
-/// Reads one whole answer, one that only says to go on left out.
-pub async fn read(stream: &mut TcpStream, buffer: &mut BytesMut, head_only: bool) -> io::Result<Answer> {
+/// Reads one answer, one that only says to go on left out: whole, or up to where its body is too large to be held.
+pub async fn read(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    head_only: bool,
+) -> io::Result<Answer> {
     loop {
-        let (mut answer, length) = loop {
-            if let Some((answer, length, size)) = head(buffer, head_only)? {
+        let (mut answer, mut reader) = loop {
+            if let Some((answer, reader, size)) = head(buffer, head_only)? {
                 buffer.advance(size);
-                break (answer, length);
+                break (answer, reader);
             }
             if buffer.len() > LARGEST_HEAD {
                 return Err(bad("head too large"));
@@ -65,20 +65,30 @@
         if (100..200).contains(&answer.status) {
             continue;
         }
-        answer.body = match length {
-            Length::None => Bytes::new(),
-            Length::Exact(size) => exact(stream, buffer, size).await?,
-            Length::Chunks => chunks(stream, buffer).await?,
-            Length::Open => {
-                answer.keep = false;
-                open(stream, buffer).await?
-            }
-        };
+        answer.keep &= reader != Reader::Open;
+        let mut pieces: Vec<Bytes> = Vec::new();
+        let mut held = 0;
+        while held <= HELD {
+            let Some(piece) = reader.next(stream, buffer).await? else {
+                answer.body = joined(pieces);
+                return Ok(answer);
+            };
+            held += piece.len();
+            pieces.push(piece);
+        }
+        (answer.body, answer.rest) = (joined(pieces), Some(reader));
         return Ok(answer);
     }
 }
 
-fn head(buffer: &[u8], head_only: bool) -> io::Result<Option<(Answer, Length, usize)>> {
+fn joined(mut pieces: Vec<Bytes>) -> Bytes {
+    match pieces.len() {
+        0 | 1 => pieces.pop().unwrap_or_default(),
+        _ => Bytes::from(pieces.concat()),
+    }
+}
+
+fn head(buffer: &[u8], head_only: bool) -> io::Result<Option<(Answer, Reader, usize)>> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let size = match parsed.parse(buffer).map_err(|_| bad("no answer"))? {
@@ -126,15 +136,15 @@
         answer.headers.push((name, Bytes::copy_from_slice(field.value)));
     }
     let empty = head_only || status < 200 || status == 204 || status == 304;
-    let length = match (empty, chunked, exact) {
-        (true, ..) => Length::None,
+    let reader = match (empty, chunked, exact) {
+        (true, ..) => Reader::Ended,
         (_, true, Some(_)) => return Err(bad("length and chunks")),
-        (_, true, None) => Length::Chunks,
-        (_, _, Some(size)) if size > LARGEST_BODY => return Err(bad("body too large")),
-        (_, _, Some(size)) => Length::Exact(size),
-        _ => Length::Open,
+        (_, true, None) => Reader::Size,
+        (_, _, Some(size)) => Reader::Exact(size),
+        _ => Reader::Open,
     };
-    Ok(Some((answer, length, size)))
+    answer.length = exact;
+    Ok(Some((answer, reader, size)))
 }
 
 /// Requests running and waiting, of `running, waiting, slots`.
@@ -142,62 +152,3 @@
     let mut figures = text.split(',').map(|figure| figure.trim().parse::<u32>().ok());
     Some((figures.next()??, figures.next()??))
 }
-
-async fn exact(stream: &mut TcpStream, buffer: &mut BytesMut, size: u64) -> io::Result<Bytes> {
-    while (buffer.len() as u64) < size {
-        more(stream, buffer).await?;
-    }
-    Ok(buffer.split_to(size as usize).freeze())
-}
-
-async fn open(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<Bytes> {
-    loop {
-        match more(stream, buffer).await {
-            Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(buffer.split().freeze()),
-            Err(error) => return Err(error),
-            Ok(()) if buffer.len() as u64 > LARGEST_BODY => return Err(bad("body too large")),
-            Ok(()) => {}
-        }
-    }
-}
-
-async fn chunks(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<Bytes> {
-    let mut body = BytesMut::new();
-    loop {
-        let (start, size) = loop {
-            match httparse::parse_chunk_size(buffer).map_err(|_| bad("chunk"))? {
-                httparse::Status::Complete(found) => break found,
-                httparse::Status::Partial if buffer.len() > LARGEST_HEAD => return Err(bad("chunk")),
-                httparse::Status::Partial => more(stream, buffer).await?,
-            }
-        };
-        buffer.advance(start);
-        if size == 0 {
-            return trailer(stream, buffer).await.map(|()| body.freeze());
-        }
-        if body.len() as u64 + size > LARGEST_BODY {
-            return Err(bad("body too large"));
-        }
-        let chunk = exact(stream, buffer, size + 2).await?;
-        let (data, end) = chunk.split_at(size as usize);
-        if end != b"\r\n" {
-            return Err(bad("chunk's end"));
-        }
-        body.extend_from_slice(data);
-    }
-}
-
-/// What follows the last chunk, up to an empty line.
-async fn trailer(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<()> {
-    loop {
-        let mut headers = [httparse::EMPTY_HEADER; 16];
-        match httparse::parse_headers(buffer, &mut headers).map_err(|_| bad("trailer"))? {
-            httparse::Status::Complete((size, _)) => {
-                buffer.advance(size);
-                return Ok(());
-            }
-            httparse::Status::Partial if buffer.len() > LARGEST_HEAD => return Err(bad("trailer")),
-            httparse::Status::Partial => more(stream, buffer).await?,
-        }
-    }
-}
--- a/crates/anemometer/src/backend/exchange.rs
+++ b/crates/anemometer/src/backend/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt: a request on one connection to one backend, and what is known of it afterwards.
 
-use super::{answer, Answer};
+use super::{answer, Answer, Flow};
+use crate::body::{Body, Stopped};
 use crate::state::Proxy;
 use bytes::{Bytes, BytesMut};
 use std::future::Future;
@@ -9,7 +10,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncRead, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 use violetyoke_ceilometer::backend::Showed;
@@ -30,9 +31,12 @@
     pub address: SocketAddrV4,
     pub same_region: bool,
     pub attempt: String,
-    /// Head and body, whole.
+    /// Head, and body as far as it is held.
     pub bytes: Bytes,
+    /// What is sent after that.
+    pub body: Rc<Body>,
     pub head_only: bool,
+    /// It may run again, and can be sent again.
     pub repeatable: bool,
     /// From when on another backend may be asked instead, where one can be; and when nobody waits any more.
     pub patience: Option<Instant>,
@@ -43,18 +47,27 @@
 pub struct Ended {
     pub verdict: Verdict,
     pub answer: Option<Answer>,
+    /// The connection on which the rest of the answer is due.
+    pub flow: Option<Box<Flow>>,
     pub showed: Showed,
 }
 
 impl Ended {
     fn without(verdict: Verdict, showed: Showed) -> Ended {
-        Ended { verdict, answer: None, showed }
+        Ended { verdict, answer: None, flow: None, showed }
     }
 }
 
-/// What went wrong on a connection, and whether anything had come back before it did.
+/// What went wrong on a connection: whether anything had come back before it did, and whether it was the client's doing.
 struct Broken {
     answered: bool,
+    client: bool,
+}
+
+impl Broken {
+    fn backend(answered: bool) -> Broken {
+        Broken { answered, client: false }
+    }
 }
 
 /// One attempt. Past its patience it is broken off only where `elsewhere` says that another can be made.
@@ -70,7 +83,7 @@
     };
     let begun = Instant::now();
     let mut due = wait(exchange(&mut stream, &mut buffer, one), one, elsewhere).await;
-    if reused && matches!(due, Some(Err(Broken { answered: false }))) {
+    if reused && matches!(due, Some(Err(Broken { answered: false, .. }))) {
         proxy.pools.borrow_mut().forgotten();
         // The backend had forgotten the connection: where the request may run again, it goes out on a new one.
         let again = || proxy.budget(&one.service, |budget| budget.further(proxy.now(), proxy.ingresses()));
@@ -85,19 +98,28 @@
     }
     let answer = match due {
         None => return Ended::without(Verdict::MayHaveRun, Showed::Silent),
-        Some(Err(_)) if reused && !one.repeatable => {
+        Some(Err(broken)) if broken.client || (reused && !one.repeatable) => {
             return Ended::without(Verdict::MayHaveRun, Showed::Nothing)
         }
         Some(Err(_)) => return Ended::without(Verdict::MayHaveRun, Showed::Broke),
         Some(Ok(answer)) => answer,
     };
+    let took = begun.elapsed();
+    if let Some(reader) = answer.rest {
+        let (keep, keep_for) = (answer.keep && !refuses(&answer), answer.keep_for);
+        let (id, service, until) = (one.id.clone(), one.service.clone(), one.until);
+        let mut ended = judge(answer, took);
+        let flow = Flow { reader, stream, buffer, keep, keep_for, until, id, service };
+        ended.flow = ended.answer.is_some().then(|| Box::new(flow));
+        return ended;
+    }
     // Bytes past a complete answer are nobody's: the connection goes with them.
     // So it does after a refusal: those may bear no id, and a second one would be taken for the next request's.
     if answer.keep && buffer.is_empty() && !refuses(&answer) {
         let most = proxy.fleet.borrow().connections(&one.service);
         proxy.pools.borrow_mut().give(&one.id, stream, buffer, answer.keep_for, most);
     }
-    judge(answer, begun.elapsed())
+    judge(answer, took)
 }
 
 /// Waits for an answer until nobody waits any more, or until patience is over and another backend can be asked.
@@ -114,18 +136,50 @@
     timeout_at(one.until, exchange).await.ok()
 }
 
-/// Sends the request and reads the answer to it.
+/// Sends the request and reads the answer to it, which may come before all is sent.
 async fn exchange(stream: &mut TcpStream, buffer: &mut BytesMut, one: &Try) -> Result<Answer, Broken> {
-    stream.write_all(&one.bytes).await.map_err(|_| Broken { answered: false })?;
+    let (mut reader, mut writer) = stream.split();
+    let mut sending = pin!(async {
+        writer.write_all(&one.bytes).await.map_err(|_| Stopped::Backend)?;
+        one.body.send_rest(&mut writer).await
+    });
+    let mut reading = pin!(due(&mut reader, buffer, one));
+    tokio::select! {
+        biased;
+        sent = sending.as_mut() => match sent {
+            Ok(()) => reading.await,
+            Err(Stopped::Client) => Err(Broken { answered: false, client: true }),
+            // It may have said why before it closed, where it had got a part.
+            Err(Stopped::Backend) if one.body.spent() => reading.await.map(last),
+            Err(Stopped::Backend) => Err(Broken::backend(false)),
+        },
+        read = reading.as_mut() => read.map(last),
+    }
+}
+
+/// The last answer on its connection: not all of the request has gone out on it.
+fn last(answer: Answer) -> Answer {
+    Answer { keep: false, ..answer }
+}
+
+/// Reads the answer that is due.
+async fn due(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    one: &Try,
+) -> Result<Answer, Broken> {
     for earlier in 0..MOST_EARLIER {
         let answer = answer::read(stream, buffer, one.head_only).await;
-        let answer = answer.map_err(|_| Broken { answered: earlier > 0 || !buffer.is_empty() })?;
+        let answer = answer.map_err(|_| Broken::backend(earlier > 0 || !buffer.is_empty()))?;
         // One that bears another's id is late: it belongs to no request, also where it says that one did not run.
         if answer.attempt.as_deref().map_or(refuses(&answer), |id| id == one.attempt) {
             return Ok(answer);
         }
+        if answer.rest.is_some() {
+            break;
+        }
     }
-    Err(Broken { answered: true })
+    Err(Broken::backend(true))
 }
 
 /// The backend says that it did not run the request.
@@ -150,7 +204,7 @@
         return Ended::without(Verdict::MayHaveRun, Showed::Broke);
     }
     let showed = Showed::Answer { took: took.as_millis() as u64, load: answer.load };
-    Ended { verdict: Verdict::MayHaveRun, answer: Some(answer), showed }
+    Ended { verdict: Verdict::MayHaveRun, answer: Some(answer), flow: None, showed }
 }
 
 async fn connect(proxy: &Rc<Proxy>, one: &Try) -> io::Result<TcpStream> {
--- a/crates/anemometer/src/backend/mod.rs
+++ b/crates/anemometer/src/backend/mod.rs
@@ -2,9 +2,12 @@
 
 mod answer;
 mod exchange;
+mod flow;
+mod reader;
 
 pub use answer::Answer;
 pub use exchange::{attempt, Try};
+pub use flow::Flow;
 
 use bytes::BytesMut;
 use std::collections::HashMap;
--- a/crates/anemometer/src/front/mod.rs
+++ b/crates/anemometer/src/front/mod.rs
@@ -1,7 +1,11 @@
 //! Connections of clients: taken, served one request at a time, ended in order.
 
+mod heads;
+
 use crate::request::handle;
 use crate::state::Proxy;
+use heads::{Heads, Watched};
+use http_body_util::Either;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -15,6 +19,7 @@
 const LEAST_HEAD: usize = 8 << 10;
 /// The longest that a connection may keep silent where no configuration says.
 const SILENT_MS: f64 = 15_000.0;
+const HEAD_MS: f64 = 5_000.0;
 
 pub async fn serve(listener: TcpListener, proxy: Rc<Proxy>) {
     loop {
@@ -42,11 +47,15 @@
     }
     let limits = proxy.snapshot().map(|snapshot| snapshot.table.limits);
     let silent = limits.map_or(SILENT_MS, |limits| limits.idle_timeout_ms.max(limits.header_timeout_ms));
+    let late = Duration::from_secs_f64(limits.map_or(HEAD_MS, |limits| limits.header_timeout_ms) / 1000.0);
     let head = limits.map_or(LEAST_HEAD, |limits| (limits.max_header_bytes as usize).max(LEAST_HEAD));
+    let heads = Heads::new();
     let service = service_fn(|request| {
-        let proxy = counted.0.clone();
+        let (proxy, heads) = (counted.0.clone(), heads.clone());
+        heads.whole();
         async move {
             let mut reply = handle(&proxy, request).await;
+            heads.answered(matches!(reply.body(), Either::Right(_)));
             if proxy.leaving.get() {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -58,10 +67,12 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_secs_f64(silent / 1000.0))
         .max_buf_size(head);
+    let stream = Watched { stream, heads: heads.clone() };
     let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         // A client that breaks off has its own reasons.
         _ = served.as_mut() => return,
+        () = heads.late(late) => return,
         () = proxy.leave.notified() => served.as_mut().graceful_shutdown(),
     }
     let _ = served.await;
--- a/crates/anemometer/src/lib.rs
+++ b/crates/anemometer/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod backend;
+mod body;
 mod counting;
 pub mod daemon;
 mod figures;
--- a/crates/anemometer/src/request.rs
+++ b/crates/anemometer/src/request.rs
@@ -2,13 +2,15 @@
 
 use crate::attempts::{run, Job, Outcome};
 use crate::backend::Answer;
+use crate::body::{Body, Unusable};
 use crate::counting::count;
 use crate::figures::add;
 use crate::state::Proxy;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::channel::Channel;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -21,7 +23,7 @@
 use violetyoke_station::routing::{Caller, Entry, Table};
 use violetyoke_station::verdict::{Ending, Verdict};
 
-type Reply = Response<Full<Bytes>>;
+pub type Reply = Response<Either<Full<Bytes>, Channel<Bytes, std::io::Error>>>;
 
 /// Headers that concern one connection, and those that the system sets itself.
 const NOT_PASSED: &[&str] = &[
@@ -41,7 +43,7 @@
 ];
 
 fn plain(status: u16, why: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(why.as_bytes())));
+    let mut reply = Response::new(Either::Left(Full::new(Bytes::from_static(why.as_bytes()))));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     reply
 }
@@ -62,6 +64,13 @@
     reply
 }
 
+fn unusable(why: Unusable) -> Reply {
+    match why {
+        Unusable::TooLarge => plain(413, "body too large"),
+        Unusable::Broken => plain(400, "body not whole"),
+    }
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
@@ -108,11 +117,9 @@
             return plain(status, why);
         }
     };
-    let most = table.limits.max_body_bytes as usize;
-    let body = match Limited::new(body, most).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => return plain(413, "body too large"),
-        Err(_) => return plain(400, "body not whole"),
+    let body = match Body::take(body, table.limits.max_body_bytes as u64).await {
+        Ok(body) => Rc::new(body),
+        Err(why) => return unusable(why),
     };
     if let Some(tenant) = tenant {
         if let Err(retry_ms) = count(proxy, tenant).await {
@@ -141,7 +148,7 @@
         priority: priority(entry, tenant.and_then(|tenant| tenant.priority)),
         head_only: parts.method == Method::HEAD,
         attempt: text(&parts.headers, header::ATTEMPT).unwrap_or_default().to_owned(),
-        head: head(&parts, name, body.len()),
+        head: head(&parts, name, &body),
         body,
         arrived,
         until: arrived + Duration::from_secs_f64(held / 1000.0),
@@ -151,6 +158,26 @@
             add(&proxy.figures.answered);
             pass(answer)
         }
+        Outcome::Flowing(answer, flow, open) => {
+            add(&proxy.figures.answered);
+            let (mut sender, channel) = Channel::new(1);
+            let (length, first) = (answer.length, answer.body.clone());
+            let proxy = proxy.clone();
+            tokio::task::spawn_local(async move {
+                // A client that has gone is found by what is sent next.
+                let _ = sender.send_data(first).await;
+                flow.pass(proxy, sender).await;
+                drop(open);
+            });
+            let mut reply = pass(answer).map(|_| Either::Right(channel));
+            if let Some(length) = length {
+                reply.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(length));
+            }
+            reply
+        }
+        Outcome::Ended { .. } if job.body.unusable().is_some() => {
+            unusable(job.body.unusable().unwrap_or(Unusable::Broken))
+        }
         Outcome::Ended { verdict, ending, retry_ms } => {
             add(if verdict == Verdict::NeverRan { &proxy.figures.refused } else { &proxy.figures.failed });
             given_up(verdict, ending, retry_ms)
@@ -164,7 +191,7 @@
 }
 
 /// The head of what a backend gets, but for what each attempt sets.
-fn head(parts: &Parts, tenant: Option<&str>, length: usize) -> Bytes {
+fn head(parts: &Parts, tenant: Option<&str>, body: &Body) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.extend_from_slice(parts.method.as_str().as_bytes());
     out.extend_from_slice(b" ");
@@ -182,8 +209,10 @@
         out.extend_from_slice(value.as_bytes());
         out.extend_from_slice(b"\r\n");
     }
-    if length > 0 || !(parts.method == Method::GET || parts.method == Method::HEAD) {
-        out.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
+    match body.length() {
+        None => out.extend_from_slice(b"transfer-encoding: chunked\r\n"),
+        Some(0) if matches!(parts.method, Method::GET | Method::HEAD) => {}
+        Some(length) => out.extend_from_slice(format!("content-length: {length}\r\n").as_bytes()),
     }
     if let Some(tenant) = tenant {
         out.extend_from_slice(format!("{}: {tenant}\r\n", header::TENANT).as_bytes());
@@ -193,7 +222,7 @@
 
 /// A backend's answer as the client gets it.
 fn pass(answer: Answer) -> Reply {
-    let mut reply = Response::new(Full::new(answer.body));
+    let mut reply = Response::new(Either::Left(Full::new(answer.body)));
     *reply.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in answer.headers {
         if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_maybe_shared(value)) {
--- a/crates/screen/src/backends.rs
+++ b/crates/screen/src/backends.rs
@@ -1,7 +1,8 @@
 //! Stand-in backends: lives with ids, slots and loads, a record of what each ran, and faults on order.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::channel::Channel;
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -41,6 +42,8 @@
     RunsAndRefuses,
     /// It never answers.
     Hangs,
+    /// It closes in the middle of an answer.
+    CutsShort,
 }
 
 /// One backend, alive until dropped with all else.
@@ -134,23 +137,25 @@
     }
 }
 
-fn reply(
-    backend: &Backend,
-    status: u16,
-    attempt: &str,
-    body: Bytes,
-) -> Result<Response<Full<Bytes>>, io::Error> {
+type Reply = Response<Either<Full<Bytes>, Channel<Bytes, io::Error>>>;
+
+/// Bytes of an answer's body, where the path asks for many: `…/bytes/100000`.
+fn large(path: &str) -> Option<usize> {
+    path.split_once("/bytes/")?.1.parse().ok().filter(|size| *size <= 64 << 20)
+}
+
+fn reply(backend: &Backend, status: u16, attempt: &str, body: Bytes) -> Result<Reply, io::Error> {
     let running = backend.state.running.load(Ordering::Relaxed);
     Response::builder()
         .status(status)
         .header("x-attempt-id", attempt)
         .header("x-instance-id", &backend.id)
         .header("x-server-load", format!("{running},0,{}", backend.slots))
-        .body(Full::new(body))
+        .body(Either::Left(Full::new(body)))
         .map_err(io::Error::other)
 }
 
-async fn answer(backend: &Backend, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, io::Error> {
+async fn answer(backend: &Backend, request: Request<Incoming>) -> Result<Reply, io::Error> {
     let field = |name: &str| {
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.map(str::to_owned)
@@ -172,7 +177,7 @@
         backend: backend.id.clone(),
         attempt: attempt.clone(),
         tenant,
-        path,
+        path: path.clone(),
         deadline_ms: deadline.and_then(|ms| ms.parse().ok()),
         body: body.clone(),
     });
@@ -183,10 +188,23 @@
         Fault::LosesAnswers => return Err(io::ErrorKind::ConnectionReset.into()),
         Fault::Hangs => std::future::pending::<()>().await,
         Fault::RunsAndRefuses => return reply(backend, 503, &attempt, Bytes::new()),
-        Fault::None | Fault::AnswersTwice | Fault::TurnsAway => {}
+        Fault::None | Fault::AnswersTwice | Fault::TurnsAway | Fault::CutsShort => {}
     }
     let told = if fault == Fault::AnswersTwice { "another" } else { &attempt };
-    let mut answer = reply(backend, 200, told, Bytes::from(format!("{} ran {attempt}", backend.id)))?;
+    let whole = match large(&path) {
+        Some(size) => Bytes::from((0..size).map(|n| n as u8).collect::<Vec<u8>>()),
+        None => Bytes::from(format!("{} ran {attempt}", backend.id)),
+    };
+    let mut answer = reply(backend, 200, told, whole.clone())?;
+    if fault == Fault::CutsShort {
+        let (mut sender, part) = Channel::new(1);
+        answer = answer.map(|_| Either::Right(part));
+        tokio::spawn(async move {
+            // Whoever reads may have gone.
+            let _ = sender.send_data(whole.slice(..whole.len() / 2)).await;
+            sender.abort(io::ErrorKind::ConnectionReset.into());
+        });
+    }
     answer.headers_mut().insert("x-server-seal", hyper::header::HeaderValue::from_static("seal"));
     Ok(answer)
 }
--- a/crates/screen/tests/common/mod.rs
+++ b/crates/screen/tests/common/mod.rs
@@ -26,6 +26,8 @@
     pub ledgers: Vec<Backend>,
     pub driven: Driven,
     pub next: u32,
+    /// How long clients say that they wait.
+    pub waits_ms: u32,
 }
 
 pub fn configuration(version: u64) -> Value {
@@ -63,7 +65,7 @@
         tolerance: 1,
     };
     let system = System::start(Path::new(env!("CARGO_BIN_EXE_screen")), &plan).expect("the processes");
-    let stage = Stage { system, platform, finders, ledgers, driven, next: 0 };
+    let stage = Stage { system, platform, finders, ledgers, driven, next: 0, waits_ms: 1_500 };
     stage.put(configuration(1));
     stage.all_ready();
     stage
@@ -94,10 +96,11 @@
     pub fn send(&mut self, edge: usize, target: &str, key: &str, body: &[u8]) -> (String, Option<Http>) {
         self.next += 1;
         let id = format!("try-{}", self.next);
+        let waits = self.waits_ms.to_string();
         let fields = [
             ("host", "rooms.example"),
             ("x-attempt-id", &id),
-            ("x-deadline-ms", "1500"),
+            ("x-deadline-ms", waits.as_str()),
             ("x-credential", key),
         ];
         let method = if body.is_empty() { "GET" } else { "POST" };
