Let the daemons run in a world that is not the operating system's

Need: whole systems in virtual time, on the code that is shipped. Weighed: the laboratory's way (decisions alone, the driver's code left out) would leave sessions, news and takeovers of connections untested, as they live between decisions and sockets. Change: mast/net.rs has connections and listeners that are the system's or a world's, mast/world.rs what a world gives, mast/life.rs what reaches a process beside its connections (settings, the word to leave, a drawn number); the three daemons begin alike by it, and the store's disk is a folder or a world's.

--- a/crates/anemometer/src/backend/exchange.rs
+++ b/crates/anemometer/src/backend/exchange.rs
@@ -10,10 +10,10 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{split, AsyncRead, AsyncWriteExt};
 use tokio::time::{timeout_at, Instant};
 use violetyoke_ceilometer::backend::Showed;
+use violetyoke_mast::net::{self, Stream};
 use violetyoke_station::Verdict;
 
 /// A connection comes up within this, or the backend is taken for dead: in the same region, and from another.
@@ -137,8 +137,8 @@
 }
 
 /// Sends the request and reads the answer to it, which may come before all is sent.
-async fn exchange(stream: &mut TcpStream, buffer: &mut BytesMut, one: &Try) -> Result<Answer, Broken> {
-    let (mut reader, mut writer) = stream.split();
+async fn exchange(stream: &mut Stream, buffer: &mut BytesMut, one: &Try) -> Result<Answer, Broken> {
+    let (mut reader, mut writer) = split(stream);
     let mut sending = pin!(async {
         writer.write_all(&one.bytes).await.map_err(|_| Stopped::Backend)?;
         one.body.send_rest(&mut writer).await
@@ -207,10 +207,8 @@
     Ended { verdict: Verdict::MayHaveRun, answer: Some(answer), flow: None, showed }
 }
 
-async fn connect(proxy: &Rc<Proxy>, one: &Try) -> io::Result<TcpStream> {
+async fn connect(proxy: &Rc<Proxy>, one: &Try) -> io::Result<Stream> {
     crate::figures::add(&proxy.figures.connections);
     let within = Instant::now() + if one.same_region { NEAR } else { FAR };
-    let stream = timeout_at(within.min(one.until), TcpStream::connect(one.address)).await??;
-    stream.set_nodelay(true)?;
-    Ok(stream)
+    timeout_at(within.min(one.until), net::connect(one.address.into())).await?
 }
--- a/crates/anemometer/src/backend/flow.rs
+++ b/crates/anemometer/src/backend/flow.rs
@@ -7,13 +7,13 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
+use violetyoke_mast::net::Stream;
 
 /// A connection on which the rest of an answer is due.
 pub struct Flow {
     pub(super) reader: Reader,
-    pub(super) stream: TcpStream,
+    pub(super) stream: Stream,
     pub(super) buffer: BytesMut,
     pub(super) keep: bool,
     pub(super) keep_for: Option<Duration>,
--- a/crates/anemometer/src/backend/mod.rs
+++ b/crates/anemometer/src/backend/mod.rs
@@ -11,11 +11,10 @@
 
 use bytes::BytesMut;
 use std::collections::HashMap;
-use std::io;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use violetyoke_ceilometer::Fleet;
+use violetyoke_mast::net::Stream;
 
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 8;
@@ -33,7 +32,7 @@
 
 /// A connection that carries no request.
 pub struct Idle {
-    pub stream: TcpStream,
+    pub stream: Stream,
     pub buffer: BytesMut,
     until: Instant,
     since: Instant,
@@ -48,7 +47,7 @@
 }
 
 impl Pools {
-    /// The newest idle connection that is still whole and silent. A request that may run only once goes out on one that
+    /// The newest idle connection that is still whole and silent: bytes that nobody asked for, or an end, make it useless. A request that may run only once goes out on one that
     /// was idle for a short time: where a backend closes one just then, nobody knows whether it ran.
     pub fn take(&mut self, id: &str, repeatable: bool) -> Option<Idle> {
         let forgetful = self.forgetful_until.is_some_and(|until| Instant::now() < until);
@@ -58,9 +57,9 @@
             (false, true) => FRESHEST,
         };
         let idle = self.idle.get_mut(id)?;
-        while let Some(one) = idle.pop() {
+        while let Some(mut one) = idle.pop() {
             let now = Instant::now();
-            if now < one.until && now - one.since < fresh && silent(&one.stream) {
+            if now < one.until && now - one.since < fresh && one.stream.silent() {
                 return Some(one);
             }
         }
@@ -73,7 +72,7 @@
     }
 
     /// Keeps a connection whose answer was complete; `said`: for how long the backend does.
-    pub fn give(&mut self, id: &str, stream: TcpStream, buffer: BytesMut, said: Option<Duration>, most: u32) {
+    pub fn give(&mut self, id: &str, stream: Stream, buffer: BytesMut, said: Option<Duration>, most: u32) {
         let now = Instant::now();
         let keep = said.map_or(USUAL, |said| said.saturating_sub(BEFORE));
         if keep.is_zero() {
@@ -99,9 +98,3 @@
         });
     }
 }
-
-/// Nothing has come on a connection where nothing is due; bytes that nobody asked for, or an end, make it useless.
-fn silent(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
-}
--- a/crates/anemometer/src/daemon.rs
+++ b/crates/anemometer/src/daemon.rs
@@ -5,20 +5,18 @@
 use error_stack::{Report, ResultExt};
 use slog::{info, Logger};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+use violetyoke_mast::life::Life;
+use violetyoke_mast::link;
+use violetyoke_mast::net::{self, Listener};
 use violetyoke_mast::program::Failed;
 use violetyoke_mast::words::Members;
-use violetyoke_mast::{changes, link};
 use violetyoke_station::Settings;
 
 const TICK: Duration = Duration::from_millis(50);
-const BACKLOG: u32 = 1024;
 /// Registries that may know something newer are waited for so long, once one has told its state.
 const ALL_HEARD: Duration = Duration::from_millis(700);
 /// Clients that were sent here before may still come for so long after a SIGTERM.
@@ -36,26 +34,16 @@
     Registry(Ipv4Addr, link::Event),
 }
 
-fn listen(address: Option<SocketAddr>, field: &str) -> Result<TcpListener, Report<Failed>> {
+fn listen(address: Option<SocketAddr>, field: &str) -> Result<Listener, Report<Failed>> {
     let address = address.ok_or_else(|| Report::new(FAILED).attach(format!("{field} is missing")))?;
-    let open = || -> std::io::Result<TcpListener> {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    open().change_context(FAILED).attach_with(|| format!("{field}: {address}"))
+    net::listen(address).change_context(FAILED).attach_with(|| format!("{field}: {address}"))
 }
 
-pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+pub async fn run(settings: Settings, mut life: Life, log: Logger) -> Result<(), Report<Failed>> {
     let front = listen(settings.network.listen.front, "network.listen.front")?;
     let readiness = listen(settings.network.listen.ready, "network.listen.ready")?;
-    let mut term = signal(SignalKind::terminate()).change_context(FAILED)?;
-    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(FAILED)?;
-    let mut bytes = [0; 8];
-    getrandom::fill(&mut bytes).change_context(FAILED)?;
     let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(0.5, 60.0));
-    let proxy = Rc::new(Proxy::new(settings, u64::from_le_bytes(bytes), log));
+    let proxy = Rc::new(Proxy::new(settings, life.drawn, log));
     let (inputs, mut queue) = unbounded_channel();
     let taking = tokio::task::spawn_local(front::serve(front, proxy.clone()));
     tokio::task::spawn_local(ready::serve(readiness, proxy.clone()));
@@ -81,8 +69,8 @@
                     }
                 }
             }
-            Some(settings) = changes.recv() => *proxy.seeds.borrow_mut() = settings.seeds(),
-            _ = term.recv() => break,
+            Some(settings) = life.settings.recv() => *proxy.seeds.borrow_mut() = settings.seeds(),
+            _ = life.leave.recv() => break,
         }
     }
     proxy.leaving.set(true);
--- a/crates/anemometer/src/front/heads.rs
+++ b/crates/anemometer/src/front/heads.rs
@@ -7,9 +7,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
+use violetyoke_mast::net::Stream;
 
 /// What is due on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,7 +68,7 @@
 
 /// A connection that notes when a head begins.
 pub struct Watched {
-    pub stream: TcpStream,
+    pub stream: Stream,
     pub heads: Rc<Heads>,
 }
 
--- a/crates/anemometer/src/front/mod.rs
+++ b/crates/anemometer/src/front/mod.rs
@@ -13,7 +13,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use violetyoke_mast::net::{Listener, Stream};
 
 /// The least that hyper takes for its buffer.
 const LEAST_HEAD: usize = 8 << 10;
@@ -21,7 +21,7 @@
 const SILENT_MS: f64 = 15_000.0;
 const HEAD_MS: f64 = 5_000.0;
 
-pub async fn serve(listener: TcpListener, proxy: Rc<Proxy>) {
+pub async fn serve(listener: Listener, proxy: Rc<Proxy>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::task::spawn_local(connection(stream, proxy.clone()))),
@@ -39,12 +39,9 @@
     }
 }
 
-async fn connection(stream: TcpStream, proxy: Rc<Proxy>) {
+async fn connection(stream: Stream, proxy: Rc<Proxy>) {
     proxy.open.set(proxy.open.get() + 1);
     let counted = Counted(proxy.clone());
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
     let limits = proxy.snapshot().map(|snapshot| snapshot.table.limits);
     let silent = limits.map_or(SILENT_MS, |limits| limits.idle_timeout_ms.max(limits.header_timeout_ms));
     let late = Duration::from_secs_f64(limits.map_or(HEAD_MS, |limits| limits.header_timeout_ms) / 1000.0);
--- a/crates/anemometer/src/ready.rs
+++ b/crates/anemometer/src/ready.rs
@@ -8,11 +8,11 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use violetyoke_ceilometer::shown::Shown;
+use violetyoke_mast::net::Listener;
 use violetyoke_station::calls::{find, Call, Taker};
 
-pub async fn serve(listener: TcpListener, proxy: Rc<Proxy>) {
+pub async fn serve(listener: Listener, proxy: Rc<Proxy>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(std::time::Duration::from_millis(20)).await;
--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/barograph/src/daemon/mod.rs
@@ -3,22 +3,19 @@
 mod keeper;
 mod watchers;
 
-use crate::disk::Slots;
 use crate::register::{Effect, Event, Register, Start};
 use error_stack::{Report, ResultExt};
-use keeper::Keeper;
+use keeper::{Keeper, Place};
 use slog::{info, Logger};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::PathBuf;
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::{interval, Instant, MissedTickBehavior};
-use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
+use violetyoke_mast::life::Life;
 use violetyoke_mast::link::{self, Sender};
+use violetyoke_mast::net;
 use violetyoke_mast::program::Failed;
 use violetyoke_mast::words::{Letter, Member, StoreAsk};
 use violetyoke_station::settings::{Process, Settings};
@@ -58,15 +55,13 @@
     told: (u64, bool),
 }
 
-pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
+pub async fn run(settings: Settings, mut life: Life, log: Logger) -> Result<(), Report<Failed>> {
     let folder = settings.me.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("barograph"));
-    let (slots, kept) = Slots::open(&folder)
+    let (place, kept) = Place::open(&folder)
         .change_context(FAILED)
         .attach_with(|| format!("self.data-dir: {}", folder.display()))?;
-    let drawn = random().change_context(FAILED)?;
     let port = settings.inner(Process::Store);
-    let listener = TcpListener::bind((settings.me.ip, port))
-        .await
+    let listener = net::listen((settings.me.ip, port).into())
         .change_context(FAILED)
         .attach_with(|| format!("network.internal-ports: {}:{port}", settings.me.ip))?;
     let start = Start {
@@ -77,7 +72,6 @@
         kept: kept.unwrap_or_default(),
     };
     info!(log, "begins"; "epoch" => start.kept.record.epoch, "version" => start.kept.held.version);
-    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(FAILED)?;
     let (inputs, mut queue) = unbounded_channel();
     let opened = inputs.clone();
     let numbers = std::cell::Cell::new(0u64);
@@ -86,13 +80,13 @@
         let (number, inputs) = (numbers.get(), opened.clone());
         move |event| drop(inputs.send(Input::Connection(number, event)))
     }));
-    let register = Register::new(start, 1, drawn, settings.me.bootstrap);
+    let register = Register::new(start, 1, life.drawn, settings.me.bootstrap);
     let mut daemon = Daemon {
         me: register.member().clone(),
         register,
         port,
         begun: Instant::now(),
-        keeper: Keeper::new(slots, inputs.clone()),
+        keeper: Keeper::new(place, inputs.clone()),
         inputs,
         peers: HashMap::new(),
         heard: HashMap::new(),
@@ -100,7 +94,6 @@
         log,
         told: (0, false),
     };
-    let mut term = signal(SignalKind::terminate()).change_context(FAILED)?;
     let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -110,8 +103,8 @@
                 Some(input) => daemon.input(input),
                 None => return Ok(()),
             },
-            Some(settings) = changes.recv() => daemon.register.seeds(settings.seeds()),
-            _ = term.recv(), if leaves.is_none() => {
+            Some(settings) = life.settings.recv() => daemon.register.seeds(settings.seeds()),
+            Some(()) = life.leave.recv(), if leaves.is_none() => {
                 info!(daemon.log, "leaves"; "primary" => daemon.register.active());
                 leaves = Some(Instant::now());
             }
@@ -129,12 +122,6 @@
     }
 }
 
-fn random() -> Result<u64, getrandom::Error> {
-    let mut bytes = [0; 8];
-    getrandom::fill(&mut bytes)?;
-    Ok(u64::from_le_bytes(bytes))
-}
-
 impl Daemon {
     fn now(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64 + 1
--- a/crates/barograph/src/disk.rs
+++ b/crates/barograph/src/disk.rs
@@ -13,12 +13,42 @@
 const HEAD: usize = 32;
 const NAMES: [&str; 2] = ["state-0", "state-1"];
 
+/// Whose turn of the two slots it is: the older one's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Turn {
+    number: u64,
+    pub slot: usize,
+}
+
+impl Turn {
+    /// After what was found in both slots, and the newest state of them.
+    pub fn after(found: [Found; 2]) -> (Turn, Option<Durable>) {
+        let states = found.into_iter().enumerate().filter_map(|(slot, found)| match found {
+            Found::State { number, state } => Some((number, slot, *state)),
+            Found::Missing | Found::Spoiled => None,
+        });
+        match states.max_by_key(|(number, ..)| *number) {
+            None => (Turn::default(), None),
+            Some((number, slot, state)) => (Turn { number, slot: 1 - slot }, Some(state)),
+        }
+    }
+
+    /// The bytes that go into its slot.
+    pub fn bytes(&self, state: &Durable) -> Vec<u8> {
+        write(self.number + 1, state)
+    }
+
+    /// They are there.
+    pub fn done(&mut self) {
+        *self = Turn { number: self.number + 1, slot: 1 - self.slot };
+    }
+}
+
 /// The two slots of a folder.
 #[derive(Debug)]
 pub struct Slots {
     folder: PathBuf,
-    number: u64,
-    next: usize,
+    turn: Turn,
     /// The folder holds the names for sure.
     named: bool,
 }
@@ -74,35 +104,26 @@
     /// Opens a folder, and what it holds: nothing, where it is empty or new.
     pub fn open(folder: &Path) -> io::Result<(Slots, Option<Durable>)> {
         std::fs::create_dir_all(folder)?;
-        let mut newest: Option<(u64, usize, Durable)> = None;
-        for (place, name) in NAMES.iter().enumerate() {
-            let found = look(&folder.join(name))?;
-            if let Found::State { number, state } = found {
-                if newest.as_ref().is_none_or(|(other, ..)| number > *other) {
-                    newest = Some((number, place, *state));
-                }
-            }
-        }
-        let (number, next) = newest.as_ref().map_or((0, 0), |(number, place, _)| (*number, 1 - place));
-        let slots = Slots { folder: folder.to_owned(), number, next, named: false };
-        Ok((slots, newest.map(|(.., state)| state)))
+        let [first, second] = NAMES;
+        let found = [look(&folder.join(first))?, look(&folder.join(second))?];
+        let (turn, kept) = Turn::after(found);
+        Ok((Slots { folder: folder.to_owned(), turn, named: false }, kept))
     }
 
     /// Writes and syncs a state; where it returns, a loss of power does not take it.
     pub fn put(&mut self, state: &Durable) -> io::Result<()> {
-        let path = self.folder.join(NAMES[self.next]);
+        let path = self.folder.join(NAMES[self.turn.slot]);
         let mut file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
-        let bytes = write(self.number + 1, state);
+        let bytes = self.turn.bytes(state);
         file.seek(SeekFrom::Start(0))?;
         file.write_all(&bytes)?;
         file.set_len(bytes.len() as u64)?;
         file.sync_all()?;
         if !self.named {
             File::open(&self.folder)?.sync_all()?;
-            self.named = self.next == 1;
+            self.named = self.turn.slot == 1;
         }
-        self.number += 1;
-        self.next = 1 - self.next;
+        self.turn.done();
         Ok(())
     }
 }
--- a/crates/barograph/tests/world/faults.rs
+++ b/crates/barograph/tests/world/faults.rs
@@ -2,7 +2,6 @@
 
 use super::World;
 use std::net::Ipv4Addr;
-use violetyoke_barograph::disk;
 
 impl World {
     /// The process ends. With the power, what is not synced is lost, and the slot that was being written may be torn.
@@ -12,15 +11,15 @@
         machine.register = None;
         machine.late.clear();
         if let (true, Some((_, state, _))) = (power, machine.writing.first()) {
-            let whole = disk::write(machine.number + 1, state);
+            let whole = machine.turn.bytes(state);
             match tear {
                 0 => {}
-                1 => machine.slots[machine.next] = whole[..whole.len() / 2].to_vec(),
-                _ => machine.slots[machine.next] = whole,
+                1 => machine.slots[machine.turn.slot] = whole[..whole.len() / 2].to_vec(),
+                _ => machine.slots[machine.turn.slot] = whole,
             }
         } else if let Some((_, state, _)) = machine.writing.last().cloned() {
             // Bytes that a process wrote stay when only the process dies.
-            machine.slots[machine.next] = disk::write(machine.number + 1, &state);
+            machine.slots[machine.turn.slot] = machine.turn.bytes(&state);
         }
         machine.writing.clear();
     }
--- a/crates/barograph/tests/world/mod.rs
+++ b/crates/barograph/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use due::{Due, LetterBox};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::Ipv4Addr;
-use violetyoke_barograph::disk;
+use violetyoke_barograph::disk::{self, Turn};
 use violetyoke_barograph::register::{Durable, Effect, Event, Register, Start};
 use violetyoke_mast::words::{Letter, Order};
 
@@ -27,8 +27,7 @@
     pub register: Option<Register>,
     /// Bytes of both slots, as `disk` writes them.
     slots: [Vec<u8>; 2],
-    number: u64,
-    next: usize,
+    turn: Turn,
     /// What is asked to be kept and is not yet: number of the ask, state, when it is done.
     writing: Vec<(u64, Durable, Millis)>,
     pub stalled_until: Millis,
@@ -85,8 +84,7 @@
                 zone: zone.into(),
                 register: None,
                 slots: [Vec::new(), Vec::new()],
-                number: 0,
-                next: 0,
+                turn: Turn::default(),
                 writing: Vec::new(),
                 stalled_until: 0,
                 frozen_until: 0,
@@ -110,19 +108,14 @@
         let drawn = self.chance.below(u64::MAX - 1) + 1;
         let now = self.now;
         let machine = &mut self.machines[n];
-        let found = machine.slots.iter().enumerate().filter_map(|(place, bytes)| match disk::read(bytes) {
-            disk::Found::State { number, state } => Some((number, place, *state)),
-            _ => None,
-        });
-        let newest = found.max_by_key(|(number, ..)| *number);
-        (machine.number, machine.next) =
-            newest.as_ref().map_or((0, 0), |(number, place, _)| (*number, 1 - place));
+        let (turn, kept) = Turn::after([disk::read(&machine.slots[0]), disk::read(&machine.slots[1])]);
+        machine.turn = turn;
         let start = Start {
             ip: machine.ip,
             zone: machine.zone.clone(),
             seeds: seeds.to_vec(),
             tolerance: self.tolerance,
-            kept: newest.map(|(.., state)| state).unwrap_or_default(),
+            kept: kept.unwrap_or_default(),
         };
         machine.life += 1;
         machine.register = Some(Register::new(start, now, drawn, bootstrap));
@@ -167,9 +160,8 @@
                         if let Some(place) = machine.writing.iter().position(|(asked, ..)| *asked == number) {
                             let state = machine.writing[place].1.clone();
                             machine.writing.drain(..=place);
-                            machine.number += 1;
-                            machine.slots[machine.next] = disk::write(machine.number, &state);
-                            machine.next = 1 - machine.next;
+                            machine.slots[machine.turn.slot] = machine.turn.bytes(&state);
+                            machine.turn.done();
                             self.event(to, Event::Kept(number));
                         }
                     }
--- a/crates/mast/src/changes.rs
+++ b/crates/mast/src/changes.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{interval, MissedTickBehavior};
 use violetyoke_station::Settings;
 
@@ -14,14 +14,14 @@
     std::fs::metadata(path).and_then(|about| about.modified()).ok()
 }
 
-/// Each new text of the settings file that can be used; one that can't is logged and the settings stay.
+/// Tells each new text of the settings file that can be used; one that can't is logged and the settings stay.
 pub fn watch(
     path: PathBuf,
     mut last: Settings,
+    told: UnboundedSender<Settings>,
     log: slog::Logger,
-) -> std::io::Result<UnboundedReceiver<Settings>> {
+) -> std::io::Result<()> {
     let mut hup = signal(SignalKind::hangup())?;
-    let (told, settings) = unbounded_channel();
     tokio::task::spawn_local(async move {
         let mut time = changed(&path);
         let mut looks = interval(LOOK);
@@ -50,5 +50,5 @@
             }
         }
     });
-    Ok(settings)
+    Ok(())
 }
--- a/crates/mast/src/lib.rs
+++ b/crates/mast/src/lib.rs
@@ -1,10 +1,13 @@
-//! What the system's own processes say to each other (`words`), the connections they say it on (`link`, `frame`), and
-//! how they log (`log`). Nothing is decided here.
+//! What the system's own processes say to each other (`words`), the connections they say it on (`net`, `link`, `frame`), how
+//! they begin (`program`, `life`) and log (`log`). Nothing is decided here.
 
 pub mod changes;
 pub mod frame;
+pub mod life;
 pub mod link;
 pub mod log;
+pub mod net;
 pub mod pack;
 pub mod program;
 pub mod words;
+pub mod world;
--- a/crates/mast/src/link.rs
+++ b/crates/mast/src/link.rs
@@ -1,15 +1,14 @@
 //! Connections between own processes: kept up by the side that opens them, found dead by silence on both.
 
 use crate::frame::{append, codec};
+use crate::net::{connect, Listener, Stream};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{split, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedRead;
@@ -47,18 +46,13 @@
     Down,
 }
 
-fn tune(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE))
-}
-
 /// Keeps a connection to `address` until the task is aborted; `told` gets each event.
 pub async fn keep(address: SocketAddrV4, told: impl Fn(Event) + 'static) {
     let told: Rc<dyn Fn(Event)> = Rc::new(told);
     let mut pause = FIRST_PAUSE;
     loop {
-        if let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(address)).await {
-            if tune(&stream).is_ok() {
+        if let Ok(Ok(stream)) = timeout(CONNECT, connect(address.into())).await {
+            if stream.ends_after(SILENCE).is_ok() {
                 pause = FIRST_PAUSE;
                 run(stream, &told).await;
             }
@@ -69,22 +63,22 @@
 }
 
 /// Takes connections for as long as the listener stands; `open` gives each what it tells its events to.
-pub async fn take<F: Fn(Event) + 'static>(listener: TcpListener, open: impl Fn(SocketAddrV4) -> F) {
+pub async fn take<F: Fn(Event) + 'static>(listener: Listener, open: impl Fn(SocketAddrV4) -> F) {
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             sleep(FIRST_PAUSE).await;
             continue;
         };
         let std::net::SocketAddr::V4(from) = from else { continue };
-        if tune(&stream).is_ok() {
+        if stream.ends_after(SILENCE).is_ok() {
             let told: Rc<dyn Fn(Event)> = Rc::new(open(from));
             tokio::task::spawn_local(async move { run(stream, &told).await });
         }
     }
 }
 
-async fn run(stream: TcpStream, told: &Rc<dyn Fn(Event)>) {
-    let (reader, writer) = stream.into_split();
+async fn run(stream: Stream, told: &Rc<dyn Fn(Event)>) {
+    let (reader, writer) = split(stream);
     let (sender, queue) = unbounded_channel();
     told(Event::Up(Sender(sender)));
     tokio::select! {
@@ -94,7 +88,7 @@
     told(Event::Down);
 }
 
-async fn read(reader: OwnedReadHalf, told: &Rc<dyn Fn(Event)>) {
+async fn read(reader: ReadHalf<Stream>, told: &Rc<dyn Fn(Event)>) {
     let mut frames = FramedRead::new(reader, codec());
     while let Ok(Some(Ok(frame))) = timeout(SILENCE, frames.next()).await {
         if !frame.is_empty() {
@@ -103,7 +97,7 @@
     }
 }
 
-async fn write(mut writer: OwnedWriteHalf, mut queue: UnboundedReceiver<Bytes>) -> io::Result<()> {
+async fn write(mut writer: WriteHalf<Stream>, mut queue: UnboundedReceiver<Bytes>) -> io::Result<()> {
     let mut out = BytesMut::new();
     loop {
         match timeout(BEAT, queue.recv()).await {
--- /dev/null
+++ b/crates/mast/src/net.rs
@@ -0,0 +1,140 @@
+//! Connections as the daemons have them: the operating system's, or those of an emulated world that is installed on this
+//! thread. A daemon can't tell them apart, so that whole systems run in virtual time on the code that is shipped.
+
+use crate::world::{here, Opened};
+use std::io::{self, IoSlice};
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Mutex;
+
+/// Connections that wait to be taken.
+const BACKLOG: u32 = 1024;
+
+/// A connection.
+#[derive(Debug)]
+pub enum Stream {
+    Tcp(TcpStream),
+    Emulated(DuplexStream),
+}
+
+/// Opens a connection; small writes go out at once.
+pub async fn connect(to: SocketAddr) -> io::Result<Stream> {
+    match here() {
+        Some(world) => world.connect(to).await.map(Stream::Emulated),
+        None => {
+            let stream = TcpStream::connect(to).await?;
+            stream.set_nodelay(true)?;
+            Ok(Stream::Tcp(stream))
+        }
+    }
+}
+
+impl Stream {
+    /// A connection on which so long nothing is acknowledged has ended.
+    pub fn ends_after(&self, silence: Duration) -> io::Result<()> {
+        match self {
+            Stream::Tcp(stream) => socket2::SockRef::from(stream).set_tcp_user_timeout(Some(silence)),
+            Stream::Emulated(_) => Ok(()),
+        }
+    }
+
+    /// Nothing has come, neither bytes nor an end.
+    pub fn silent(&mut self) -> bool {
+        let mut byte = [0];
+        match self {
+            Stream::Tcp(stream) => {
+                matches!(stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+            }
+            Stream::Emulated(stream) => {
+                let mut context = Context::from_waker(Waker::noop());
+                Pin::new(stream).poll_read(&mut context, &mut ReadBuf::new(&mut byte)).is_pending()
+            }
+        }
+    }
+}
+
+/// A place where connections are taken.
+#[derive(Debug)]
+pub enum Listener {
+    Tcp(tokio::net::TcpListener),
+    Emulated(Mutex<Opened>),
+}
+
+/// Takes connections at an address from now on.
+pub fn listen(at: SocketAddr) -> io::Result<Listener> {
+    if let Some(world) = here() {
+        return world.listen(at).map(|opened| Listener::Emulated(Mutex::new(opened)));
+    }
+    let socket = match at.ip() {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG).map(Listener::Tcp)
+}
+
+impl Listener {
+    pub async fn accept(&self) -> io::Result<(Stream, SocketAddr)> {
+        match self {
+            Listener::Tcp(listener) => {
+                let (stream, from) = listener.accept().await?;
+                stream.set_nodelay(true)?;
+                Ok((Stream::Tcp(stream), from))
+            }
+            Listener::Emulated(opened) => {
+                let (stream, from) = opened.lock().await.recv().await.ok_or(io::ErrorKind::NotConnected)?;
+                Ok((Stream::Emulated(stream), from))
+            }
+        }
+    }
+}
+
+/// Calls the same on whichever connection it is.
+macro_rules! either {
+    ($stream:expr, $call:ident $(, $argument:expr)*) => {
+        match $stream.get_mut() {
+            Stream::Tcp(stream) => Pin::new(stream).$call($($argument),*),
+            Stream::Emulated(stream) => Pin::new(stream).$call($($argument),*),
+        }
+    };
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, into: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        either!(self, poll_read, cx, into)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        either!(self, poll_write, cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        either!(self, poll_write_vectored, cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        match self {
+            Stream::Tcp(stream) => stream.is_write_vectored(),
+            Stream::Emulated(stream) => stream.is_write_vectored(),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        either!(self, poll_flush, cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        either!(self, poll_shutdown, cx)
+    }
+}
--- a/crates/mast/src/program.rs
+++ b/crates/mast/src/program.rs
@@ -1,5 +1,6 @@
 //! How each daemon begins: its command line, its settings, its log, its one thread.
 
+use crate::life::Life;
 use lexopt::prelude::*;
 use slog::Logger;
 use std::fmt::{self, Debug};
@@ -56,7 +57,7 @@
     program: &'static str,
     about: &str,
     mut arguments: lexopt::Parser,
-    main: impl FnOnce(PathBuf, Settings, Logger) -> F,
+    main: impl FnOnce(Settings, Life, Logger) -> F,
 ) -> ExitCode
 where
     F: Future<Output = Result<(), E>>,
@@ -87,9 +88,11 @@
     let log = crate::log::logger(program, &settings.me.node);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.map(|runtime| {
-        tokio::task::LocalSet::new()
-            .block_on(&runtime, main(file, settings, log))
-            .map_err(|report| format!("{report:?}"))
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let life = Life::of_process(file, settings.clone(), log.clone());
+            let life = life.map_err(|error| error.to_string())?;
+            main(settings, life, log).await.map_err(|report| format!("{report:?}"))
+        })
     });
     match ended.map_err(|error| error.to_string()) {
         Ok(Ok(())) => ExitCode::SUCCESS,
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -17,19 +17,17 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use stores::Stores;
 use telling::Telling;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::Notify;
 use tokio::time::{interval, Instant, MissedTickBehavior};
-use violetyoke_mast::changes;
 use violetyoke_mast::frame::{decode, encode};
+use violetyoke_mast::life::Life;
 use violetyoke_mast::link::{self, Sender};
+use violetyoke_mast::net::{self, Listener};
 use violetyoke_mast::program::Failed;
 use violetyoke_mast::words::{Backend, Gossip, Held, RegistryAsk};
 use violetyoke_station::settings::{Process, Settings};
@@ -80,15 +78,14 @@
     log: Logger,
 }
 
-pub async fn run(file: PathBuf, settings: Settings, log: Logger) -> Result<(), Report<Failed>> {
-    let mut changes = changes::watch(file, settings.clone(), log.clone()).change_context(FAILED)?;
+pub async fn run(settings: Settings, mut life: Life, log: Logger) -> Result<(), Report<Failed>> {
     let (inputs, mut queue) = unbounded_channel();
     let me = settings.me.ip;
-    let inner = bind((me, settings.inner(Process::Registry)).into(), "network.internal-ports").await?;
+    let inner = bind((me, settings.inner(Process::Registry)).into(), "network.internal-ports")?;
     let control = outside_address(settings.network.listen.control, "network.listen.control")?;
     let directory = outside_address(settings.network.listen.directory, "network.listen.directory")?;
     let (control, directory) =
-        (bind(control, "network.listen.control").await?, bind(directory, "network.listen.directory").await?);
+        (bind(control, "network.listen.control")?, bind(directory, "network.listen.directory")?);
     let opened = inputs.clone();
     let numbers = std::cell::Cell::new(0u64);
     tokio::task::spawn_local(link::take(inner, move |_| {
@@ -115,7 +112,6 @@
     }));
     tokio::task::spawn_local(outside::serve(control, registry.clone(), outside::Door::Control));
     tokio::task::spawn_local(outside::serve(directory, registry.clone(), outside::Door::Directory));
-    let mut term = signal(SignalKind::terminate()).change_context(FAILED)?;
     info!(registry.borrow().log, "begins");
     let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
@@ -126,8 +122,8 @@
                 Some(input) => registry.borrow_mut().input(input),
                 None => return Ok(()),
             },
-            Some(settings) = changes.recv() => registry.borrow_mut().settings = settings,
-            _ = term.recv(), if leaves.is_none() => {
+            Some(settings) = life.settings.recv() => registry.borrow_mut().settings = settings,
+            Some(()) = life.leave.recv(), if leaves.is_none() => {
                 info!(registry.borrow().log, "leaves");
                 leaves = Some(Instant::now());
             }
@@ -144,8 +140,8 @@
     }
 }
 
-async fn bind(address: SocketAddr, field: &str) -> Result<TcpListener, Report<Failed>> {
-    TcpListener::bind(address).await.change_context(FAILED).attach_with(|| format!("{field}: {address}"))
+fn bind(address: SocketAddr, field: &str) -> Result<Listener, Report<Failed>> {
+    net::listen(address).change_context(FAILED).attach_with(|| format!("{field}: {address}"))
 }
 
 fn outside_address(address: Option<SocketAddr>, field: &str) -> Result<SocketAddr, Report<Failed>> {
--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/windvane/src/daemon/outside.rs
@@ -11,8 +11,8 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::time::{timeout_at, Instant};
+use violetyoke_mast::net::Listener;
 use violetyoke_mast::words::{Order, Outcome};
 use violetyoke_station::calls::{find, query, Call, Taker};
 use violetyoke_station::{Configuration, Invalid};
@@ -35,7 +35,7 @@
 type Shared = Rc<RefCell<Registry>>;
 type Answer = Response<Full<Bytes>>;
 
-pub(super) async fn serve(listener: TcpListener, registry: Shared, door: Door) {
+pub(super) async fn serve(listener: Listener, registry: Shared, door: Door) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/windvane/src/platform.rs
+++ b/crates/windvane/src/platform.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
+use violetyoke_mast::net::connect;
 use violetyoke_mast::words::Backend;
 use violetyoke_station::calls::{path_of, Call};
 
@@ -68,8 +68,7 @@
 }
 
 async fn pages(address: SocketAddr) -> Option<Vec<Backend>> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let stream = connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::task::spawn_local(async move { drop(connection.await) });
     let mut all = Vec::new();
