Play whole systems in virtual time, and judge them by what receivers saw

Weighed: the laboratory grown by another model of proxies and registries (a second copy to keep true), against the shipped daemons on an emulated network; taken the latter. Change: crates/radiosonde. Negative control, in its tests: disks that say they have synced what they have not are found as LOST, and the story is one event long.

--- /dev/null
+++ b/crates/radiosonde/src/lib.rs
@@ -0,0 +1,23 @@
+//! Whole systems in virtual time. `net`, `disk` and `process` are the machines; `fleet` runs the shipped daemons on them;
+//! `clients`, `backends`, `platform` and `operator` stand round them and note what they see (`records`). A `day` says
+//! what happens (`happen`), `world` plays it, `judge` holds the rules against the records, `story` shortens a day that
+//! breaks one. There is no model of processors: what a day is worth is told by delays, losses and decisions alone.
+
+mod backends;
+mod calls;
+mod clients;
+pub mod day;
+pub mod figures;
+mod fleet;
+mod happen;
+pub mod judge;
+mod net;
+mod operator;
+mod platform;
+mod process;
+pub mod records;
+pub mod site;
+pub mod story;
+pub mod world;
+
+mod disk;
--- /dev/null
+++ b/crates/radiosonde/src/main.rs
@@ -0,0 +1,122 @@
+//! `radiosonde`: whole systems in virtual time.
+
+use lexopt::prelude::*;
+use slog::Logger;
+use std::process::ExitCode;
+use violetyoke_radiosonde::day::Day;
+use violetyoke_radiosonde::site::Site;
+use violetyoke_radiosonde::story::{shorten, tell, Told};
+
+const HELP: &str = "radiosonde VERB [--seed N] [--days N] [--per-s N] [--edges N] [--five] [--log]
+
+Whole systems in virtual time: the shipped daemons, and days drawn by a seed.
+
+  quiet   a day without trouble
+  day     the day of a seed: its events, what it was worth, which rules it broke
+  hunt    many days, from that seed on; one that breaks a rule is shortened to a story
+
+  --seed N   the (first) seed (default: 1)
+  --days N   days of a hunt (default: 20)
+  --per-s N  requests a second of each zone's clients (default: 40)
+  --edges N  proxies in each zone (default: 2)
+  --five     five core machines, of which two may be lost
+  --log      what the daemons write, to standard error
+
+Exit status: 0 no rule broken, 1 a rule broken, 2 the command line is wrong.";
+
+struct Wanted {
+    verb: String,
+    seed: u64,
+    days: u64,
+    site: Site,
+    log: bool,
+}
+
+fn wanted() -> Result<Option<Wanted>, lexopt::Error> {
+    let (mut verb, mut seed, mut days, mut log) = (None, 1, 20, false);
+    let (mut per_s, mut edges, mut five) = (40.0, 2, false);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("seed") => seed = parser.value()?.parse()?,
+            Long("days") => days = parser.value()?.parse()?,
+            Long("per-s") => per_s = parser.value()?.parse()?,
+            Long("edges") => edges = parser.value()?.parse()?,
+            Long("five") => five = true,
+            Long("log") => log = true,
+            Long("help") | Short('h') => return Ok(None),
+            Value(word) if verb.is_none() => verb = Some(word.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    let site = Site::rooms(edges, per_s);
+    let site = if five { site.with_five_cores() } else { site };
+    let verb = verb.ok_or("no verb: quiet, day or hunt")?;
+    Ok(Some(Wanted { verb, seed, days, site, log }))
+}
+
+fn print(told: &Told) {
+    for event in &told.day.events {
+        println!("  {event}");
+    }
+    println!("  {}", told.figures);
+    for broken in told.broken.iter().take(10) {
+        println!("  BROKEN {}: {}", broken.rule, broken.what);
+    }
+}
+
+fn run(wanted: &Wanted) -> std::io::Result<bool> {
+    let log = || match wanted.log {
+        true => violetyoke_mast::log::logger("radiosonde", "world"),
+        false => Logger::root(slog::Discard, slog::o!()),
+    };
+    let day = match wanted.verb.as_str() {
+        "quiet" => Day::quiet(wanted.seed),
+        "day" => Day::drawn(wanted.seed, &wanted.site),
+        _ => return hunt(wanted),
+    };
+    let told = tell(&wanted.site, day, log())?;
+    print(&told);
+    Ok(told.broken.is_empty())
+}
+
+fn hunt(wanted: &Wanted) -> std::io::Result<bool> {
+    let mut found = 0;
+    for seed in wanted.seed..wanted.seed + wanted.days {
+        let day = Day::drawn(seed, &wanted.site);
+        let told = tell(&wanted.site, day, Logger::root(slog::Discard, slog::o!()))?;
+        println!("seed {seed}: {} events, {}", told.day.events.len(), told.figures);
+        if !told.broken.is_empty() {
+            found += 1;
+            print(&shorten(&wanted.site, told)?);
+        }
+    }
+    println!("{} days, {found} with a broken rule", wanted.days);
+    Ok(found == 0)
+}
+
+fn main() -> ExitCode {
+    let wanted = match wanted() {
+        Ok(Some(wanted)) if ["quiet", "day", "hunt"].contains(&wanted.verb.as_str()) => wanted,
+        Ok(Some(wanted)) => {
+            eprintln!("radiosonde: {}: no such verb; see --help", wanted.verb);
+            return ExitCode::from(2);
+        }
+        Ok(None) => {
+            println!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("radiosonde: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(&wanted) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("radiosonde: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/radiosonde/src/process.rs
@@ -0,0 +1,84 @@
+//! A process in the world: a future with tasks of its own, which can be killed, frozen and thawed from outside.
+
+use crate::net::{as_machine, Net};
+use futures_util::FutureExt;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::Ipv4Addr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::task::LocalSet;
+
+type Body = Pin<Box<dyn Future<Output = ()>>>;
+
+#[derive(Default)]
+struct Slot {
+    body: RefCell<Option<Body>>,
+    frozen: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Slot {
+    fn wake(&self) {
+        if let Some(waker) = self.waker.borrow().as_ref() {
+            waker.wake_by_ref();
+        }
+    }
+}
+
+/// A handle to a process.
+#[derive(Clone)]
+pub struct Process {
+    ip: Ipv4Addr,
+    slot: Rc<Slot>,
+}
+
+struct Runner(Process);
+
+impl Future for Runner {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let process = &self.0;
+        *process.slot.waker.borrow_mut() = Some(context.waker().clone());
+        if process.slot.frozen.get() {
+            return Poll::Pending;
+        }
+        // Out of its place while it runs, so that what it does may look at the process.
+        let Some(mut body) = process.slot.body.take() else { return Poll::Ready(()) };
+        let ended = as_machine(process.ip, || body.as_mut().poll(context));
+        if ended.is_pending() {
+            *process.slot.body.borrow_mut() = Some(body);
+        } else {
+            as_machine(process.ip, || drop(body));
+        }
+        ended
+    }
+}
+
+impl Process {
+    /// Starts a process on a machine, apart from whoever starts it; `body` may spawn local tasks, which end with it.
+    pub fn start(net: &Net, ip: Ipv4Addr, body: impl Future<Output = ()> + 'static) -> Process {
+        let body = async move { LocalSet::new().run_until(body).await };
+        let slot = Slot { body: RefCell::new(Some(Box::pin(body))), ..Slot::default() };
+        let process = Process { ip, slot: Rc::new(slot) };
+        net.spawn(Runner(process.clone()).boxed_local());
+        process
+    }
+
+    pub fn running(&self) -> bool {
+        self.slot.body.borrow().is_some()
+    }
+
+    pub fn kill(&self) {
+        let body = self.slot.body.take();
+        as_machine(self.ip, || drop(body));
+        self.slot.wake();
+    }
+
+    pub fn freeze(&self, frozen: bool) {
+        self.slot.frozen.set(frozen);
+        self.slot.wake();
+    }
+}
