Measure what changes cost, and how far apart ingresses take them: radiosonde changes

Change: a verb that plays changes alone, against the same span without any; lines of the proxies' logs say when each has one in force.

--- a/crates/radiosonde/src/day.rs
+++ b/crates/radiosonde/src/day.rs
@@ -66,6 +66,10 @@
     Join {
         name: String,
     },
+    /// So many routes more.
+    Routes {
+        count: usize,
+    },
     Revoke {
         tenant: usize,
     },
@@ -112,12 +116,18 @@
 pub struct Day {
     pub seed: u64,
     pub events: Vec<Event>,
+    /// How long the traffic lasts.
+    pub length: Millis,
 }
 
 impl Day {
     /// A day without trouble.
     pub fn quiet(seed: u64) -> Day {
-        Day { seed, events: vec![Event { at: 2_500, what: What::Join { name: "newcomer-1".into() } }] }
+        Day {
+            seed,
+            events: vec![Event { at: 2_500, what: What::Join { name: "newcomer-1".into() } }],
+            length: LENGTH,
+        }
     }
 
     /// A day of that seed. Machines are numbered cores first, as the fleet has them.
@@ -125,7 +135,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let cores: usize = site.cores.iter().sum();
         let edges: usize = site.edges.iter().sum();
-        let mut day = Day { seed, events: Vec::new() };
+        let mut day = Day { seed, events: Vec::new(), length: LENGTH };
         // Until when a counted loss lasts: the next one waits for its end.
         let mut lost = 0;
         let mut at = BUSY.start;
--- a/crates/radiosonde/src/happen.rs
+++ b/crates/radiosonde/src/happen.rs
@@ -64,6 +64,10 @@
                     self.crowd.joined.borrow_mut().push(name);
                 }
             }
+            What::Routes { count } => {
+                self.routes.set(self.routes.get() + count);
+                self.change(&[], self.moved.get()).await;
+            }
             What::Revoke { tenant } => {
                 self.crowd.gone.borrow_mut().push(tenant);
                 self.change(&[], self.moved.get()).await;
--- a/crates/radiosonde/src/judge.rs
+++ b/crates/radiosonde/src/judge.rs
@@ -17,7 +17,6 @@
     tries: HashMap<&'a str, &'a Try>,
     broken: Vec<Broken>,
 }
-
 /// Judges a day; nothing: it kept all rules.
 pub fn judge(site: &Site, records: &Records) -> Vec<Broken> {
     let tries = records.tries.iter().map(|one| (one.id.as_str(), one)).collect();
@@ -91,8 +90,8 @@
             What::Configuration { version, valid: true, .. } => Some((*version, order)),
             _ => None,
         });
-        let settled = sent.saturating_sub(self.site.bounds.config_apply_ms);
-        let acked = versions.clone().filter(|(_, it)| it.acked.is_some_and(|at| at <= settled));
+        let settled = |at: Millis| at + self.site.bounds.config_apply_ms <= sent;
+        let acked = versions.clone().filter(|(_, it)| it.acked.is_some_and(settled));
         let newest = acked.map(|(version, _)| version).max().unwrap_or(0);
         versions
             .filter(|(version, it)| *version >= newest && it.sent <= until)
--- a/crates/radiosonde/src/lib.rs
+++ b/crates/radiosonde/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod backends;
 mod calls;
+pub mod changes;
 mod clients;
 pub mod day;
 pub mod figures;
@@ -12,6 +13,7 @@
 mod happen;
 pub mod judge;
 mod net;
+mod noting;
 mod operator;
 mod platform;
 mod process;
--- a/crates/radiosonde/src/main.rs
+++ b/crates/radiosonde/src/main.rs
@@ -3,20 +3,24 @@
 use lexopt::prelude::*;
 use slog::Logger;
 use std::process::ExitCode;
+use violetyoke_radiosonde::changes;
 use violetyoke_radiosonde::day::Day;
 use violetyoke_radiosonde::site::Site;
 use violetyoke_radiosonde::story::{shorten, tell, Told};
 
-const HELP: &str = "radiosonde VERB [--seed N] [--days N] [--per-s N] [--edges N] [--five] [--log]
+const HELP: &str =
+    "radiosonde VERB [--seed N] [--days N] [--routes N] [--per-s N] [--edges N] [--five] [--log]
 
 Whole systems in virtual time: the shipped daemons, and days drawn by a seed.
 
   quiet   a day without trouble
   day     the day of a seed: its events, what it was worth, which rules it broke
   hunt    many days, from that seed on; one that breaks a rule is shortened to a story
+  changes what changes cost and how far apart ingresses take them: tenants that join, or --routes N each
 
   --seed N   the (first) seed (default: 1)
-  --days N   days of a hunt (default: 20)
+  --days N   days of a hunt, or changes (default: 20)
+  --routes N routes that each change adds
   --per-s N  requests a second of each zone's clients (default: 40)
   --edges N  proxies in each zone (default: 2)
   --five     five core machines, of which two may be lost
@@ -28,13 +32,14 @@
     verb: String,
     seed: u64,
     days: u64,
+    routes: usize,
     site: Site,
     log: bool,
 }
 
 fn wanted() -> Result<Option<Wanted>, lexopt::Error> {
     let (mut verb, mut seed, mut days, mut log) = (None, 1, 20, false);
-    let (mut per_s, mut edges, mut five) = (40.0, 2, false);
+    let (mut per_s, mut edges, mut five, mut routes) = (40.0, 2, false, 0);
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -42,6 +47,7 @@
             Long("days") => days = parser.value()?.parse()?,
             Long("per-s") => per_s = parser.value()?.parse()?,
             Long("edges") => edges = parser.value()?.parse()?,
+            Long("routes") => routes = parser.value()?.parse()?,
             Long("five") => five = true,
             Long("log") => log = true,
             Long("help") | Short('h') => return Ok(None),
@@ -51,8 +57,8 @@
     }
     let site = Site::rooms(edges, per_s);
     let site = if five { site.with_five_cores() } else { site };
-    let verb = verb.ok_or("no verb: quiet, day or hunt")?;
-    Ok(Some(Wanted { verb, seed, days, site, log }))
+    let verb = verb.ok_or("no verb: quiet, day, hunt or changes")?;
+    Ok(Some(Wanted { verb, seed, days, routes, site, log }))
 }
 
 fn print(told: &Told) {
@@ -73,6 +79,10 @@
     let day = match wanted.verb.as_str() {
         "quiet" => Day::quiet(wanted.seed),
         "day" => Day::drawn(wanted.seed, &wanted.site),
+        "changes" => {
+            println!("{}", changes::measure(&wanted.site, wanted.days as usize, wanted.routes, wanted.seed)?);
+            return Ok(true);
+        }
         _ => return hunt(wanted),
     };
     let told = tell(&wanted.site, day, log())?;
@@ -97,7 +107,7 @@
 
 fn main() -> ExitCode {
     let wanted = match wanted() {
-        Ok(Some(wanted)) if ["quiet", "day", "hunt"].contains(&wanted.verb.as_str()) => wanted,
+        Ok(Some(wanted)) if ["quiet", "day", "hunt", "changes"].contains(&wanted.verb.as_str()) => wanted,
         Ok(Some(wanted)) => {
             eprintln!("radiosonde: {}: no such verb; see --help", wanted.verb);
             return ExitCode::from(2);
--- a/crates/radiosonde/src/records.rs
+++ b/crates/radiosonde/src/records.rs
@@ -114,6 +114,10 @@
         Notes { records: Rc::default(), begun: Instant::now() }
     }
 
+    pub fn begun(&self) -> Instant {
+        self.begun
+    }
+
     pub fn now(&self) -> Millis {
         self.begun.elapsed().as_millis() as Millis
     }
--- a/crates/radiosonde/src/site.rs
+++ b/crates/radiosonde/src/site.rs
@@ -153,8 +153,9 @@
         (all * self.part(tenant) * 1.6).max(5.0).ceil()
     }
 
-    /// The configuration of that version, with the tenants that there are by then.
-    pub fn configuration(&self, version: u64, more: &[String], gone: &[usize]) -> Value {
+    /// The configuration of that version, with the tenants, and the routes more, that there are by
+    /// then.
+    pub fn configuration(&self, version: u64, more: &[String], gone: &[usize], routes: usize) -> Value {
         let routes: Vec<Value> = self
             .kinds
             .iter()
@@ -171,6 +172,19 @@
                     self.services[kind.service].name
                 ])
             })
+            .chain((0..routes).map(|n| {
+                json!([
+                    format!("more-{n}"),
+                    HOST,
+                    format!("/more/{n}/"),
+                    "idempotent",
+                    1000,
+                    400,
+                    2,
+                    [],
+                    "finder"
+                ])
+            }))
             .collect();
         let services: Vec<Value> =
             self.services.iter().map(|it| json!([it.name, it.cold_s, it.cold_per_s, 100])).collect();
--- a/crates/radiosonde/src/world.rs
+++ b/crates/radiosonde/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::Backends;
 use crate::clients::{self, Crowd};
-use crate::day::{Day, Event, LEAD, LENGTH};
+use crate::day::{Day, Event, LEAD};
 use crate::fleet::Fleet;
 use crate::net::{Carried, Net, Place};
 use crate::operator::Operator;
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 use violetyoke_mast::world::install;
 
 const PLATFORM: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::new(10, 201, 0, 1)), 8082);
@@ -37,11 +37,15 @@
     pub version: Cell<u64>,
     /// Searches go to another service.
     pub moved: Cell<bool>,
+    /// Routes beside those of the site.
+    pub routes: Cell<usize>,
     pub seed: Cell<u64>,
 }
 
 /// What is left of a day.
 pub struct Played {
+    /// When the world began.
+    pub begun: Instant,
     pub records: Records,
     pub carried: Carried,
     /// Syncs of all disks, and their bytes.
@@ -103,6 +107,7 @@
         operator: Operator { notes: notes.clone(), controls: Rc::new(controls), zones: Rc::new(zones) },
         version: Cell::new(0),
         moved: Cell::new(false),
+        routes: Cell::new(0),
         seed: Cell::new(day.seed),
     });
     let first = world.clone();
@@ -111,8 +116,9 @@
     });
     spawn_local(look_after(world.clone()));
     sleep(Duration::from_millis(LEAD)).await;
+    let zones = if site.per_s > 0.0 { site.zones.len() } else { 0 };
     let clients: Vec<Process> =
-        (0..site.zones.len()).map(|zone| clients::start(&net, crowd.clone(), zone, day.seed)).collect();
+        (0..zones).map(|zone| clients::start(&net, crowd.clone(), zone, day.seed)).collect();
     for Event { at, what } in day.events.clone() {
         let world = world.clone();
         // Orders go out from the operator's machine.
@@ -121,7 +127,7 @@
             world.happen(what).await;
         });
     }
-    sleep(Duration::from_millis(LENGTH)).await;
+    sleep(Duration::from_millis(day.length)).await;
     crowd.ends.set(true);
     sleep(Duration::from_secs(3)).await;
     drop(clients);
@@ -133,7 +139,7 @@
     let fleet = world.fleet.borrow();
     let synced = fleet.machines.iter().map(|it| net.platter(it.ip).written());
     let synced = synced.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1));
-    Played { records: notes.records.take(), carried: net.carried(), synced }
+    Played { begun: notes.begun(), records: notes.records.take(), carried: net.carried(), synced }
 }
 
 /// Processes that have ended are started again.
@@ -176,7 +182,7 @@
         if moved {
             site.kinds[0].service = 2;
         }
-        let text = site.configuration(version, &joined, &gone).to_string();
+        let text = site.configuration(version, &joined, &gone, self.routes.get()).to_string();
         let standing = (0..site.tenants).filter(|n| !gone.contains(n)).map(crate::site::key);
         let keys = standing.chain(joined.iter().map(|name| format!("key-{name}"))).collect();
         let services = site.kinds.iter().map(|kind| kind.service).collect();
