Check the register in every order of letters, syncs, silence and deaths

Change: barograph/tests/model, stateright over three shipped registers: from a standing epoch on, and from an order on its way while another store has just begun to take over; steps are letters in any order or never, syncs, silence of the primary, one death, two orders.

--- /dev/null
+++ b/crates/barograph/tests/model/moment.rs
@@ -0,0 +1,119 @@
+//! One moment of three stores: what each process knows, what each disk has, which letters are on their way.
+
+use std::hash::{Hash, Hasher};
+use std::net::Ipv4Addr;
+use violetyoke_barograph::register::{Durable, Effect, Event, Register, Start};
+use violetyoke_mast::words::{Letter, Outcome, PeerWord};
+
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// None while its process is down.
+    pub register: Option<Register>,
+    pub kept: Durable,
+    /// What was asked to be kept, and is not yet.
+    pub writing: Vec<(u64, Durable)>,
+}
+
+/// All that there is at one moment. Beats are no letters here: silence and its end are steps of their own.
+#[derive(Clone, Debug)]
+pub struct Moment {
+    pub now: u64,
+    pub stores: Vec<Store>,
+    pub letters: Vec<(usize, Letter)>,
+    pub sent: u64,
+    pub acknowledged: u64,
+    pub deaths: u32,
+}
+
+// Two moments with all alike in what they print are the same: registers hold nothing that they don't print.
+impl Hash for Moment {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        format!("{self:?}").hash(state);
+    }
+}
+
+impl PartialEq for Moment {
+    fn eq(&self, other: &Moment) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+pub fn ip(n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, n as u8 + 1)
+}
+
+pub fn begin(n: usize, kept: Durable, now: u64) -> Register {
+    let zone = if n == 1 { "b" } else { "a" }.to_owned();
+    let start = Start { ip: ip(n), zone, seeds: (0..3).map(ip).collect(), tolerance: 1, kept };
+    Register::new(start, now, n as u64 + 1, true)
+}
+
+impl Moment {
+    pub fn handle(&mut self, n: usize, event: Event, beats: bool) {
+        let now = self.now;
+        let Some(register) = &mut self.stores[n].register else { return };
+        let effects = register.handle(now, event);
+        let from = register.member().clone();
+        for effect in effects {
+            match effect {
+                Effect::Send { word: PeerWord::Beat(_), .. } if !beats => {}
+                Effect::Send { to, word } => {
+                    let Some(place) = (0..3).find(|place| ip(*place) == to) else { continue };
+                    // The same word sent again while the first is on its way is one letter.
+                    let letter = (place, Letter { from: from.clone(), word });
+                    if !self.letters.contains(&letter) {
+                        self.letters.push(letter);
+                    }
+                }
+                Effect::Keep { number, state } => self.stores[n].writing.push((number, state)),
+                Effect::Answer { outcome: Outcome::Acknowledged, client } => {
+                    self.acknowledged = self.acknowledged.max(client);
+                }
+                Effect::Answer { .. } | Effect::Publish => {}
+            }
+        }
+    }
+
+    pub fn sync(&mut self, n: usize) {
+        let Some((number, state)) = self.stores[n].writing.pop() else { return };
+        self.stores[n].writing.clear();
+        self.stores[n].kept = state;
+        self.handle(n, Event::Kept(number), false);
+    }
+
+    /// Beats of one store, as another hears them.
+    pub fn beat(&mut self, from: usize, to: usize) {
+        let before = self.letters.len();
+        self.handle(from, Event::Tick { disk: true }, true);
+        let new = self.letters.split_off(before);
+        for (place, letter) in new {
+            match letter.word {
+                PeerWord::Beat(_) if place == to => self.handle(to, Event::Letter(letter), false),
+                PeerWord::Beat(_) => {}
+                _ => self.letters.push((place, letter)),
+            }
+        }
+    }
+
+    /// Everything that can happen without a fault, until the first epoch stands.
+    pub fn settle(&mut self) {
+        for _ in 0..60 {
+            self.now += 50;
+            for n in 0..3 {
+                self.handle(n, Event::Tick { disk: true }, true);
+            }
+            while !self.letters.is_empty() || self.stores.iter().any(|store| !store.writing.is_empty()) {
+                for (to, letter) in std::mem::take(&mut self.letters) {
+                    self.handle(to, Event::Letter(letter), true);
+                }
+                (0..3).for_each(|n| self.sync(n));
+            }
+        }
+    }
+
+    /// The store that leads under the highest epoch.
+    pub fn leader(&self) -> Option<&Register> {
+        let registers = self.stores.iter().filter_map(|store| store.register.as_ref());
+        registers.filter(|register| register.active()).max_by_key(|register| register.epoch())
+    }
+}
