Keep back what ingresses that are cut off may pass, and never begin a count anew

(a) The holder let the whole limit pass while the two cut off passed their own parts, 0.75 of an even part each. (b) After another deal the first word of any one ingress reset the count of a holder that had held it all along: (a proxy that had been cut off reconnects) up to a window more. Change: raingauge/absent.rs knows who was a member and is away, told among registries too; the holder keeps back their part, less what the rule's overshoot bears, until five seconds after they are back. A holder's own count and what is told are two counts, the larger decides.

--- a/crates/mast/src/words/proxies.rs
+++ b/crates/mast/src/words/proxies.rs
@@ -137,6 +137,8 @@
 pub struct Gossip {
     pub from: Ipv4Addr,
     pub sessions: Vec<Session>,
+    /// Proxies whose sessions have ended of late, by their numbers.
+    pub away: Vec<u32>,
     pub list: Option<List>,
 }
 
--- a/crates/raingauge/src/holder.rs
+++ b/crates/raingauge/src/holder.rs
@@ -5,8 +5,10 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Count<F> {
+    /// What was counted here.
     window: Window,
-    /// Under which deal it was begun.
+    /// What ingresses told under the newest deal that any told under, and what was counted here since.
+    told: Window,
     fence: F,
 }
 
@@ -39,7 +41,16 @@
             return Err(Stale);
         }
         self.newest = fence;
-        Ok(self.count(tenant).window.add(now, limit))
+        let count = self.count(tenant);
+        // Whoever held it all along has counted more than a few tell; whoever is new to it has been told more.
+        let here = count.window.estimate(now, limit) >= count.told.estimate(now, limit);
+        let (larger, smaller) =
+            if here { (&mut count.window, &mut count.told) } else { (&mut count.told, &mut count.window) };
+        let added = larger.add(now, limit);
+        if added.is_ok() {
+            smaller.note(now, limit, 1.0, 0.0);
+        }
+        Ok(added)
     }
 
     /// What one ingress let pass of a tenant in its last two windows, told when the count came here: a holder that is
@@ -58,16 +69,17 @@
         self.newest = fence;
         let count = self.count(tenant);
         if count.fence < fence {
-            // Held here once, and elsewhere since: what is left of that would count twice.
-            *count = Count { window: Window::default(), fence };
+            // Another deal: whoever comes to this holder by it tells anew, and others have no reason to.
+            let window = count.window.larger(count.told, now, limit);
+            *count = Count { window, told: Window::default(), fence };
         }
-        count.window.note(now, limit, told.0, told.1);
+        count.told.note(now, limit, told.0, told.1);
         Ok(())
     }
 
     fn count(&mut self, tenant: &str) -> &mut Count<F> {
         if !self.counts.contains_key(tenant) {
-            let count = Count { window: Window::default(), fence: self.newest };
+            let count = Count { window: Window::default(), told: Window::default(), fence: self.newest };
             self.counts.insert(tenant.to_owned(), count);
         }
         self.counts.entry(tenant.to_owned()).or_default()
--- a/crates/raingauge/src/lib.rs
+++ b/crates/raingauge/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert!(window.add(2_001, limit).is_ok());
 //! ```
 
+pub mod absent;
 pub mod deal;
 pub mod holder;
 pub mod own;
--- a/crates/raingauge/src/own.rs
+++ b/crates/raingauge/src/own.rs
@@ -5,9 +5,9 @@
 
 /// Of its even part, so much is an ingress's own while it can't ask: others may still ask, and the parts of those that
 /// have just gone are not yet known to be free.
-const PART: f64 = 0.75;
+pub(crate) const PART: f64 = 0.75;
 /// Windows of that part (ms): the quota's own span.
-const LENGTH: Millis = 5_000;
+pub(crate) const LENGTH: Millis = 5_000;
 
 #[derive(Clone, Debug, Default)]
 struct Own {
--- a/crates/raingauge/src/window.rs
+++ b/crates/raingauge/src/window.rs
@@ -76,6 +76,14 @@
         Err((at - elapsed).max(1.0).ceil() as Millis)
     }
 
+    /// The larger of two counts of the same, window by window.
+    pub fn larger(mut self, mut other: Window, now: Millis, limit: Limit) -> Window {
+        self.roll(now, limit);
+        other.roll(now, limit);
+        let (current, previous) = (self.current.max(other.current), self.previous.max(other.previous));
+        Window { number: self.number, current, previous }
+    }
+
     /// Counts what was let pass without asking here.
     pub fn note(&mut self, now: Millis, limit: Limit, current: f64, previous: f64) {
         self.roll(now, limit);
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/windvane/src/daemon/mod.rs
@@ -209,6 +209,7 @@
                 Ok(RegistryAsk::Registry(gossip)) => {
                     self.heard.insert(number, gossip.from);
                     self.sessions.told(gossip.from, gossip.sessions);
+                    self.proxies.absent.told(now, &gossip.away);
                     if let Some(list) = gossip.list {
                         self.lists.told(now, list);
                     }
@@ -221,7 +222,8 @@
 
     /// Tells all other registries the sessions that stand here.
     fn gossip(&self, list: Option<violetyoke_mast::words::List>) {
-        let gossip = Gossip { from: self.settings.me.ip, sessions: self.sessions.own(), list };
+        let away = self.proxies.absent.away();
+        let gossip = Gossip { from: self.settings.me.ip, sessions: self.sessions.own(), away, list };
         let frame = encode(&RegistryAsk::Registry(gossip));
         for sender in self.registries.values().flatten() {
             sender.send(frame.clone());
--- a/crates/windvane/src/daemon/proxies.rs
+++ b/crates/windvane/src/daemon/proxies.rs
@@ -7,11 +7,16 @@
 use violetyoke_mast::frame::encode;
 use violetyoke_mast::link::Sender;
 use violetyoke_mast::words::{Held, Owners, ProxyAsk, ProxySays, Stamp};
+use violetyoke_raingauge::absent::Absent;
 use violetyoke_raingauge::deal::Dealt;
 use violetyoke_raingauge::holder::Holder;
 use violetyoke_raingauge::Limit;
 use violetyoke_station::Configuration;
 
+/// Of the part by which a limit may be passed, so much bears what proxies pass that can't ask; ways and turns of windows
+/// take the rest.
+const BORNE: f64 = 0.6;
+
 pub(super) struct Proxy {
     pub sender: Sender,
     pub hello: bool,
@@ -29,6 +34,8 @@
 pub(super) struct Proxies {
     pub by_connection: BTreeMap<u64, Proxy>,
     pub counts: Holder<Stamp>,
+    /// Proxies that may pass requests without asking.
+    pub absent: Absent,
     limits: HashMap<String, Option<Limit>>,
     dealt: Dealt,
 }
@@ -110,17 +117,21 @@
             }
             ProxyAsk::Add { call, tenant, fence } => {
                 let mine = self.counts(&tenant);
+                let slack = self.settings.terms.bounds.quota_overshoot * BORNE;
+                let left = 1.0 - self.proxies.absent.reserve(now, slack);
                 let says = match self.proxies.limits.get(&tenant).copied() {
                     // A tenant of a configuration that has not come here yet: whoever asks knows its limit.
                     None => ProxySays::NotMine { call },
                     Some(None) => ProxySays::Counted { call, retry_ms: None },
-                    Some(Some(limit)) if mine => match self.proxies.counts.add(now, &tenant, fence, limit) {
-                        Err(_) => ProxySays::NotMine { call },
-                        Ok(counted) => {
-                            let retry_ms = counted.err().map(|ms| ms.min(60_000) as u32);
-                            ProxySays::Counted { call, retry_ms }
+                    Some(Some(limit)) if mine => {
+                        match self.proxies.counts.add(now, &tenant, fence, limit.part(left, limit.length)) {
+                            Err(_) => ProxySays::NotMine { call },
+                            Ok(counted) => {
+                                let retry_ms = counted.err().map(|ms| ms.min(60_000) as u32);
+                                ProxySays::Counted { call, retry_ms }
+                            }
                         }
-                    },
+                    }
                     Some(Some(_)) => ProxySays::NotMine { call },
                 };
                 if let Some(proxy) = self.proxies.by_connection.get(&number) {
