--- a/crates/radiosonde/src/lib.rs
+++ b/crates/radiosonde/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod changes;
 mod clients;
 pub mod day;
+pub mod dayfile;
 pub mod figures;
 mod fleet;
 mod happen;
--- a/crates/radiosonde/src/main.rs
+++ b/crates/radiosonde/src/main.rs
@@ -2,14 +2,16 @@
 
 use lexopt::prelude::*;
 use slog::Logger;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use violetyoke_radiosonde::changes;
 use violetyoke_radiosonde::day::Day;
+use violetyoke_radiosonde::dayfile;
 use violetyoke_radiosonde::site::Site;
 use violetyoke_radiosonde::story::{shorten, tell, Told};
 
 const HELP: &str =
-    "radiosonde VERB [--seed N] [--days N] [--routes N] [--per-s N] [--edges N] [--five] [--log]
+    "radiosonde VERB [--seed N] [--days N] [--routes N] [--file F] [--per-s N] [--edges N] [--five] [--log]
 
 Whole systems in virtual time: the shipped daemons, and days drawn by a seed.
 
@@ -18,6 +20,7 @@
   hunt    many days, from that seed on; one that breaks a rule is shortened to a story
   changes what changes cost and how far apart ingresses take them: tenants that join, or --routes N each
 
+  --file F   a day in the bench's form (TOML) in place of a drawn one
   --seed N   the (first) seed (default: 1)
   --days N   days of a hunt, or changes (default: 20)
   --routes N routes that each change adds
@@ -28,17 +31,22 @@
 
 Exit status: 0 no rule broken, 1 a rule broken, 2 the command line is wrong.";
 
+/// How long the bench's days last (ms).
+const BENCH_LENGTH: u64 = 32_000;
+
 struct Wanted {
     verb: String,
     seed: u64,
     days: u64,
     routes: usize,
+    file: Option<PathBuf>,
     site: Site,
     log: bool,
 }
 
 fn wanted() -> Result<Option<Wanted>, lexopt::Error> {
     let (mut verb, mut seed, mut days, mut log) = (None, 1, 20, false);
+    let mut file = None;
     let (mut per_s, mut edges, mut five, mut routes) = (40.0, 2, false, 0);
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
@@ -47,6 +55,7 @@
             Long("days") => days = parser.value()?.parse()?,
             Long("per-s") => per_s = parser.value()?.parse()?,
             Long("edges") => edges = parser.value()?.parse()?,
+            Long("file") => file = Some(PathBuf::from(parser.value()?)),
             Long("routes") => routes = parser.value()?.parse()?,
             Long("five") => five = true,
             Long("log") => log = true,
@@ -58,7 +67,7 @@
     let site = Site::rooms(edges, per_s);
     let site = if five { site.with_five_cores() } else { site };
     let verb = verb.ok_or("no verb: quiet, day, hunt or changes")?;
-    Ok(Some(Wanted { verb, seed, days, routes, site, log }))
+    Ok(Some(Wanted { verb, seed, days, routes, file, site, log }))
 }
 
 fn print(told: &Told) {
@@ -76,7 +85,19 @@
         true => violetyoke_mast::log::logger("radiosonde", "world"),
         false => Logger::root(slog::Discard, slog::o!()),
     };
+    let mut site = wanted.site.clone();
     let day = match wanted.verb.as_str() {
+        "day" if wanted.file.is_some() => {
+            let path = wanted.file.clone().unwrap_or_default();
+            let text = std::fs::read_to_string(&path)?;
+            let read = dayfile::read(&text, &site, BENCH_LENGTH);
+            let read = read.map_err(|error| std::io::Error::other(format!("{}: {error}", path.display())))?;
+            for kind in &read.unknown {
+                println!("  {kind}: not known here, left out");
+            }
+            site.per_s = read.per_s.unwrap_or(site.per_s);
+            read.day
+        }
         "quiet" => Day::quiet(wanted.seed),
         "day" => Day::drawn(wanted.seed, &wanted.site),
         "changes" => {
@@ -85,7 +106,7 @@
         }
         _ => return hunt(wanted),
     };
-    let told = tell(&wanted.site, day, log())?;
+    let told = tell(&site, day, log())?;
     print(&told);
     Ok(told.broken.is_empty())
 }
--- a/crates/radiosonde/tests/days.rs
+++ b/crates/radiosonde/tests/days.rs
@@ -2,6 +2,7 @@
 
 use slog::{o, Discard, Logger};
 use violetyoke_radiosonde::day::{Day, Event, What};
+use violetyoke_radiosonde::dayfile;
 use violetyoke_radiosonde::judge::judge;
 use violetyoke_radiosonde::records::Records;
 use violetyoke_radiosonde::site::Site;
@@ -89,3 +90,21 @@
     let rules: Vec<&str> = judge(&site, &records).iter().map(|broken| broken.rule).collect();
     assert!(rules.contains(&"UNASKED"), "{rules:?}");
 }
+
+#[test]
+fn days_in_the_bench_s_form_are_read_and_what_is_unknown_is_told() {
+    let site = site();
+    let read = |text: &str| dayfile::read(text, &site, 32_000);
+    let herd = read(include_str!("../../../docs/days/herd.toml")).expect("a day");
+    assert_eq!((herd.name.as_str(), herd.day.events.len(), herd.unknown.len()), ("own-herd", 4, 0));
+    assert!(
+        matches!(&herd.day.events[2].what, What::Kill { machines, power: true, down: 2_000 } if machines.len() == 2)
+    );
+    let joins = read(include_str!("../../../docs/days/joins-at-the-peak.toml")).expect("a day");
+    assert_eq!(joins.day.events.iter().filter(|event| matches!(event.what, What::Join { .. })).count(), 2);
+    let odd = "[[day]]\nfaults = [{ at = 2.0, kind = \"clock_step\" }]\ntraffic = [{ per_s = 90.0 }, { per_s = 110.0 }]";
+    let odd = read(odd).expect("a day");
+    assert_eq!((odd.unknown, odd.per_s), (vec!["clock_step".to_owned()], Some(100.0)));
+    let error = read("[[day]]\nfaults = [{ kind = \"srv_crash\" }]").expect_err("no time").to_string();
+    assert!(error.contains("at"), "{error}");
+}
--- a/crates/raingauge/src/absent.rs
+++ b/crates/raingauge/src/absent.rs
@@ -23,12 +23,14 @@
 }
 
 impl Absent {
-    /// These are members now.
-    pub fn see(&mut self, now: Millis, members: &[u32]) {
+    /// These are members now, in order; those that `begin` are in a life that has passed nothing yet.
+    pub fn see(&mut self, now: Millis, members: &[u32], begin: &[u32]) {
         let others_were = self.most_are_here();
         for member in members {
             let known = self.known.entry(*member).or_insert(Known { seen: now, away: false, back: None });
-            if known.away {
+            if begin.contains(member) {
+                known.back = None;
+            } else if known.away {
                 known.back = others_were.then_some(now);
             }
             (known.seen, known.away) = (now, false);
--- a/crates/raingauge/tests/counts.rs
+++ b/crates/raingauge/tests/counts.rs
@@ -103,30 +103,35 @@
 fn what_ingresses_that_were_cut_off_may_pass_is_kept_back_for_as_long_as_it_counts() {
     let members: Vec<u32> = (0..10).collect();
     let mut absent = Absent::default();
-    absent.see(1_000, &members);
+    absent.see(1_000, &members, &[]);
     assert_eq!(absent.reserve(1_000, 0.06), 0.0);
-    absent.see(2_000, &members[..7]);
+    absent.see(2_000, &members[..7], &[]);
     assert_eq!(absent.away(), [7, 8, 9]);
     assert!((absent.reserve(2_000, 0.06) - (0.3 * 0.75 - 0.06)).abs() < 1e-9);
-    absent.see(9_000, &members);
+    absent.see(9_000, &members, &[]);
     assert!(absent.reserve(13_000, 0.06) > 0.1, "what they passed is in the span still");
     assert_eq!(absent.reserve(14_001, 0.06), 0.0);
+    // Killed, and back in another life: that one has passed nothing.
+    absent.see(15_000, &members[..7], &[]);
+    absent.see(16_000, &members, &[7, 8, 9]);
+    absent.see(16_300, &members, &[]);
+    assert_eq!(absent.reserve(16_400, 0.06), 0.0);
     // One registry tells another that has just begun; one that sees nobody is cut off itself, and keeps nothing back.
     let mut begun = Absent::default();
     begun.told(20_000, &[7, 8, 9]);
-    begun.see(20_000, &members[..7]);
+    begun.see(20_000, &members[..7], &[]);
     assert!(begun.reserve(20_000, 0.06) > 0.1);
-    absent.see(30_000, &[]);
+    absent.see(30_000, &[], &[]);
     assert_eq!(absent.reserve(30_000, 0.06), 0.0);
-    absent.see(31_000, &members);
+    absent.see(31_000, &members, &[]);
     assert_eq!(
         absent.reserve(31_000, 0.06),
         0.0,
         "they passed in place of what is counted here, not beside it"
     );
     // One that is gone for good is forgotten.
-    absent.see(40_000, &members[..9]);
-    absent.see(100_000, &members[..9]);
+    absent.see(40_000, &members[..9], &[]);
+    absent.see(100_000, &members[..9], &[]);
     assert_eq!(absent.away(), [0u32; 0]);
 }
 
--- a/crates/windvane/src/daemon/telling.rs
+++ b/crates/windvane/src/daemon/telling.rs
@@ -164,7 +164,7 @@
             owners: self.stores.owners.clone(),
             newest: Stamp::default(),
         };
-        self.proxies.absent.see(now, &members.proxies);
+        self.proxies.absent.see(now, &members.proxies, &self.sessions.not_ready());
         let mut hasher = DefaultHasher::new();
         (&members.proxies, &members.registries, members.owners.fence).hash(&mut hasher);
         members.digest = hasher.finish() | 1;
--- a/crates/windvane/src/sessions.rs
+++ b/crates/windvane/src/sessions.rs
@@ -53,6 +53,12 @@
         members.into_iter().collect()
     }
 
+    /// Those of them that are not ready: most have just begun.
+    pub fn not_ready(&self) -> Vec<u32> {
+        let all = self.all();
+        all.values().filter(|session| !session.ready).map(|session| member(&session.node)).collect()
+    }
+
     /// Where a client of that zone is to go: ready proxies of its zone, or else of its region, or else any.
     pub fn resolve(&self, region: &str, zone: &str) -> Vec<SocketAddrV4> {
         let all = self.all();
