--- a/crates/radiosonde/src/happen.rs
+++ b/crates/radiosonde/src/happen.rs
@@ -97,7 +97,7 @@
                 for id in self.backends.of(service).into_iter().take(count) {
                     self.backends.begin(service, self.zone_of(&id), true);
                     self.backends.drain(&id);
-                    pause(self.site.bounds.drain_ms + 1_000).await;
+                    pause(self.site.bounds.drain_ms as Millis + 1_000).await;
                     self.backends.end(&id);
                     self.backends.off(&id);
                 }
--- a/crates/radiosonde/src/judge.rs
+++ b/crates/radiosonde/src/judge.rs
@@ -53,7 +53,7 @@
 
     /// No trouble at that time, nor for as long before as it takes to be in touch again.
     fn calm(&self, at: Millis) -> bool {
-        let contact = self.site.bounds.contact_ms;
+        let contact = self.site.bounds.contact_ms as Millis;
         !self.records.troubles.iter().any(|(from, to)| at >= *from && at <= to + contact)
     }
 
@@ -90,7 +90,7 @@
             What::Configuration { version, valid: true, .. } => Some((*version, order)),
             _ => None,
         });
-        let settled = |at: Millis| at + self.site.bounds.config_apply_ms <= sent;
+        let settled = |at: Millis| at + self.site.bounds.config_apply_ms as Millis <= sent;
         let acked = versions.clone().filter(|(_, it)| it.acked.is_some_and(settled));
         let newest = acked.map(|(version, _)| version).max().unwrap_or(0);
         versions
@@ -139,7 +139,7 @@
             }
             let late =
                 |from: Option<Millis>, bound: Millis| from.is_some_and(|from| arrival.at > from + bound);
-            if late(life.drains, self.site.bounds.drain_ms) && self.calm(arrival.at) {
+            if late(life.drains, self.site.bounds.drain_ms as Millis) && self.calm(arrival.at) {
                 self.breaks("DRAIN", format!("{} reached {} at {}", one.id, life.id, arrival.at));
             }
             if self.evacuated(arrival, life.zone) && self.calm(arrival.at) {
@@ -158,7 +158,7 @@
                 _ => {}
             }
         }
-        emptied.is_some_and(|acked| arrival.at > acked + self.site.bounds.evacuate_ms)
+        emptied.is_some_and(|acked| arrival.at > acked + self.site.bounds.evacuate_ms as Millis)
     }
 
     fn quotas(&mut self) {
--- a/crates/radiosonde/src/site.rs
+++ b/crates/radiosonde/src/site.rs
@@ -2,6 +2,7 @@
 
 use crate::net::Delays;
 use serde_json::{json, Value};
+use violetyoke_station::settings::Bounds;
 
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -49,23 +50,6 @@
     pub bounds: Bounds,
 }
 
-/// The rules' figures, in the units of their names.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    pub contact_ms: u64,
-    pub config_apply_ms: u64,
-    pub drain_ms: u64,
-    pub evacuate_ms: u64,
-    pub retry_ratio: f64,
-    pub retry_window_s: f64,
-    pub retry_slack: f64,
-    pub quota_window_s: f64,
-    pub quota_overshoot: f64,
-    pub quota_slack: f64,
-    pub cold_overshoot: f64,
-    pub cold_slack: f64,
-}
-
 pub const HOST: &str = "rooms.example";
 
 impl Site {
@@ -114,18 +98,14 @@
             per_s,
             lag_ms: 800,
             bounds: Bounds {
-                contact_ms: 5_000,
-                config_apply_ms: 3_000,
-                drain_ms: 3_000,
-                evacuate_ms: 5_000,
+                config_apply_ms: 3_000.0,
+                drain_ms: 3_000.0,
                 retry_ratio: 0.2,
-                retry_window_s: 10.0,
                 retry_slack: 58.0,
-                quota_window_s: 5.0,
-                quota_overshoot: 0.1,
                 quota_slack: 20.0,
                 cold_overshoot: 1.5,
                 cold_slack: 5.0,
+                ..Bounds::default()
             },
         }
     }
