--- a/crates/barograph/src/disk.rs
+++ b/crates/barograph/src/disk.rs
@@ -104,9 +104,7 @@
     /// Opens a folder, and what it holds: nothing, where it is empty or new.
     pub fn open(folder: &Path) -> io::Result<(Slots, Option<Durable>)> {
         std::fs::create_dir_all(folder)?;
-        let [first, second] = NAMES;
-        let found = [look(&folder.join(first))?, look(&folder.join(second))?];
-        let (turn, kept) = Turn::after(found);
+        let (turn, kept) = Turn::after(look_at(folder)?);
         Ok((Slots { folder: folder.to_owned(), turn, named: false }, kept))
     }
 
@@ -128,6 +126,12 @@
     }
 }
 
+/// What both slots of a folder hold; nothing is made or written.
+pub fn look_at(folder: &Path) -> io::Result<[Found; 2]> {
+    let [first, second] = NAMES;
+    Ok([look(&folder.join(first))?, look(&folder.join(second))?])
+}
+
 /// What a slot's file holds.
 pub fn look(path: &Path) -> io::Result<Found> {
     let mut bytes = Vec::new();
--- a/crates/nephoscope/src/verbs.rs
+++ b/crates/nephoscope/src/verbs.rs
@@ -3,6 +3,7 @@
 use crate::calls::{call, Answer};
 use crate::capacity::{gather, table};
 use crate::plan::Plan;
+use crate::store::Inspected;
 use bytes::Bytes;
 use lexopt::prelude::*;
 use std::io::Write;
@@ -22,12 +23,14 @@
   put FILE                sends FILE; what it changes is told first
   evacuate ZONE           nothing more is sent to the backends of a zone
   restore ZONE            takes that back
+  store FOLDER            what a store's disk holds, offline; with --configuration, that alone
   capacity                what each backend was given and has shown, gathered from edges
 
   --control ADDRESS       a core machine's address for operators; several may be given
   --edge ADDRESS          capacity: an edge's `ready` address; several may be given
   --from FILE             plan: against this file, not against the running system
   --within SECONDS        how long a clear answer is waited for (20)
+  --configuration         store: the configuration that it holds, as it was sent
   --json                  for programs
   --help                  this text
 
@@ -44,6 +47,7 @@
     pub from: Option<PathBuf>,
     pub within: Duration,
     pub json: bool,
+    pub configuration: bool,
     pub help: bool,
 }
 
@@ -76,6 +80,7 @@
             Long("edge") => wanted.edge.push(parser.value()?.parse()?),
             Long("from") => wanted.from = Some(parser.value()?.into()),
             Long("within") => wanted.within = Duration::from_secs(parser.value()?.parse()?),
+            Long("configuration") => wanted.configuration = true,
             Long("json") => wanted.json = true,
             Long("help") | Short('h') => wanted.help = true,
             Value(word) if wanted.verb.is_none() => wanted.verb = Some(word.string()?),
@@ -147,11 +152,24 @@
             say(out, &format!("{} is taken back", operand()?))
         }
         Some("capacity") => capacity(wanted, out).await,
+        Some("store") => store(wanted, Path::new(operand()?), out),
         Some(other) => Err(Ended::Wrong(format!("{other}: no such verb"))),
         None => Err(Ended::Wrong("a verb is missing".into())),
     }
 }
 
+/// What can't be trusted is said, and is a refusal where nothing else is there.
+fn store(wanted: &Wanted, folder: &Path, out: &mut dyn Write) -> Result<(), Ended> {
+    let found =
+        Inspected::of(folder).map_err(|error| Ended::Wrong(format!("{}: {error}", folder.display())))?;
+    let nothing = || Ended::Refused(format!("{}: no state that can be trusted", folder.display()));
+    if wanted.configuration {
+        return say(out, found.configuration().ok_or_else(nothing)?);
+    }
+    say(out, &if wanted.json { found.json().to_string() } else { found.text() })?;
+    found.newest().map(drop).ok_or_else(nothing)
+}
+
 /// Edges that give no answer are named and left out; where none does, there is no clear answer.
 async fn capacity(wanted: &Wanted, out: &mut dyn Write) -> Result<(), Ended> {
     if wanted.edge.is_empty() {
--- a/crates/nephoscope/tests/plan.rs
+++ b/crates/nephoscope/tests/plan.rs
@@ -84,7 +84,7 @@
     );
     assert!(read(lexopt::Parser::from_args(["--control", "nowhere"])).is_err());
     assert!(read(lexopt::Parser::from_args(["plan", "a", "b"])).is_err());
-    for verb in ["plan", "check", "get", "put", "evacuate", "restore", "capacity"] {
+    for verb in ["plan", "check", "get", "put", "evacuate", "restore", "store", "capacity"] {
         assert!(HELP.lines().any(|line| line.trim_start().starts_with(verb)), "{verb}");
     }
 }
--- /dev/null
+++ b/crates/nephoscope/tests/store.rs
@@ -0,0 +1,84 @@
+//! A store's disk by hand: whole, torn, changed, empty.
+
+use std::path::PathBuf;
+use violetyoke_barograph::disk::Slots;
+use violetyoke_barograph::register::Durable;
+use violetyoke_mast::words::{Held, Member, Record, Stamp};
+use violetyoke_nephoscope::store::Inspected;
+use violetyoke_nephoscope::verbs::{read, run, Ended};
+
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // What is left of a test is of no use to anybody.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn state(version: u64) -> Durable {
+    let voter = |n: u8| Member { id: u64::from(n), ip: [10, 0, 0, n].into(), zone: "a".into() };
+    let record =
+        Record { epoch: 3, voters: (1..=3).map(voter).collect(), holders: vec![2, 1], bases: Vec::new() };
+    let text = format!("{{\"version\":{version}}}");
+    let held =
+        Held { stamp: Stamp { epoch: 3, seq: version }, version, text, evacuated: ["b".to_owned()].into() };
+    Durable { id: 2, fresh: false, promised: 3, record, held }
+}
+
+/// A folder with two states in it.
+fn folder(name: &str) -> Folder {
+    let folder = Folder(std::env::temp_dir().join(format!("nephoscope-{name}-{}", std::process::id())));
+    let (mut slots, _) = Slots::open(&folder.0).expect("a folder");
+    for version in [7, 9] {
+        slots.put(&state(version)).expect("kept");
+    }
+    folder
+}
+
+fn ask(arguments: &[&str]) -> (Ended, String) {
+    let wanted = read(lexopt::Parser::from_args(arguments)).expect("read");
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let mut out = Vec::new();
+    let ended = runtime.block_on(run(&wanted, &mut out));
+    (ended, String::from_utf8(out).expect("text"))
+}
+
+#[test]
+fn a_store_s_disk_is_told_in_words_and_for_programs() {
+    let folder = folder("whole");
+    insta::assert_snapshot!(Inspected::of(&folder.0).expect("read").text(), @r"
+    place 0: write 1, epoch 3, version 7, digest fine
+    place 1: write 2, epoch 3, version 9, digest fine
+    this store: 10.0.0.2 (a), disk 2
+    promised: epoch 3
+    voters: 10.0.0.1 (a), 10.0.0.2 (a), 10.0.0.3 (a)
+    holders, the primary first: 10.0.0.2 (a), 10.0.0.1 (a)
+    held: version 9, 13 bytes, stamp 3.9
+    evacuated: b
+    ");
+    let path = folder.0.to_string_lossy().into_owned();
+    assert_eq!(ask(&["store", &path, "--configuration"]), (Ended::Done, "{\"version\":9}\n".to_owned()));
+    let (ended, text) = ask(&["store", &path, "--json"]);
+    let told: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((ended, &told[1]["version"], &told[1]["holders"][0]), (Ended::Done, &9.into(), &2.into()));
+}
+
+#[test]
+fn a_flipped_byte_or_a_cut_leaves_the_other_place_and_both_leave_nothing() {
+    let folder = folder("spoiled");
+    let (first, second) = (folder.0.join("state-0"), folder.0.join("state-1"));
+    let mut bytes = std::fs::read(&second).expect("bytes");
+    let last = bytes.len() - 3;
+    bytes[last] ^= 1;
+    std::fs::write(&second, &bytes).expect("flipped");
+    let found = Inspected::of(&folder.0).expect("read");
+    assert!(found.text().contains("place 1: spoiled"), "{}", found.text());
+    assert_eq!(found.configuration(), Some("{\"version\":7}"));
+    std::fs::write(&first, &bytes[..40]).expect("cut");
+    let (ended, text) = ask(&["store", &folder.0.to_string_lossy()]);
+    assert!(matches!(ended, Ended::Refused(why) if why.contains("no state that can be trusted")));
+    assert!(text.contains("knows nothing"), "{text}");
+    let (ended, _) = ask(&["store", "/nowhere/at/all", "--configuration"]);
+    assert!(matches!(ended, Ended::Refused(_)));
+}
