--- a/crates/windvane/src/backends.rs
+++ b/crates/windvane/src/backends.rs
@@ -74,6 +74,12 @@
         self.asking = false;
         self.refusals = 0;
         self.next = now.max(asked_at + EVERY);
+        // Cold times run from when a page was written, which is after the call was made: long after, for the last of many
+        // pages from afar. Counted from the answer they end late, never early.
+        let took = now.saturating_sub(asked_at);
+        for backend in backends.iter_mut().filter(|backend| backend.cold_left_ms > 0) {
+            backend.cold_left_ms += took;
+        }
         backends.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = digest(&backends, asked_at);
         self.take(asked_at, List { digest, age_ms: 0, backends })
--- a/crates/windvane/tests/registry.rs
+++ b/crates/windvane/tests/registry.rs
@@ -48,6 +48,17 @@
     }
 }
 
+#[test]
+fn a_cold_time_ends_late_however_long_the_pages_took() {
+    let mut lists = Lists::default();
+    lists.asked();
+    // Asked at 1,000, answered 600 ms later: the last page was written just then, with a second to go.
+    assert!(lists.answered(1_600, 1_000, vec![backend("i-1", false, 1_000), backend("i-2", false, 0)]));
+    let told = lists.newest(1_700, true).expect("a list");
+    let ends = |n: usize| 1_700 - told.age_ms + told.backends[n].cold_left_ms;
+    assert_eq!((ends(0), told.backends[1].cold_left_ms), (2_600, 0));
+}
+
 const ONE: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 const TWO: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
 
