Wait for a process's line in the tests of takeovers

Cause: a whole test run on a busy machine failed at takeover.rs: 'left: 0, right: 1', the log empty. The process had written its line before it served, but the thread that reads its log had not come to it (the line stands right below the failure). Ruled out: the line missing. Change: four assertions on a log line that has just been written wait for it, with the limit that all waits have.

--- a/crates/violetyoke/tests/takeover.rs
+++ b/crates/violetyoke/tests/takeover.rs
@@ -92,6 +92,11 @@
     });
 }
 
+/// A process that serves has written its line, but the test's reader of its log may not have come to it yet.
+fn until_told(process: &Process, what: &str) {
+    until(what, || process.ingress.told(what) == 1);
+}
+
 #[test]
 fn a_new_process_knows_the_sick_node_that_the_old_one_knew() {
     let (a, b, c) = (sick(), Backend::start(|_| ok(b"b")), Backend::start(|_| ok(b"c")));
@@ -99,12 +104,7 @@
     let old = held.start();
     learn_of(&old, &a);
     let new = held.start();
-    assert_eq!(
-        new.ingress.told("handed down: believed: 3 nodes"),
-        1,
-        "{:?}",
-        new.ingress.log.lock().unwrap()
-    );
+    until_told(&new, "handed down: believed: 3 nodes");
     let before = a.seen();
     serves(&new.ingress, 4);
     assert_eq!(a.seen(), before);
@@ -176,7 +176,7 @@
         let held = Held::new(&[&a]);
         Predecessor::new(&held).answers(answer);
         let new = held.start();
-        assert_eq!(new.ingress.told(why), 1, "{why}: {:?}", new.ingress.log.lock().unwrap());
+        until_told(&new, why);
         assert_eq!(new.ingress.told("handed down: nothing is believed"), 1);
         serves(&new.ingress, 2);
     }
@@ -222,7 +222,7 @@
     old.ingress.exit();
     // The dead one's answer is still there, and its word that it serves.
     let new = held.start();
-    assert_eq!(new.ingress.told("handed down: nothing is believed: the process that served has ended"), 1);
+    until_told(&new, "handed down: nothing is believed: the process that served has ended");
     assert!(!handed.exists());
     serves(&new.ingress, 4);
 }
@@ -294,7 +294,7 @@
     assert_eq!(a.seen(), before);
     // And hands it to the next.
     let next = held.start();
-    assert_eq!(next.ingress.told("handed down: believed: 2 nodes"), 1);
+    until_told(&next, "handed down: believed: 2 nodes");
     until("the old process has seen the next", || old.ingress.told("clients: TakenOver") == 2);
     serves(&next.ingress, 4);
 }
