Count who is away without a list of them, at each add

Found in a last reading: Absent::reserve, asked at each add of a request, made a list of all who are away to count them.

--- a/crates/raingauge/src/absent.rs
+++ b/crates/raingauge/src/absent.rs
@@ -55,7 +55,7 @@
 
     /// Where most are away, it is this registry that is cut off: nobody passes anything beside what is counted here.
     fn most_are_here(&self) -> bool {
-        self.away().len() * 2 <= self.known.len()
+        self.known.values().filter(|known| known.away).count() * 2 <= self.known.len()
     }
 
     /// The part of each limit that is kept back for them; `slack`: the part by which a limit may be passed. What one passed
