--- a/crates/station/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -1,7 +1,7 @@
 //! A whole configuration, as an operator sends it: read, and checked whole or refused whole.
 //!
 //! ```
-//! use violetyoke_station::Configuration;
+//! use violetyoke_api::Configuration;
 //!
 //! let text = r#"{"version": 7,
 //!   "routes": {"columns": ["name", "host", "path-prefix", "route-kind", "timeout-ms", "service"],
--- a/crates/station/src/verdict.rs
+++ b/crates/api/src/verdict.rs
@@ -2,7 +2,7 @@
 //! status is made of it. 408, 421, 429 and 503 promise that a request has not run and never will; 502 and 504 do not.
 //!
 //! ```
-//! use violetyoke_station::verdict::{Ending, Verdict};
+//! use violetyoke_api::verdict::{Ending, Verdict};
 //!
 //! let turned_away = Verdict::NeverRan;
 //! let reset_after_sending = Verdict::MayHaveRun;
--- a/crates/station/tests/change.rs
+++ b/crates/api/tests/change.rs
@@ -1,8 +1,8 @@
 //! From one configuration to another: only what differs goes over, and what it leads to is checked.
 
 use serde_json::{json, Value};
-use violetyoke_station::change::{digest, Change};
-use violetyoke_station::Configuration;
+use violetyoke_api::change::{digest, Change};
+use violetyoke_api::Configuration;
 
 fn configuration(version: u64, routes: &[(&str, u64)], keys: &[&str]) -> Configuration {
     let rows: Vec<Value> = routes
--- a/crates/station/tests/configuration.rs
+++ b/crates/api/tests/configuration.rs
@@ -1,8 +1,8 @@
 //! Configurations as operators send them: each kind of invalid one is refused with its field's name.
 
 use serde_json::{json, Value};
-use violetyoke_station::routing::{Caller, Table};
-use violetyoke_station::Configuration;
+use violetyoke_api::routing::{Caller, Table};
+use violetyoke_api::Configuration;
 
 fn whole() -> Value {
     json!({
--- a/crates/station/tests/settings.rs
+++ b/crates/api/tests/settings.rs
@@ -1,9 +1,9 @@
 //! The settings file: read whole, errors with the field's path, unknown fields passed over.
 
 use serde_json::{json, Value};
-use violetyoke_station::schema::{Checker, Schema};
-use violetyoke_station::settings::Process;
-use violetyoke_station::Settings;
+use violetyoke_api::schema::{Checker, Schema};
+use violetyoke_api::settings::Process;
+use violetyoke_api::Settings;
 
 fn whole() -> Value {
     json!({
--- a/crates/ceilometer/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -1,10 +1,10 @@
 //! Which backend, by what backends have shown and where they stand.
 
 use std::collections::{BTreeSet, HashMap};
-use violetyoke_ceilometer::backend::Showed;
-use violetyoke_ceilometer::cold::part;
-use violetyoke_ceilometer::fleet::{Line, Place, Terms};
-use violetyoke_ceilometer::{Choice, Fleet, Wanted};
+use violetyoke_balancing::backend::Showed;
+use violetyoke_balancing::cold::part;
+use violetyoke_balancing::fleet::{Line, Place, Terms};
+use violetyoke_balancing::{Choice, Fleet, Wanted};
 
 fn line(id: &str, zone: &str, slots: u32) -> Line {
     Line {
--- a/crates/ceilometer/tests/turns.rs
+++ b/crates/balancing/tests/turns.rs
@@ -1,7 +1,7 @@
 //! Further attempts and turns at what is short.
 
-use violetyoke_ceilometer::budget::{self, Budget};
-use violetyoke_ceilometer::queue::Queue;
+use violetyoke_balancing::budget::{self, Budget};
+use violetyoke_balancing::queue::Queue;
 
 #[test]
 fn further_attempts_stay_within_the_part_of_one_ingress() {
--- a/crates/nephoscope/src/calls.rs
+++ b/crates/ctl/src/calls.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
-use violetyoke_station::calls::{Call, TABLE};
+use violetyoke_api::calls::{Call, TABLE};
 
 /// One try; a registry itself waits 2.8 s for a store.
 const ONE: Duration = Duration::from_secs(4);
--- a/crates/nephoscope/src/plan.rs
+++ b/crates/ctl/src/plan.rs
@@ -1,8 +1,8 @@
 //! What a change would move, from the configuration in force to another.
 //!
 //! ```
-//! use violetyoke_nephoscope::plan::Plan;
-//! use violetyoke_station::Configuration;
+//! use violetyoke_ctl::plan::Plan;
+//! use violetyoke_api::Configuration;
 //!
 //! let text = |version: u32, ms: u32| format!(r#"{{"version": {version},
 //!   "routes": {{"columns": ["name", "host", "path-prefix", "route-kind", "timeout-ms", "service"],
@@ -17,7 +17,7 @@
 
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
-use violetyoke_station::configuration::{Configuration, Route, Tenant};
+use violetyoke_api::configuration::{Configuration, Route, Tenant};
 
 /// One thing that would be another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/crates/nephoscope/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -4,8 +4,8 @@
 use serde_json::{json, Value};
 use std::io;
 use std::path::Path;
-use violetyoke_barograph::disk::{look_at, Found};
-use violetyoke_barograph::register::Durable;
+use violetyoke_store::disk::{look_at, Found};
+use violetyoke_store::register::Durable;
 
 /// What was found.
 #[derive(Debug)]
--- a/crates/nephoscope/src/verbs.rs
+++ b/crates/ctl/src/verbs.rs
@@ -10,10 +10,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use violetyoke_station::calls::Call;
-use violetyoke_station::Configuration;
+use violetyoke_api::calls::Call;
+use violetyoke_api::Configuration;
 
-pub const HELP: &str = "nephoscope VERB [OPTIONS]
+pub const HELP: &str = "violetyoke-ctl VERB [OPTIONS]
 
 What a change would move, and the operators' calls.
 
--- a/crates/nephoscope/tests/plan.rs
+++ b/crates/ctl/tests/plan.rs
@@ -1,9 +1,9 @@
 //! What a change would move, in words.
 
-use violetyoke_nephoscope::capacity::{gather, table, Seen};
-use violetyoke_nephoscope::plan::Plan;
-use violetyoke_nephoscope::verbs::{read, HELP};
-use violetyoke_station::Configuration;
+use violetyoke_api::Configuration;
+use violetyoke_ctl::capacity::{gather, table, Seen};
+use violetyoke_ctl::plan::Plan;
+use violetyoke_ctl::verbs::{read, HELP};
 
 const OLD: &str = r#"{"version": 7,
   "routes": {"columns": ["name", "host", "path-prefix", "route-kind", "timeout-ms", "split", "home-regions", "service"],
--- a/crates/nephoscope/tests/store.rs
+++ b/crates/ctl/tests/store.rs
@@ -1,11 +1,11 @@
 //! A store's disk by hand: whole, torn, changed, empty.
 
 use std::path::PathBuf;
-use violetyoke_barograph::disk::Slots;
-use violetyoke_barograph::register::Durable;
-use violetyoke_mast::words::{Held, Member, Record, Stamp};
-use violetyoke_nephoscope::store::Inspected;
-use violetyoke_nephoscope::verbs::{read, run, Ended};
+use violetyoke_ctl::store::Inspected;
+use violetyoke_ctl::verbs::{read, run, Ended};
+use violetyoke_store::disk::Slots;
+use violetyoke_store::register::Durable;
+use violetyoke_transport::messages::{ControlState, Member, Record, Stamp};
 
 struct Folder(PathBuf);
 
@@ -21,14 +21,18 @@
     let record =
         Record { epoch: 3, voters: (1..=3).map(voter).collect(), holders: vec![2, 1], bases: Vec::new() };
     let text = format!("{{\"version\":{version}}}");
-    let held =
-        Held { stamp: Stamp { epoch: 3, seq: version }, version, text, evacuated: ["b".to_owned()].into() };
+    let held = ControlState {
+        stamp: Stamp { epoch: 3, seq: version },
+        version,
+        text,
+        evacuated: ["b".to_owned()].into(),
+    };
     Durable { id: 2, fresh: false, promised: 3, record, held }
 }
 
 /// A folder with two states in it.
 fn folder(name: &str) -> Folder {
-    let folder = Folder(std::env::temp_dir().join(format!("nephoscope-{name}-{}", std::process::id())));
+    let folder = Folder(std::env::temp_dir().join(format!("violetyoke-ctl-{name}-{}", std::process::id())));
     let (mut slots, _) = Slots::open(&folder.0).expect("a folder");
     for version in [7, 9] {
         slots.put(&state(version)).expect("kept");
--- a/crates/radiosonde/src/backends/serving.rs
+++ b/crates/emulator/src/backends/serving.rs
@@ -15,7 +15,7 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use violetyoke_mast::net::listen;
+use violetyoke_transport::net::listen;
 
 /// Requests that wait at a backend, beside those that it works on; one more is never answered.
 const QUEUE: usize = 24;
--- a/crates/radiosonde/src/calls.rs
+++ b/crates/emulator/src/calls.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
-use violetyoke_mast::net::connect;
+use violetyoke_transport::net::connect;
 
 /// A connection that carries one request at a time.
 pub type Connection = SendRequest<Full<Bytes>>;
--- a/crates/radiosonde/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until, Instant};
-use violetyoke_mast::world::Disk;
+use violetyoke_transport::world::Disk;
 
 #[derive(Debug, Default)]
 struct Inner {
--- a/crates/radiosonde/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -8,8 +8,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
-use violetyoke_mast::life::{Life, Words};
-use violetyoke_station::Settings;
+use violetyoke_api::Settings;
+use violetyoke_transport::life::{Life, Words};
 
 const CONTROL: u16 = 8083;
 const DIRECTORY: u16 = 8084;
@@ -221,9 +221,9 @@
         Err(report) => return slog::error!(log, "no settings"; "why" => format!("{report:?}")),
     };
     let ended = match daemon {
-        Daemon::Proxy => violetyoke_anemometer::daemon::run(settings, life, log.clone()).await,
-        Daemon::Registry => violetyoke_windvane::daemon::run(settings, life, log.clone()).await,
-        Daemon::Store => violetyoke_barograph::daemon::run(settings, life, log.clone()).await,
+        Daemon::Proxy => violetyoke_proxy::daemon::run(settings, life, log.clone()).await,
+        Daemon::Registry => violetyoke_registry::daemon::run(settings, life, log.clone()).await,
+        Daemon::Store => violetyoke_store::daemon::run(settings, life, log.clone()).await,
     };
     if let Err(report) = ended {
         slog::error!(log, "ended"; "why" => format!("{report:?}"));
--- a/crates/radiosonde/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -1,17 +1,17 @@
-//! `radiosonde`: whole systems in virtual time.
+//! `violetyoke-emulator`: whole systems in virtual time.
 
 use lexopt::prelude::*;
 use slog::Logger;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use violetyoke_radiosonde::changes;
-use violetyoke_radiosonde::day::Day;
-use violetyoke_radiosonde::dayfile;
-use violetyoke_radiosonde::site::Site;
-use violetyoke_radiosonde::story::{shorten, tell, Told};
+use violetyoke_emulator::changes;
+use violetyoke_emulator::day::Day;
+use violetyoke_emulator::dayfile;
+use violetyoke_emulator::site::Site;
+use violetyoke_emulator::story::{shorten, tell, Told};
 
 const HELP: &str =
-    "radiosonde VERB [--seed N] [--days N] [--routes N] [--file F] [--per-s N] [--edges N] [--five] [--log]
+    "violetyoke-emulator VERB [--seed N] [--days N] [--routes N] [--file F] [--per-s N] [--edges N] [--five] [--log]
 
 Whole systems in virtual time: the shipped daemons, and days drawn by a seed.
 
@@ -82,7 +82,7 @@
 
 fn run(wanted: &Wanted) -> std::io::Result<bool> {
     let log = || match wanted.log {
-        true => violetyoke_mast::log::logger("radiosonde", "world"),
+        true => violetyoke_transport::log::logger("violetyoke-emulator", "world"),
         false => Logger::root(slog::Discard, slog::o!()),
     };
     let mut site = wanted.site.clone();
@@ -130,7 +130,7 @@
     let wanted = match wanted() {
         Ok(Some(wanted)) if ["quiet", "day", "hunt", "changes"].contains(&wanted.verb.as_str()) => wanted,
         Ok(Some(wanted)) => {
-            eprintln!("radiosonde: {}: no such verb; see --help", wanted.verb);
+            eprintln!("violetyoke-emulator: {}: no such verb; see --help", wanted.verb);
             return ExitCode::from(2);
         }
         Ok(None) => {
@@ -138,7 +138,7 @@
             return ExitCode::SUCCESS;
         }
         Err(error) => {
-            eprintln!("radiosonde: {error}");
+            eprintln!("violetyoke-emulator: {error}");
             return ExitCode::from(2);
         }
     };
@@ -146,7 +146,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("radiosonde: {error}");
+            eprintln!("violetyoke-emulator: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/radiosonde/src/net/mod.rs
+++ b/crates/emulator/src/net/mod.rs
@@ -14,7 +14,7 @@
 use tokio::io::DuplexStream;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::Notify;
-use violetyoke_mast::world::{Disk, Opened, World};
+use violetyoke_transport::world::{Disk, Opened, World};
 
 use crate::disk::Platter;
 
--- a/crates/radiosonde/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -16,8 +16,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use violetyoke_mast::net::listen;
-use violetyoke_station::calls::query;
+use violetyoke_api::calls::query;
+use violetyoke_transport::net::listen;
 
 const PAGE: usize = 50;
 const STEP: Duration = Duration::from_millis(50);
--- a/crates/radiosonde/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::net::Delays;
 use serde_json::{json, Value};
-use violetyoke_station::settings::Bounds;
+use violetyoke_api::settings::Bounds;
 
 #[derive(Clone, Debug)]
 pub struct Service {
--- a/crates/radiosonde/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -1,13 +1,13 @@
 //! Whole systems on drawn days: the shipped daemons keep the rules, and a world that cheats is found out.
 
 use slog::{o, Discard, Logger};
-use violetyoke_radiosonde::day::{Day, Event, What};
-use violetyoke_radiosonde::dayfile;
-use violetyoke_radiosonde::judge::judge;
-use violetyoke_radiosonde::records::Records;
-use violetyoke_radiosonde::site::Site;
-use violetyoke_radiosonde::story::{shorten, tell, Told};
-use violetyoke_radiosonde::world::play;
+use violetyoke_emulator::day::{Day, Event, What};
+use violetyoke_emulator::dayfile;
+use violetyoke_emulator::judge::judge;
+use violetyoke_emulator::records::Records;
+use violetyoke_emulator::site::Site;
+use violetyoke_emulator::story::{shorten, tell, Told};
+use violetyoke_emulator::world::play;
 
 fn quiet_log() -> Logger {
     Logger::root(Discard, o!())
--- a/crates/screen/src/machines.rs
+++ b/crates/local/src/machines.rs
@@ -105,8 +105,8 @@
                 ip: *host,
                 control: at(*host, 0),
                 directory: at(*host, 1),
-                registry: start(&file, "windvane")?,
-                store: start(&file, "barograph")?,
+                registry: start(&file, "registry")?,
+                store: start(&file, "store")?,
             });
         }
         for (n, (host, place)) in edge_hosts.iter().zip(plan.edges).enumerate() {
@@ -114,7 +114,7 @@
             let listen = json!({"front": at(*host, 2), "ready": at(*host, 3)});
             let file = folder.join(format!("{name}.json"));
             std::fs::write(&file, settings(&name, *host, *place, listen, None).to_string())?;
-            let proxy = start(&file, "anemometer")?;
+            let proxy = start(&file, "proxy")?;
             system.edges.push(Edge { name, front: at(*host, 2), ready: at(*host, 3), proxy });
         }
         Ok(system)
--- a/crates/screen/src/main.rs
+++ b/crates/local/src/main.rs
@@ -4,19 +4,19 @@
 use std::io;
 use std::process::ExitCode;
 use std::time::Duration;
+use violetyoke_local::backends::Backend;
+use violetyoke_local::calls::{order, resolve};
+use violetyoke_local::machines::{Plan, System};
+use violetyoke_local::platform::Platform;
 use violetyoke_rig::driven::Driven;
 use violetyoke_rig::until;
-use violetyoke_screen::backends::Backend;
-use violetyoke_screen::calls::{order, resolve};
-use violetyoke_screen::machines::{Plan, System};
-use violetyoke_screen::platform::Platform;
 
 const HELP: &str = "screen
 
 The whole system on this machine: one core, two edges, four stand-in backends; prints what to try.
 It runs until its standard input ends or it is interrupted.
 
-screen anemometer | windvane | barograph   one of the three programs, as deploy/system.toml runs it
+screen proxy | registry | store   one of the three programs, as deploy/system.toml runs it
 
 Exit status: 0 fine, 1 it can't run, 2 the command line is wrong.";
 
@@ -25,9 +25,9 @@
     let first = arguments.next().map(|word| word.to_string_lossy().into_owned());
     let rest = lexopt::Parser::from_args(arguments);
     match first.as_deref() {
-        Some("anemometer") => violetyoke_anemometer::daemon::program(rest),
-        Some("windvane") => violetyoke_windvane::daemon::program(rest),
-        Some("barograph") => violetyoke_barograph::daemon::program(rest),
+        Some("proxy") => violetyoke_proxy::daemon::program(rest),
+        Some("registry") => violetyoke_registry::daemon::program(rest),
+        Some("store") => violetyoke_store::daemon::program(rest),
         Some("--help" | "-h") => {
             println!("{HELP}");
             ExitCode::SUCCESS
--- a/crates/screen/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
-use violetyoke_station::calls::query;
+use violetyoke_api::calls::query;
 
 const PAGE: usize = 4;
 
--- a/crates/screen/tests/bodies.rs
+++ b/crates/local/tests/bodies.rs
@@ -7,7 +7,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
-use violetyoke_screen::backends::{times_run, Fault};
+use violetyoke_local::backends::{times_run, Fault};
 use violetyoke_standin::http::read_http;
 
 const LARGE: usize = 12 << 20;
--- a/crates/screen/tests/common/mod.rs
+++ b/crates/local/tests/common/mod.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use violetyoke_local::backends::Backend;
+use violetyoke_local::calls::{call, order};
+use violetyoke_local::machines::{Plan, System};
+use violetyoke_local::platform::Platform;
 use violetyoke_rig::driven::Driven;
 use violetyoke_rig::until;
-use violetyoke_screen::backends::Backend;
-use violetyoke_screen::calls::{call, order};
-use violetyoke_screen::machines::{Plan, System};
-use violetyoke_screen::platform::Platform;
 use violetyoke_standin::http::Http;
 
 pub const LONG: Duration = Duration::from_secs(20);
@@ -64,7 +64,8 @@
         platform: platform.address,
         tolerance: 1,
     };
-    let system = System::start(Path::new(env!("CARGO_BIN_EXE_screen")), &plan).expect("the processes");
+    let system =
+        System::start(Path::new(env!("CARGO_BIN_EXE_violetyoke-local")), &plan).expect("the processes");
     let stage = Stage { system, platform, finders, ledgers, driven, next: 0, waits_ms: 1_500 };
     stage.put(configuration(1));
     stage.all_ready();
--- a/crates/screen/tests/control.rs
+++ b/crates/local/tests/control.rs
@@ -5,10 +5,10 @@
 use common::{configuration, stage, Stage, LONG, REPLACE};
 use serde_json::json;
 use std::time::Duration;
-use violetyoke_nephoscope::verbs::{self, Ended};
+use violetyoke_ctl::verbs::{self, Ended};
+use violetyoke_local::calls::{call, order, resolve};
 use violetyoke_rig::link::Link;
 use violetyoke_rig::until;
-use violetyoke_screen::calls::{call, order, resolve};
 
 #[test]
 fn control_outlives_its_primary_and_an_edge_follows_within_the_bound() {
--- a/crates/screen/tests/joining.rs
+++ b/crates/local/tests/joining.rs
@@ -4,7 +4,7 @@
 
 use common::{configuration, stage, Stage};
 use serde_json::{json, Value};
-use violetyoke_screen::backends::times_run;
+use violetyoke_local::backends::times_run;
 
 fn with_newcomers(version: u64, newcomers: u64) -> Value {
     let mut next = configuration(version);
--- a/crates/screen/tests/requests.rs
+++ b/crates/local/tests/requests.rs
@@ -6,9 +6,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use violetyoke_local::backends::{times_run, Backend, Fault};
+use violetyoke_local::calls::{call, resolve};
 use violetyoke_rig::until;
-use violetyoke_screen::backends::{times_run, Backend, Fault};
-use violetyoke_screen::calls::{call, resolve};
 
 #[test]
 fn a_request_is_routed_keyed_bound_to_its_homes_and_answered_unchanged() {
@@ -31,8 +31,8 @@
     let figures = call(stage.system.edges[0].ready, "GET", "/api/figures", &[], b"").expect("figures");
     let figures = String::from_utf8_lossy(&figures.body).into_owned();
     assert!(
-        figures.contains("anemometer_requests_total 2\n")
-            && figures.contains("anemometer_answered_total 2\n")
+        figures.contains("violetyoke_proxy_requests_total 2\n")
+            && figures.contains("violetyoke_proxy_answered_total 2\n")
     );
     assert_eq!(stage.status(0, "/search/1", "no-key", b""), 401);
     assert_eq!(stage.status(0, "/nowhere/1", "key-1", b""), 404);
--- a/crates/anemometer/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -8,10 +8,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
-use violetyoke_ceilometer::again::{Bounds, COME_BACK, LEAST};
-use violetyoke_ceilometer::backend::Showed;
-use violetyoke_ceilometer::{Choice, Millis, Wanted};
-use violetyoke_station::verdict::{Ending, Verdict};
+use violetyoke_api::verdict::{Ending, Verdict};
+use violetyoke_balancing::again::{Bounds, COME_BACK, LEAST};
+use violetyoke_balancing::backend::Showed;
+use violetyoke_balancing::{Choice, Millis, Wanted};
 
 /// A request with all that its attempts need.
 pub struct Job {
--- a/crates/anemometer/src/backend/answer.rs
+++ b/crates/proxy/src/backend/answer.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt};
-use violetyoke_station::calls::header;
+use violetyoke_api::calls::header;
 
 const MOST_HEADERS: usize = 96;
 pub(super) const LARGEST_HEAD: usize = 64 << 10;
--- a/crates/anemometer/src/backend/exchange.rs
+++ b/crates/proxy/src/backend/exchange.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 use tokio::io::{split, AsyncRead, AsyncWriteExt};
 use tokio::time::{timeout_at, Instant};
-use violetyoke_ceilometer::backend::Showed;
-use violetyoke_mast::net::{self, Stream};
-use violetyoke_station::Verdict;
+use violetyoke_api::Verdict;
+use violetyoke_balancing::backend::Showed;
+use violetyoke_transport::net::{self, Stream};
 
 /// A connection comes up within this, or the backend is taken for dead: in the same region, and from another.
 const NEAR: Duration = Duration::from_millis(150);
--- a/crates/anemometer/src/backend/flow.rs
+++ b/crates/proxy/src/backend/flow.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
-use violetyoke_mast::net::Stream;
+use violetyoke_transport::net::Stream;
 
 /// A connection on which the rest of an answer is due.
 pub struct Flow {
--- a/crates/anemometer/src/backend/mod.rs
+++ b/crates/proxy/src/backend/mod.rs
@@ -13,8 +13,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
-use violetyoke_ceilometer::Fleet;
-use violetyoke_mast::net::Stream;
+use violetyoke_balancing::Fleet;
+use violetyoke_transport::net::Stream;
 
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 8;
--- a/crates/anemometer/src/counting.rs
+++ b/crates/proxy/src/counting.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use violetyoke_ceilometer::Millis;
-use violetyoke_mast::frame::encode;
-use violetyoke_mast::words::{Owners, ProxyAsk, RegistryAsk};
-use violetyoke_raingauge::deal::Dealt;
-use violetyoke_raingauge::own::Passed;
-use violetyoke_raingauge::Limit;
-use violetyoke_station::configuration::Tenant;
-use violetyoke_station::routing::Table;
+use violetyoke_api::configuration::Tenant;
+use violetyoke_api::routing::Table;
+use violetyoke_balancing::Millis;
+use violetyoke_quota::deal::Dealt;
+use violetyoke_quota::own::Passed;
+use violetyoke_quota::Limit;
+use violetyoke_transport::frame::encode;
+use violetyoke_transport::messages::{Owners, ProxyRequest, RegistryRequest};
 
 /// The holder is waited for as long as its answers usually take, several times over, within these bounds (ms).
 const TIMES: f64 = 3.0;
@@ -98,8 +98,8 @@
             let (current, previous) = counting.passed.told(begun, &tenant.name, limit);
             if current + previous > 0.0 {
                 let (current, previous) = (current as u32, previous as u32);
-                let tell = ProxyAsk::Tell { tenant: tenant.name.clone(), fence, current, previous };
-                sender.send(encode(&RegistryAsk::Proxy(tell)));
+                let tell = ProxyRequest::Tell { tenant: tenant.name.clone(), fence, current, previous };
+                sender.send(encode(&RegistryRequest::Proxy(tell)));
             }
             counting.told.insert(tenant.name.clone(), at);
         }
@@ -107,8 +107,8 @@
         let call = counting.next;
         let (answer, said) = oneshot::channel();
         counting.calls.insert(call, answer);
-        let add = ProxyAsk::Add { call, tenant: tenant.name.clone(), fence };
-        sender.send(encode(&RegistryAsk::Proxy(add)));
+        let add = ProxyRequest::Add { call, tenant: tenant.name.clone(), fence };
+        sender.send(encode(&RegistryRequest::Proxy(add)));
         let way = counting.ways.get(&owner).copied().unwrap_or(MOST / TIMES);
         (owner, call, said, (way * TIMES).clamp(LEAST, MOST))
     };
--- a/crates/anemometer/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
-use violetyoke_mast::life::Life;
-use violetyoke_mast::link;
-use violetyoke_mast::net::{self, Listener};
-use violetyoke_mast::program::Failed;
-use violetyoke_mast::words::Members;
-use violetyoke_station::Settings;
+use violetyoke_api::Settings;
+use violetyoke_transport::life::Life;
+use violetyoke_transport::link;
+use violetyoke_transport::messages::Members;
+use violetyoke_transport::net::{self, Listener};
+use violetyoke_transport::program::Failed;
 
 const TICK: Duration = Duration::from_millis(50);
 /// Registries that may know something newer are waited for so long, once one has told its state.
@@ -25,7 +25,7 @@
 /// The program, with the arguments after its name.
 pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
     let about = "The proxy: carries clients' requests to backends; one process on each edge machine.";
-    violetyoke_mast::program::run("anemometer", about, arguments, run)
+    violetyoke_transport::program::run("proxy", about, arguments, run)
 }
 
 const FAILED: Failed = Failed("proxy");
--- a/crates/anemometer/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -44,8 +44,11 @@
         let mut out = String::new();
         for (name, help, value) in self.all() {
             // Writing to a string does not fail.
-            let _ = writeln!(out, "# HELP anemometer_{name}_total {help}");
-            let _ = writeln!(out, "# TYPE anemometer_{name}_total counter\nanemometer_{name}_total {value}");
+            let _ = writeln!(out, "# HELP violetyoke_proxy_{name}_total {help}");
+            let _ = writeln!(
+                out,
+                "# TYPE violetyoke_proxy_{name}_total counter\nvioletyoke_proxy_{name}_total {value}"
+            );
         }
         out
     }
--- a/crates/anemometer/src/front/heads.rs
+++ b/crates/proxy/src/front/heads.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
-use violetyoke_mast::net::Stream;
+use violetyoke_transport::net::Stream;
 
 /// What is due on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/anemometer/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -13,7 +13,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use violetyoke_mast::net::{Listener, Stream};
+use violetyoke_transport::net::{Listener, Stream};
 
 /// The least that hyper takes for its buffer.
 const LEAST_HEAD: usize = 8 << 10;
--- a/crates/anemometer/src/learning.rs
+++ b/crates/proxy/src/learning.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::{timeout_at, Duration, Instant};
-use violetyoke_mast::frame::encode;
-use violetyoke_mast::words::{ProxyAsk, RegistryAsk};
+use violetyoke_transport::frame::encode;
+use violetyoke_transport::messages::{ProxyRequest, RegistryRequest};
 
 /// An answer is waited for so long.
 const PATIENCE: Duration = Duration::from_millis(250);
@@ -51,7 +51,7 @@
         let told = self.learning.told.notified();
         if self.learning.asked.get().is_none_or(|at| now > at + PATIENCE) {
             // All of them: the one that is asked first may be the one that is cut off.
-            let frame = encode(&RegistryAsk::Proxy(ProxyAsk::Newer { have: before }));
+            let frame = encode(&RegistryRequest::Proxy(ProxyRequest::Newer { have: before }));
             let registries = self.registries.borrow();
             let up = registries.values().filter_map(|registry| registry.sender.as_ref());
             self.learning.out.set(up.map(|sender| sender.send(frame.clone())).count());
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,7 @@
+//! `proxy`: the proxy.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    violetyoke_proxy::daemon::program(lexopt::Parser::from_env())
+}
--- a/crates/anemometer/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -8,14 +8,16 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedSender;
-use violetyoke_ceilometer::fleet::{Fleet, Line};
-use violetyoke_ceilometer::Millis;
-use violetyoke_mast::frame::{decode, encode};
-use violetyoke_mast::link;
-use violetyoke_mast::words::{Backend, Members, ProxyAsk, ProxySays, RegistryAsk, Session, Stamp};
-use violetyoke_station::change::Change;
-use violetyoke_station::settings::Process;
-use violetyoke_station::Configuration;
+use violetyoke_api::change::Change;
+use violetyoke_api::settings::Process;
+use violetyoke_api::Configuration;
+use violetyoke_balancing::fleet::{Fleet, Line};
+use violetyoke_balancing::Millis;
+use violetyoke_transport::frame::{decode, encode};
+use violetyoke_transport::link;
+use violetyoke_transport::messages::{
+    Backend, Members, ProxyReply, ProxyRequest, RegistryRequest, Session, Stamp,
+};
 
 impl Proxy {
     /// Keeps a session with each registry that is known.
@@ -36,12 +38,12 @@
         }
     }
 
-    fn session(&self) -> ProxyAsk {
+    fn session(&self) -> ProxyRequest {
         let front = match self.settings.network.listen.front {
             Some(std::net::SocketAddr::V4(front)) => front,
             _ => SocketAddrV4::new(self.settings.me.ip, 0),
         };
-        ProxyAsk::Hello(Session {
+        ProxyRequest::Hello(Session {
             node: self.settings.me.node.clone(),
             front,
             zone: self.settings.me.zone.clone(),
@@ -52,7 +54,7 @@
 
     /// Tells all registries how this ingress stands.
     pub fn announce(&self) {
-        let frame = encode(&RegistryAsk::Proxy(self.session()));
+        let frame = encode(&RegistryRequest::Proxy(self.session()));
         for sender in self.registries.borrow().values().filter_map(|registry| registry.sender.as_ref()) {
             sender.send(frame.clone());
         }
@@ -67,13 +69,13 @@
         self.lead.set(lead);
         for (ip, registry) in registries.iter() {
             let Some(sender) = &registry.sender else { continue };
-            let ask = ProxyAsk::Poll {
+            let ask = ProxyRequest::Poll {
                 have: if self.lacking.get() { Stamp::default() } else { self.stamp() },
                 list: self.list.get(),
                 members: registry.members.digest,
                 lead: lead == Some(*ip),
             };
-            sender.send(encode(&RegistryAsk::Proxy(ask)));
+            sender.send(encode(&RegistryRequest::Proxy(ask)));
         }
     }
 
@@ -81,7 +83,7 @@
         match event {
             link::Event::Up(sender) => {
                 info!(self.log, "session"; "registry" => %ip);
-                sender.send(encode(&RegistryAsk::Proxy(self.session())));
+                sender.send(encode(&RegistryRequest::Proxy(self.session())));
                 if let Some(registry) = self.registries.borrow_mut().get_mut(&ip) {
                     registry.sender = Some(sender);
                     registry.lives += 1;
@@ -97,23 +99,23 @@
                 self.poll();
             }
             link::Event::Frame(frame) => match decode(&frame) {
-                Ok(ProxySays::Newest { .. }) => self.learning.nothing(),
-                Ok(ProxySays::Whole { stamp, evacuated, packed }) => {
+                Ok(ProxyReply::Newest { .. }) => self.learning.nothing(),
+                Ok(ProxyReply::Whole { stamp, evacuated, packed }) => {
                     let configuration = packed.open::<Configuration>();
                     self.told(stamp, evacuated, configuration.map(Some));
                 }
-                Ok(ProxySays::Change { from, stamp, evacuated, packed }) => {
+                Ok(ProxyReply::Change { from, stamp, evacuated, packed }) => {
                     let old = self.snapshot().filter(|snapshot| snapshot.stamp == from);
                     let change = packed.open::<Change>();
                     let next = change.map(|change| old.and_then(|old| change.apply(&old.configuration)));
                     self.told(stamp, evacuated, next);
                 }
-                Ok(ProxySays::List(list)) => {
+                Ok(ProxyReply::List(list)) => {
                     let (digest, age) = (list.digest, list.age_ms);
                     let lines = list.backends.into_iter().map(|it| self.line(it)).collect();
                     self.listed(digest, age, |fleet, now, at| fleet.list(now, at, lines));
                 }
-                Ok(ProxySays::ListChange(list)) if list.from == self.list.get() => {
+                Ok(ProxyReply::ListChange(list)) if list.from == self.list.get() => {
                     let lines = list.set.into_iter().map(|it| self.line(it)).collect();
                     let gone = list.gone;
                     self.listed(list.digest, list.age_ms, |fleet, now, at| {
@@ -121,17 +123,17 @@
                     });
                 }
                 // Made for another list than the one that is known here by now.
-                Ok(ProxySays::ListChange(_)) => self.poll(),
-                Ok(ProxySays::Members(members)) => {
+                Ok(ProxyReply::ListChange(_)) => self.poll(),
+                Ok(ProxyReply::Members(members)) => {
                     if let Some(registry) = self.registries.borrow_mut().get_mut(&ip) {
                         registry.members = members;
                     }
                     self.members_changed();
                 }
-                Ok(ProxySays::Counted { call, retry_ms }) => {
+                Ok(ProxyReply::Counted { call, retry_ms }) => {
                     self.counting.borrow_mut().said(call, Said::Counted(retry_ms));
                 }
-                Ok(ProxySays::NotMine { call }) => self.counting.borrow_mut().said(call, Said::NotMine),
+                Ok(ProxyReply::NotMine { call }) => self.counting.borrow_mut().said(call, Said::NotMine),
                 Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
             },
         }
--- a/crates/anemometer/src/ready.rs
+++ b/crates/proxy/src/ready.rs
@@ -8,9 +8,9 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::rc::Rc;
-use violetyoke_ceilometer::shown::Shown;
-use violetyoke_mast::net::Listener;
-use violetyoke_station::calls::{find, Call, Taker};
+use violetyoke_api::calls::{find, Call, Taker};
+use violetyoke_balancing::shown::Shown;
+use violetyoke_transport::net::Listener;
 
 pub async fn serve(listener: Listener, proxy: Rc<Proxy>) {
     loop {
--- a/crates/anemometer/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -16,12 +16,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use violetyoke_ceilometer::again::Bounds;
-use violetyoke_ceilometer::Millis;
-use violetyoke_station::calls::header;
-use violetyoke_station::configuration::Tenant;
-use violetyoke_station::routing::{Caller, Entry, Table};
-use violetyoke_station::verdict::{Ending, Verdict};
+use violetyoke_api::calls::header;
+use violetyoke_api::configuration::Tenant;
+use violetyoke_api::routing::{Caller, Entry, Table};
+use violetyoke_api::verdict::{Ending, Verdict};
+use violetyoke_balancing::again::Bounds;
+use violetyoke_balancing::Millis;
 
 pub type Reply = Response<Either<Full<Bytes>, Channel<Bytes, std::io::Error>>>;
 
--- a/crates/anemometer/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -12,13 +12,13 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use violetyoke_ceilometer::budget::{Budget, Terms};
-use violetyoke_ceilometer::fleet::{self, Fleet, Place};
-use violetyoke_ceilometer::Millis;
-use violetyoke_mast::link::Sender;
-use violetyoke_mast::words::{member, Members, Stamp};
-use violetyoke_station::routing::Table;
-use violetyoke_station::{Configuration, Settings};
+use violetyoke_api::routing::Table;
+use violetyoke_api::{Configuration, Settings};
+use violetyoke_balancing::budget::{Budget, Terms};
+use violetyoke_balancing::fleet::{self, Fleet, Place};
+use violetyoke_balancing::Millis;
+use violetyoke_transport::link::Sender;
+use violetyoke_transport::messages::{member, Members, Stamp};
 
 /// What is in force: swapped whole.
 #[derive(Debug)]
--- a/crates/anemometer/src/waiting.rs
+++ b/crates/proxy/src/waiting.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use tokio::sync::oneshot;
-use violetyoke_ceilometer::queue::{Queue, Ticket};
-use violetyoke_ceilometer::Millis;
+use violetyoke_balancing::queue::{Queue, Ticket};
+use violetyoke_balancing::Millis;
 
 #[derive(Debug, Default)]
 pub struct Waiting {
--- a/crates/raingauge/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -2,7 +2,7 @@
 //! `burst / rate` seconds; the weighted sum of two windows decides. Nothing here does I/O or reads a clock.
 //!
 //! ```
-//! use violetyoke_raingauge::{Limit, Window};
+//! use violetyoke_quota::{Limit, Window};
 //!
 //! let limit = Limit::new(10.0, 5.0).unwrap();
 //! let mut window = Window::default();
--- a/crates/raingauge/tests/counts.rs
+++ b/crates/quota/tests/counts.rs
@@ -1,10 +1,10 @@
 //! Counts under load, and what becomes of them when their holder changes.
 
-use violetyoke_raingauge::absent::Absent;
-use violetyoke_raingauge::deal::Dealt;
-use violetyoke_raingauge::holder::{Holder, Stale};
-use violetyoke_raingauge::own::Passed;
-use violetyoke_raingauge::{Limit, Window};
+use violetyoke_quota::absent::Absent;
+use violetyoke_quota::deal::Dealt;
+use violetyoke_quota::holder::{Holder, Stale};
+use violetyoke_quota::own::Passed;
+use violetyoke_quota::{Limit, Window};
 
 #[test]
 fn a_steady_flood_passes_at_its_rate_in_every_span() {
--- a/crates/windvane/src/backends.rs
+++ b/crates/registry/src/backends.rs
@@ -5,7 +5,7 @@
 use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{Backend, List, ListChange};
+use violetyoke_transport::messages::{Backend, List, ListChange};
 
 /// The pause between two calls for the list.
 const EVERY: Millis = 500;
--- a/crates/windvane/src/daemon/listing.rs
+++ b/crates/registry/src/daemon/listing.rs
@@ -2,7 +2,7 @@
 
 use super::{Input, Registry};
 use crate::{platform, Millis};
-use violetyoke_mast::words::Backend;
+use violetyoke_transport::messages::Backend;
 
 /// So often other registries are told that the list still holds.
 const TELL_LIST: Millis = 700;
--- a/crates/windvane/src/daemon/mod.rs
+++ b/crates/registry/src/daemon/mod.rs
@@ -24,13 +24,13 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::Notify;
 use tokio::time::{interval, Instant, MissedTickBehavior};
-use violetyoke_mast::frame::{decode, encode};
-use violetyoke_mast::life::Life;
-use violetyoke_mast::link::{self, Sender};
-use violetyoke_mast::net::{self, Listener};
-use violetyoke_mast::program::Failed;
-use violetyoke_mast::words::{Backend, Gossip, Held, RegistryAsk};
-use violetyoke_station::settings::{Process, Settings};
+use violetyoke_api::settings::{Process, Settings};
+use violetyoke_transport::frame::{decode, encode};
+use violetyoke_transport::life::Life;
+use violetyoke_transport::link::{self, Sender};
+use violetyoke_transport::messages::{Backend, ControlState, Gossip, RegistryRequest};
+use violetyoke_transport::net::{self, Listener};
+use violetyoke_transport::program::Failed;
 
 /// After a SIGTERM, the longest that orders are waited for, and the least for answers to be on their way.
 const LEAVES: Duration = Duration::from_millis(3_000);
@@ -41,7 +41,7 @@
 pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
     let about =
         "The registry: one process on each core machine; it takes the outside calls for the store too.";
-    violetyoke_mast::program::run("windvane", about, arguments, run)
+    violetyoke_transport::program::run("registry", about, arguments, run)
 }
 
 const FAILED: Failed = Failed("registry");
@@ -68,7 +68,7 @@
     orders: Orders,
     proxies: Proxies,
     telling: Telling,
-    held: Held,
+    held: ControlState,
     /// Other registries: connections to them, and those that are here from them.
     registries: BTreeMap<Ipv4Addr, Option<Sender>>,
     heard: BTreeMap<u64, Ipv4Addr>,
@@ -101,7 +101,7 @@
         orders: Orders::default(),
         proxies: Proxies::default(),
         telling: Telling::default(),
-        held: Held::default(),
+        held: ControlState::default(),
         registries: BTreeMap::new(),
         heard: BTreeMap::new(),
         told_list: 0,
@@ -205,8 +205,8 @@
                 self.publish();
             }
             Input::Connection(number, link::Event::Frame(frame)) => match decode(&frame) {
-                Ok(RegistryAsk::Proxy(ask)) => self.proxy(number, ask),
-                Ok(RegistryAsk::Registry(gossip)) => {
+                Ok(RegistryRequest::Proxy(ask)) => self.proxy(number, ask),
+                Ok(RegistryRequest::Registry(gossip)) => {
                     self.heard.insert(number, gossip.from);
                     self.sessions.told(gossip.from, gossip.sessions);
                     self.proxies.absent.told(now, &gossip.away);
@@ -221,10 +221,10 @@
     }
 
     /// Tells all other registries the sessions that stand here.
-    fn gossip(&self, list: Option<violetyoke_mast::words::List>) {
+    fn gossip(&self, list: Option<violetyoke_transport::messages::List>) {
         let away = self.proxies.absent.away();
         let gossip = Gossip { from: self.settings.me.ip, sessions: self.sessions.own(), away, list };
-        let frame = encode(&RegistryAsk::Registry(gossip));
+        let frame = encode(&RegistryRequest::Registry(gossip));
         for sender in self.registries.values().flatten() {
             sender.send(frame.clone());
         }
--- a/crates/windvane/src/daemon/orders.rs
+++ b/crates/registry/src/daemon/orders.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use tokio::sync::oneshot;
-use violetyoke_mast::frame::encode;
-use violetyoke_mast::words::{Order, Outcome, StoreAsk};
+use violetyoke_transport::frame::encode;
+use violetyoke_transport::messages::{Order, Outcome, StoreRequest};
 
 /// An order that no store answers for so long has no clear answer.
 const PATIENCE: Millis = 2_800;
@@ -43,7 +43,7 @@
             let waits = one.sent.is_some_and(|(to, at)| to == ip && now < at + AGAIN);
             if !waits && now >= one.not_before {
                 one.sent = Some((ip, now));
-                sender.send(encode(&StoreAsk::Do { call: *call, order: one.order.clone() }));
+                sender.send(encode(&StoreRequest::Do { call: *call, order: one.order.clone() }));
             }
         }
     }
--- a/crates/windvane/src/daemon/outside.rs
+++ b/crates/registry/src/daemon/outside.rs
@@ -12,10 +12,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
-use violetyoke_mast::net::Listener;
-use violetyoke_mast::words::{Order, Outcome};
-use violetyoke_station::calls::{find, query, Call, Taker};
-use violetyoke_station::{Configuration, Invalid};
+use violetyoke_api::calls::{find, query, Call, Taker};
+use violetyoke_api::{Configuration, Invalid};
+use violetyoke_transport::messages::{Order, Outcome};
+use violetyoke_transport::net::Listener;
 
 /// The largest body of an order.
 const LARGEST: usize = 8 << 20;
--- a/crates/windvane/src/daemon/proxies.rs
+++ b/crates/registry/src/daemon/proxies.rs
@@ -4,14 +4,14 @@
 use crate::Millis;
 use slog::info;
 use std::collections::{BTreeMap, HashMap};
-use violetyoke_mast::frame::encode;
-use violetyoke_mast::link::Sender;
-use violetyoke_mast::words::{Held, Owners, ProxyAsk, ProxySays, Stamp};
-use violetyoke_raingauge::absent::Absent;
-use violetyoke_raingauge::deal::Dealt;
-use violetyoke_raingauge::holder::Holder;
-use violetyoke_raingauge::Limit;
-use violetyoke_station::Configuration;
+use violetyoke_api::Configuration;
+use violetyoke_quota::absent::Absent;
+use violetyoke_quota::deal::Dealt;
+use violetyoke_quota::holder::Holder;
+use violetyoke_quota::Limit;
+use violetyoke_transport::frame::encode;
+use violetyoke_transport::link::Sender;
+use violetyoke_transport::messages::{ControlState, Owners, ProxyReply, ProxyRequest, Stamp};
 
 /// Of the part by which a limit may be passed, so much bears what proxies pass that can't ask; ways and turns of windows
 /// take the rest.
@@ -61,7 +61,7 @@
 
 impl Registry {
     /// A newer state of control.
-    pub(super) fn take(&mut self, held: Held) {
+    pub(super) fn take(&mut self, held: ControlState) {
         // Only what was checked is held; before the first configuration there is nothing to be read.
         if let Ok(configuration) = Configuration::parse(held.text.as_bytes()) {
             let tenants = configuration.tenants.iter();
@@ -81,10 +81,10 @@
         self.proxies.by_connection.values().filter(|proxy| proxy.hello).all(|proxy| proxy.holds >= stamp)
     }
 
-    pub(super) fn proxy(&mut self, number: u64, ask: ProxyAsk) {
+    pub(super) fn proxy(&mut self, number: u64, ask: ProxyRequest) {
         let now = self.now();
         match ask {
-            ProxyAsk::Hello(session) => {
+            ProxyRequest::Hello(session) => {
                 info!(self.log, "session"; "proxy" => &session.node, "ready" => session.ready);
                 self.sessions.begin(number, session);
                 if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
@@ -93,7 +93,7 @@
                 self.gossip(None);
                 self.publish();
             }
-            ProxyAsk::Poll { have, list, members, lead } => {
+            ProxyRequest::Poll { have, list, members, lead } => {
                 if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
                     (proxy.have, proxy.list, proxy.members, proxy.lead) = (have, list, members, lead);
                     proxy.holds = have;
@@ -102,7 +102,7 @@
                 self.polled.notify_waiters();
                 self.publish();
             }
-            ProxyAsk::Newer { have } => {
+            ProxyRequest::Newer { have } => {
                 let newest = self.telling.stamp().unwrap_or_default();
                 if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
                     if newest > have {
@@ -110,35 +110,35 @@
                         proxy.have = have;
                         proxy.lead = true;
                     } else {
-                        proxy.sender.send(encode(&ProxySays::Newest { stamp: newest }));
+                        proxy.sender.send(encode(&ProxyReply::Newest { stamp: newest }));
                     }
                 }
                 self.publish();
             }
-            ProxyAsk::Add { call, tenant, fence } => {
+            ProxyRequest::Add { call, tenant, fence } => {
                 let mine = self.counts(&tenant);
                 let slack = self.settings.terms.bounds.quota_overshoot * BORNE;
                 let left = 1.0 - self.proxies.absent.reserve(now, slack);
                 let says = match self.proxies.limits.get(&tenant).copied() {
                     // A tenant of a configuration that has not come here yet: whoever asks knows its limit.
-                    None => ProxySays::NotMine { call },
-                    Some(None) => ProxySays::Counted { call, retry_ms: None },
+                    None => ProxyReply::NotMine { call },
+                    Some(None) => ProxyReply::Counted { call, retry_ms: None },
                     Some(Some(limit)) if mine => {
                         match self.proxies.counts.add(now, &tenant, fence, limit.part(left, limit.length)) {
-                            Err(_) => ProxySays::NotMine { call },
+                            Err(_) => ProxyReply::NotMine { call },
                             Ok(counted) => {
                                 let retry_ms = counted.err().map(|ms| ms.min(60_000) as u32);
-                                ProxySays::Counted { call, retry_ms }
+                                ProxyReply::Counted { call, retry_ms }
                             }
                         }
                     }
-                    Some(Some(_)) => ProxySays::NotMine { call },
+                    Some(Some(_)) => ProxyReply::NotMine { call },
                 };
                 if let Some(proxy) = self.proxies.by_connection.get(&number) {
                     proxy.sender.send(encode(&says));
                 }
             }
-            ProxyAsk::Tell { tenant, fence, current, previous } => {
+            ProxyRequest::Tell { tenant, fence, current, previous } => {
                 if let Some(Some(limit)) = self.proxies.limits.get(&tenant).copied() {
                     let told = (f64::from(current), f64::from(previous));
                     // A word under an older deal is of no use to anybody.
--- a/crates/windvane/src/daemon/stores.rs
+++ b/crates/registry/src/daemon/stores.rs
@@ -5,9 +5,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use tokio::sync::mpsc::UnboundedSender;
-use violetyoke_mast::frame::{decode, encode};
-use violetyoke_mast::link::{self, Sender};
-use violetyoke_mast::words::{Owners, StoreAsk, StoreSays};
+use violetyoke_transport::frame::{decode, encode};
+use violetyoke_transport::link::{self, Sender};
+use violetyoke_transport::messages::{Owners, StoreReply, StoreRequest};
 
 #[derive(Default)]
 struct Store {
@@ -59,7 +59,7 @@
         let now = self.now();
         match event {
             link::Event::Up(sender) => {
-                let watch = StoreAsk::Watch { registry: self.settings.me.ip, have: self.held.stamp };
+                let watch = StoreRequest::Watch { registry: self.settings.me.ip, have: self.held.stamp };
                 sender.send(encode(&watch));
                 self.stores.by_ip.entry(ip).or_default().sender = Some(sender);
             }
@@ -68,7 +68,7 @@
                 self.orders.lost(ip);
             }
             link::Event::Frame(frame) => match decode(&frame) {
-                Ok(StoreSays::Standing { epoch, active, owners, stores }) => {
+                Ok(StoreReply::Status { epoch, active, owners, stores }) => {
                     self.stores.known.extend(stores);
                     let store = self.stores.by_ip.entry(ip).or_default();
                     (store.epoch, store.active) = (epoch, active);
@@ -78,14 +78,14 @@
                         self.publish();
                     }
                 }
-                Ok(StoreSays::News(held)) => {
+                Ok(StoreReply::News(held)) => {
                     if held.stamp > self.held.stamp {
                         info!(self.log, "in force"; "version" => held.version, "epoch" => held.stamp.epoch,
                             "evacuated" => held.evacuated.len());
                         self.take(held);
                     }
                 }
-                Ok(StoreSays::Done { call, outcome }) => self.orders.done(now, call, outcome),
+                Ok(StoreReply::Done { call, outcome }) => self.orders.done(now, call, outcome),
                 Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
             },
         }
--- a/crates/windvane/src/daemon/telling.rs
+++ b/crates/registry/src/daemon/telling.rs
@@ -8,11 +8,11 @@
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
-use violetyoke_mast::frame::encode;
-use violetyoke_mast::pack::Packed;
-use violetyoke_mast::words::{Held, List, Members, ProxySays, Stamp};
-use violetyoke_station::change::Change;
-use violetyoke_station::Configuration;
+use violetyoke_api::change::Change;
+use violetyoke_api::Configuration;
+use violetyoke_transport::frame::encode;
+use violetyoke_transport::messages::{ControlState, List, Members, ProxyReply, Stamp};
+use violetyoke_transport::pack::Packed;
 
 /// A proxy that asks another registry first is told so much later, and only if it has not heard by then.
 const SECOND: Millis = 600;
@@ -41,7 +41,7 @@
 
 impl Telling {
     /// A newer state; whether proxies have to be told of it.
-    pub fn state(&mut self, held: &Held, configuration: Configuration) -> bool {
+    pub fn state(&mut self, held: &ControlState, configuration: Configuration) -> bool {
         let same =
             |last: &State| last.configuration.version == held.version && last.evacuated == held.evacuated;
         if self.states.back().is_some_and(same) {
@@ -76,8 +76,8 @@
         let old = self.states.iter().find(|state| state.stamp == have);
         let change = old.and_then(|old| Change::between(&old.configuration, &newest.configuration));
         let says = match change.map(|change| Packed::new(&change)) {
-            Some(Ok(packed)) => ProxySays::Change { from: have, stamp, evacuated, packed },
-            _ => ProxySays::Whole { stamp, evacuated, packed: Packed::new(&newest.configuration).ok()? },
+            Some(Ok(packed)) => ProxyReply::Change { from: have, stamp, evacuated, packed },
+            _ => ProxyReply::Whole { stamp, evacuated, packed: Packed::new(&newest.configuration).ok()? },
         };
         let frame = encode(&says);
         self.made.insert(have, frame.clone());
@@ -103,8 +103,8 @@
         }
         let old = self.lists.iter().find(|list| list.digest == have);
         let says = match old {
-            Some(old) => ProxySays::ListChange(change(old, &newest)),
-            None => ProxySays::List(newest),
+            Some(old) => ProxyReply::ListChange(change(old, &newest)),
+            None => ProxyReply::List(newest),
         };
         let frame = encode(&says);
         self.list_made.insert(have, frame.clone());
@@ -151,7 +151,7 @@
             if other_members {
                 proxy.members = self.telling.members.digest;
                 let members = Members { newest: newest.unwrap_or_default(), ..self.telling.members.clone() };
-                proxy.sender.send(encode(&ProxySays::Members(members)));
+                proxy.sender.send(encode(&ProxyReply::Members(members)));
             }
         }
     }
--- a/crates/windvane/src/platform.rs
+++ b/crates/registry/src/platform.rs
@@ -10,9 +10,9 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::time::timeout;
-use violetyoke_mast::net::connect;
-use violetyoke_mast::words::Backend;
-use violetyoke_station::calls::{path_of, Call};
+use violetyoke_api::calls::{path_of, Call};
+use violetyoke_transport::messages::Backend;
+use violetyoke_transport::net::connect;
 
 const PATIENCE: Duration = Duration::from_millis(900);
 const LARGEST: usize = 4 << 20;
--- a/crates/windvane/src/sessions.rs
+++ b/crates/registry/src/sessions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use violetyoke_mast::words::{member, Session};
+use violetyoke_transport::messages::{member, Session};
 
 /// The most addresses in one answer.
 const MOST: usize = 64;
--- a/crates/windvane/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -1,10 +1,10 @@
 //! Sessions, the backends' list, and the platform's pages.
 
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{member, Backend, List, Session};
-use violetyoke_windvane::backends::Lists;
-use violetyoke_windvane::platform::page;
-use violetyoke_windvane::sessions::Sessions;
+use violetyoke_registry::backends::Lists;
+use violetyoke_registry::platform::page;
+use violetyoke_registry::sessions::Sessions;
+use violetyoke_transport::messages::{member, Backend, List, Session};
 
 fn session(node: &str, zone: &str, port: u16, ready: bool) -> Session {
     Session {
--- a/crates/barograph/src/daemon/keeper.rs
+++ b/crates/store/src/daemon/keeper.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
-use violetyoke_mast::world::{here, Disk};
+use violetyoke_transport::world::{here, Disk};
 
 /// A disk that takes longer for one state does not answer.
 const LATE: Duration = Duration::from_millis(600);
--- a/crates/barograph/src/daemon/mod.rs
+++ b/crates/store/src/daemon/mod.rs
@@ -12,13 +12,13 @@
 use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::{interval, Instant, MissedTickBehavior};
-use violetyoke_mast::frame::{decode, encode};
-use violetyoke_mast::life::Life;
-use violetyoke_mast::link::{self, Sender};
-use violetyoke_mast::net;
-use violetyoke_mast::program::Failed;
-use violetyoke_mast::words::{Letter, Member, StoreAsk};
-use violetyoke_station::settings::{Process, Settings};
+use violetyoke_api::settings::{Process, Settings};
+use violetyoke_transport::frame::{decode, encode};
+use violetyoke_transport::life::Life;
+use violetyoke_transport::link::{self, Sender};
+use violetyoke_transport::messages::{Envelope, Member, StoreRequest};
+use violetyoke_transport::net;
+use violetyoke_transport::program::Failed;
 use watchers::Watchers;
 
 /// After a SIGTERM another store is waited for so long.
@@ -28,7 +28,7 @@
 /// The program, with the arguments after its name.
 pub fn program(arguments: lexopt::Parser) -> std::process::ExitCode {
     let about = "The store of configuration: one process on each core machine.";
-    violetyoke_mast::program::run("barograph", about, arguments, run)
+    violetyoke_transport::program::run("store", about, arguments, run)
 }
 
 const FAILED: Failed = Failed("store");
@@ -47,7 +47,7 @@
     begun: Instant,
     keeper: Keeper,
     inputs: UnboundedSender<Input>,
-    /// Connections to other stores, and those that others opened: letters go on either.
+    /// Connections to other stores, and those that others opened: envelopes go on either.
     peers: HashMap<Ipv4Addr, Option<Sender>>,
     heard: HashMap<Ipv4Addr, (u64, Sender)>,
     watchers: Watchers,
@@ -56,7 +56,7 @@
 }
 
 pub async fn run(settings: Settings, mut life: Life, log: Logger) -> Result<(), Report<Failed>> {
-    let folder = settings.me.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("barograph"));
+    let folder = settings.me.data_dir.clone().unwrap_or_else(|| std::env::temp_dir().join("store"));
     let (place, kept) = Place::open(&folder)
         .change_context(FAILED)
         .attach_with(|| format!("self.data-dir: {}", folder.display()))?;
@@ -166,18 +166,18 @@
     /// What came on a connection that another opened (`number`), or on one of this store's own.
     fn frame(&mut self, number: Option<u64>, frame: &[u8]) {
         match (decode(frame), number) {
-            (Ok(StoreAsk::Letter(letter)), number) => {
+            (Ok(StoreRequest::Envelope(envelope)), number) => {
                 // Its connection here may stand before this store's own to it does.
                 if let Some((number, sender)) = number.and_then(|it| Some((it, self.watchers.sender(it)?))) {
-                    self.heard.insert(letter.from.ip, (number, sender));
+                    self.heard.insert(envelope.from.ip, (number, sender));
                 }
-                self.handle(Event::Letter(letter));
+                self.handle(Event::Envelope(envelope));
             }
-            (Ok(StoreAsk::Watch { registry, have }), Some(number)) => {
+            (Ok(StoreRequest::Watch { registry, have }), Some(number)) => {
                 self.watchers.watch(number, registry, have);
                 self.publish();
             }
-            (Ok(StoreAsk::Do { call, order }), Some(number)) => {
+            (Ok(StoreRequest::Do { call, order }), Some(number)) => {
                 let client = self.watchers.client(number, call);
                 self.handle(Event::Order { client, order });
             }
@@ -190,10 +190,13 @@
         let now = self.now();
         for effect in self.register.handle(now, event) {
             match effect {
-                Effect::Send { to, word } => {
+                Effect::Send { to, message } => {
                     let own = self.peers.get(&to).and_then(Option::as_ref);
                     if let Some(sender) = own.or(self.heard.get(&to).map(|(_, sender)| sender)) {
-                        sender.send(encode(&StoreAsk::Letter(Letter { from: self.me.clone(), word })));
+                        sender.send(encode(&StoreRequest::Envelope(Envelope {
+                            from: self.me.clone(),
+                            message,
+                        })));
                     }
                 }
                 Effect::Keep { number, state } => self.keeper.keep(number, state),
--- a/crates/barograph/src/daemon/watchers.rs
+++ b/crates/store/src/daemon/watchers.rs
@@ -3,15 +3,15 @@
 use crate::register::{Client, Register};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use violetyoke_mast::frame::encode;
-use violetyoke_mast::link::Sender;
-use violetyoke_mast::words::{Outcome, Owners, Stamp, StoreSays};
+use violetyoke_transport::frame::encode;
+use violetyoke_transport::link::Sender;
+use violetyoke_transport::messages::{Outcome, Owners, Stamp, StoreReply};
 
 struct Watcher {
     sender: Sender,
     registry: Option<Ipv4Addr>,
     have: Stamp,
-    told: Option<StoreSays>,
+    told: Option<StoreReply>,
 }
 
 #[derive(Default)]
@@ -53,7 +53,7 @@
     pub fn answer(&mut self, client: Client, outcome: Outcome) {
         let Some((number, call)) = self.clients.remove(&client) else { return };
         if let Some(watcher) = self.by_connection.get(&number) {
-            watcher.sender.send(encode(&StoreSays::Done { call, outcome }));
+            watcher.sender.send(encode(&StoreReply::Done { call, outcome }));
         }
     }
 
@@ -71,7 +71,7 @@
         }
         let owners = if register.active() { self.owners.clone() } else { Owners::default() };
         let standing =
-            StoreSays::Standing { epoch, active: register.active(), owners, stores: register.stores() };
+            StoreReply::Status { epoch, active: register.active(), owners, stores: register.stores() };
         for watcher in self.by_connection.values_mut().filter(|watcher| watcher.registry.is_some()) {
             if watcher.told.as_ref() != Some(&standing) {
                 watcher.sender.send(encode(&standing));
@@ -79,7 +79,7 @@
             }
             if let Some(held) = register.committed().filter(|held| held.stamp > watcher.have) {
                 watcher.have = held.stamp;
-                watcher.sender.send(encode(&StoreSays::News(held.clone())));
+                watcher.sender.send(encode(&StoreReply::News(held.clone())));
             }
         }
     }
--- a/crates/barograph/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -19,12 +19,14 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{Beat, Held, Member, Order, Outcome, PeerWord, Record, Stamp};
+use violetyoke_transport::messages::{
+    ControlState, Heartbeat, Member, Order, Outcome, PeerMessage, Record, Stamp,
+};
 
 #[derive(Clone, Debug)]
 struct Peer {
     member: Member,
-    beat: Beat,
+    heartbeat: Heartbeat,
     heard: Millis,
 }
 
@@ -34,7 +36,7 @@
     /// Follows whoever is primary.
     Follower,
     /// Asks for promises.
-    Asking { epoch: u64, since: Millis, promises: BTreeMap<u64, (Member, Record, Held)> },
+    Asking { epoch: u64, since: Millis, promises: BTreeMap<u64, (Member, Record, ControlState)> },
     /// Has them, and offers its record.
     Offering { record: Record, number: u64, since: Millis, accepted: BTreeSet<u64> },
     /// Primary, and its epoch stands.
@@ -86,7 +88,7 @@
     /// Since when the primary has not been well, and until when not to ask.
     unled: Option<Millis>,
     rest_until: Millis,
-    beat_at: Millis,
+    heartbeat_at: Millis,
     settled_at: Millis,
 }
 
@@ -123,7 +125,7 @@
             nonce: 0,
             unled: None,
             rest_until: 0,
-            beat_at: 0,
+            heartbeat_at: 0,
             settled_at: now,
         };
         if empty {
@@ -135,7 +137,7 @@
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Effect> {
         self.now = now;
         match event {
-            Event::Letter(letter) => self.letter(letter),
+            Event::Envelope(envelope) => self.envelope(envelope),
             Event::Kept(number) => {
                 self.kept = self.kept.max(number);
                 self.own_kept();
@@ -153,7 +155,7 @@
     }
 
     /// The state that all holders have, as far as this store knows.
-    pub fn committed(&self) -> Option<&Held> {
+    pub fn committed(&self) -> Option<&ControlState> {
         (self.committed == self.durable.held.stamp && self.committed.epoch > 0).then_some(&self.durable.held)
     }
 
@@ -205,8 +207,8 @@
     }
 
     /// Sends once all that it may rest on is on the disk.
-    fn send(&mut self, to: Ipv4Addr, word: PeerWord) {
-        self.gated.push_back((self.asked, Effect::Send { to, word }));
+    fn send(&mut self, to: Ipv4Addr, message: PeerMessage) {
+        self.gated.push_back((self.asked, Effect::Send { to, message }));
     }
 
     fn answer(&mut self, client: Client, outcome: Outcome) {
--- a/crates/barograph/src/register/model.rs
+++ b/crates/store/src/register/model.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
-use violetyoke_mast::words::{Held, Letter, Order, Outcome, PeerWord, Record};
+use violetyoke_transport::messages::{ControlState, Envelope, Order, Outcome, PeerMessage, Record};
 
 /// Milliseconds of a clock that only advances; it begins anywhere.
 pub type Millis = u64;
@@ -17,12 +17,12 @@
     pub fresh: bool,
     pub promised: u64,
     pub record: Record,
-    pub held: Held,
+    pub held: ControlState,
 }
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    Letter(Letter),
+    Envelope(Envelope),
     /// All that was asked to be kept up to this number is on the disk.
     Kept(u64),
     /// Time has passed; whether the disk answers.
@@ -39,7 +39,7 @@
 pub enum Effect {
     Send {
         to: Ipv4Addr,
-        word: PeerWord,
+        message: PeerMessage,
     },
     Keep {
         number: u64,
--- a/crates/barograph/src/register/orders.rs
+++ b/crates/store/src/register/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{Client, Confirming, Effect, Millis, Pending, Register, Role};
 use std::collections::BTreeSet;
-use violetyoke_mast::words::{Held, Order, Outcome, PeerWord, Stamp};
+use violetyoke_transport::messages::{ControlState, Order, Outcome, PeerMessage, Stamp};
 
 /// A state that a backup has not said to have is sent again after so long.
 const AGAIN: Millis = 250;
@@ -59,7 +59,7 @@
         }
     }
 
-    fn put(&mut self, client: Client, mut held: Held) {
+    fn put(&mut self, client: Client, mut held: ControlState) {
         held.stamp.seq += 1;
         self.durable.held = held.clone();
         self.keep();
@@ -76,12 +76,13 @@
         let (epoch, held) = (self.durable.record.epoch, self.durable.held.clone());
         for (id, ip) in self.backups() {
             if !written.contains(&id) {
-                self.out.push(Effect::Send { to: ip, word: PeerWord::Write { epoch, held: held.clone() } });
+                self.out
+                    .push(Effect::Send { to: ip, message: PeerMessage::Write { epoch, held: held.clone() } });
             }
         }
     }
 
-    /// A word may be lost with its connection, while both ends are well: it is sent again.
+    /// A message may be lost with its connection, while both ends are well: it is sent again.
     pub(super) fn send_again(&mut self) {
         let now = self.now;
         if self.pending.as_ref().is_some_and(|pending| now > pending.sent + AGAIN) {
@@ -126,7 +127,7 @@
         self.confirming.insert(nonce, Confirming { client, outcome, confirmed, since: self.now });
         let epoch = self.durable.record.epoch;
         for (_, ip) in self.backups() {
-            self.send(ip, PeerWord::Confirm { epoch, nonce });
+            self.send(ip, PeerMessage::Confirm { epoch, nonce });
         }
         self.confirmed(self.me.id, epoch, nonce);
     }
--- a/crates/barograph/src/register/quorum.rs
+++ b/crates/store/src/register/quorum.rs
@@ -1,8 +1,8 @@
 //! When enough voters have said yes; and how stores that would do the same at the same time are told apart.
 
-use violetyoke_mast::words::{Member, Record};
+use violetyoke_transport::messages::{Member, Record};
 
-/// Enough have said yes to a record: of its voters, and of those of records before it that may not have stood.
+/// Enough have said yes to a record: of its voters, and of those of records before it that may not have installed.
 pub(super) fn enough(record: &Record, has: impl Fn(u64) -> bool + Copy) -> bool {
     majority(&record.voters, has) && record.bases.iter().all(|voters| majority(voters, has))
 }
--- a/crates/barograph/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -4,7 +4,7 @@
 use super::quorum::{drawn, enough, majority};
 use super::{Effect, Millis, Register, Role};
 use std::collections::{BTreeMap, BTreeSet};
-use violetyoke_mast::words::{Held, Member, Outcome, PeerWord, Record, Stamp};
+use violetyoke_transport::messages::{ControlState, Member, Outcome, PeerMessage, Record, Stamp};
 
 /// How long promises, and acceptances, are waited for.
 const PATIENCE: Millis = 600;
@@ -17,7 +17,7 @@
 
 impl Register {
     pub(super) fn tick(&mut self) {
-        self.beat_all();
+        self.send_heartbeats();
         self.expire_orders();
         match &self.role {
             Role::Follower => self.maybe_take_over(),
@@ -63,7 +63,7 @@
         let holder = record.holders.contains(&self.me.id);
         let unled = *self.unled.get_or_insert(self.now);
         let wait = if holder { 0 } else { WITNESS_LATER } + drawn(self.me.id, self.highest, 120);
-        let others = |id| id == self.me.id || self.well(id);
+        let others = |id| id == self.me.id || self.healthy(id);
         let heard = enough(record, others);
         if self.disk && heard && self.now >= unled + wait && self.now >= self.rest_until {
             self.ask();
@@ -75,13 +75,13 @@
         if !self.disk || self.now < self.rest_until {
             return;
         }
-        let ill = self.backups().iter().any(|(id, _)| !self.well(*id));
-        let well = |id| id == self.me.id || self.well(id);
+        let ill = self.backups().iter().any(|(id, _)| !self.healthy(*id));
+        let healthy = |id| id == self.me.id || self.healthy(id);
         let better = self.now > self.settled_at + SETTLED && self.pending.is_none() && {
             let voters = self.next_voters(&self.durable.record.voters);
             voters != self.durable.record.voters || self.zones_improve()
         };
-        if (ill || better) && majority(&self.durable.record.voters, well) {
+        if (ill || better) && majority(&self.durable.record.voters, healthy) {
             self.rest_until = self.now + 500;
             self.ask();
         }
@@ -90,7 +90,7 @@
     /// All holders stand in one zone, though a well voter stands in another.
     fn zones_improve(&self) -> bool {
         let record = &self.durable.record;
-        let other = |member: &&Member| member.zone != self.me.zone && self.well(member.id);
+        let other = |member: &&Member| member.zone != self.me.zone && self.healthy(member.id);
         let mut elsewhere = record.voters.iter().filter(other).peekable();
         elsewhere.peek().is_some()
             && record
@@ -139,7 +139,7 @@
             record.bases.iter().flatten().chain(&record.voters).cloned().collect();
         voters.remove(&self.me);
         for voter in voters {
-            self.send(voter.ip, PeerWord::Prepare { epoch });
+            self.send(voter.ip, PeerMessage::Prepare { epoch });
         }
         self.maybe_offer();
     }
@@ -157,7 +157,7 @@
         }
     }
 
-    pub(super) fn promised(&mut self, from: Member, epoch: u64, record: Record, held: Held) {
+    pub(super) fn promised(&mut self, from: Member, epoch: u64, record: Record, held: ControlState) {
         if let Role::Asking { epoch: mine, promises, .. } = &mut self.role {
             if *mine == epoch {
                 promises.insert(from.id, (from, record, held));
@@ -187,7 +187,7 @@
             .unwrap_or_default();
         held.stamp = Stamp { epoch, seq: 0 };
         let voters = self.next_voters(&base.voters);
-        let able = |voter: &&Member| has(voter.id) && voter.id != self.me.id && self.well(voter.id);
+        let able = |voter: &&Member| has(voter.id) && voter.id != self.me.id && self.healthy(voter.id);
         let mut others: Vec<&Member> = voters.iter().filter(able).collect();
         others.sort_by_key(|voter| voter.zone == self.me.zone);
         let copies = voters.len() / 2 + 1;
@@ -212,7 +212,7 @@
         let to: Vec<Member> = all.into_iter().filter(|it| it.id != self.me.id).cloned().collect();
         for voter in to {
             let held = record.holders.contains(&voter.id).then(|| held.clone());
-            self.send(voter.ip, PeerWord::Accept { record: record.clone(), held });
+            self.send(voter.ip, PeerMessage::Accept { record: record.clone(), held });
         }
     }
 
@@ -230,10 +230,10 @@
         self.settled_at = self.now;
         self.unled = None;
         self.committed = self.durable.held.stamp;
-        self.stood(epoch);
+        self.installed(epoch);
         for (id, ip) in self.others() {
-            if self.well(id) {
-                self.send(ip, PeerWord::Stood { epoch });
+            if self.healthy(id) {
+                self.send(ip, PeerMessage::Installed { epoch });
             }
         }
         // What was on its way under the epoch before is part of what all holders have now.
--- a/crates/barograph/src/register/voter.rs
+++ b/crates/store/src/register/voter.rs
@@ -1,12 +1,12 @@
 //! The voter's side: what is promised, accepted and written here. Each answer waits for the disk.
 
 use super::{Register, Role};
-use violetyoke_mast::words::{Held, Member, PeerWord, Record};
+use violetyoke_transport::messages::{ControlState, Member, PeerMessage, Record};
 
 impl Register {
     fn refuse(&mut self, to: &Member, epoch: u64) {
         let promised = self.durable.promised;
-        self.send(to.ip, PeerWord::Refuse { epoch, promised });
+        self.send(to.ip, PeerMessage::Refuse { epoch, promised });
     }
 
     /// Raises the promise; whoever leads here under a lower epoch does so no more.
@@ -25,12 +25,12 @@
         self.raise(epoch);
         self.keep();
         let (record, held) = (self.durable.record.clone(), self.durable.held.clone());
-        self.send(from.ip, PeerWord::Promise { epoch, record, held });
+        self.send(from.ip, PeerMessage::Promise { epoch, record, held });
         // Whoever asks gets the time that an epoch takes.
         self.unled = Some(self.now);
     }
 
-    pub(super) fn accept(&mut self, from: Member, record: Record, held: Option<Held>) {
+    pub(super) fn accept(&mut self, from: Member, record: Record, held: Option<ControlState>) {
         let epoch = record.epoch;
         if epoch < self.durable.promised {
             return self.refuse(&from, epoch);
@@ -45,18 +45,18 @@
         }
         self.unled = None;
         self.keep();
-        self.send(from.ip, PeerWord::Accepted { epoch });
+        self.send(from.ip, PeerMessage::Accepted { epoch });
     }
 
     /// The record stands: those before it are of no more account.
-    pub(super) fn stood(&mut self, epoch: u64) {
+    pub(super) fn installed(&mut self, epoch: u64) {
         if self.durable.record.epoch == epoch && !self.durable.record.bases.is_empty() {
             self.durable.record.bases.clear();
             self.keep();
         }
     }
 
-    pub(super) fn write(&mut self, from: Member, epoch: u64, held: Held) {
+    pub(super) fn write(&mut self, from: Member, epoch: u64, held: ControlState) {
         if epoch != self.durable.record.epoch || epoch != self.durable.promised {
             return self.refuse(&from, epoch);
         }
@@ -65,13 +65,13 @@
             self.durable.held = held;
             self.keep();
         }
-        self.send(from.ip, PeerWord::Written { epoch, stamp });
+        self.send(from.ip, PeerMessage::Written { epoch, stamp });
     }
 
     pub(super) fn confirm(&mut self, from: Member, epoch: u64, nonce: u64) {
         if epoch != self.durable.record.epoch || epoch != self.durable.promised {
             return self.refuse(&from, epoch);
         }
-        self.send(from.ip, PeerWord::Confirmed { epoch, nonce });
+        self.send(from.ip, PeerMessage::Confirmed { epoch, nonce });
     }
 }
--- a/crates/barograph/tests/days.rs
+++ b/crates/store/tests/days.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use violetyoke_mast::words::Order;
+use violetyoke_transport::messages::Order;
 use world::operator::{insist, read_back, replace};
 use world::World;
 
--- a/crates/barograph/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -1,14 +1,14 @@
 //! The two slots through torn, missing and spoiled writes.
 
-use violetyoke_barograph::disk::{look, read, write, Found, Slots};
-use violetyoke_barograph::register::Durable;
+use violetyoke_store::disk::{look, read, write, Found, Slots};
+use violetyoke_store::register::Durable;
 
 fn state(promised: u64) -> Durable {
     Durable { id: 7, promised, ..Durable::default() }
 }
 
 fn folder(name: &str) -> std::path::PathBuf {
-    let folder = std::env::temp_dir().join(format!("barograph-{}-{name}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("store-{}-{name}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     folder
 }
--- a/crates/barograph/tests/model/main.rs
+++ b/crates/store/tests/model/main.rs
@@ -1,12 +1,12 @@
-//! The shipped register at three stores, in every order in which letters, syncs, silence, deaths and orders can come, from a
+//! The shipped register at three stores, in every order in which envelopes, syncs, silence, deaths and orders can come, from a
 //! standing epoch on. The same with receivers that don't check epochs has to find what that guard is for.
 
 mod moment;
 
 use moment::{begin, ip, Moment, Store};
 use stateright::{Checker, Model, Property};
-use violetyoke_barograph::register::{Durable, Event, Register};
-use violetyoke_mast::words::{Letter, Order, PeerWord};
+use violetyoke_store::register::{Durable, Event, Register};
+use violetyoke_transport::messages::{Envelope, Order, PeerMessage};
 
 /// More silence than a store is believed to be well through, and less than that.
 const SILENCE: u64 = 900;
@@ -46,7 +46,8 @@
             writing: Vec::new(),
         };
         let stores = (0..3).map(store).collect();
-        let mut moment = Moment { now: 1, stores, letters: Vec::new(), sent: 0, acknowledged: 0, deaths: 0 };
+        let mut moment =
+            Moment { now: 1, stores, envelopes: Vec::new(), sent: 0, acknowledged: 0, deaths: 0 };
         for n in 0..3 {
             let empty = Event::Tick { disk: true };
             moment.handle(n, empty, true);
@@ -65,9 +66,9 @@
     }
 
     fn actions(&self, moment: &Moment, actions: &mut Vec<Step>) {
-        // A letter that is never delivered is lost.
-        actions.extend((0..moment.letters.len().min(4)).map(Step::Deliver));
-        // What the guard is for is found by letters alone.
+        // A envelope that is never delivered is lost.
+        actions.extend((0..moment.envelopes.len().min(4)).map(Step::Deliver));
+        // What the guard is for is found by envelopes alone.
         for n in (0..3).filter(|_| !self.unchecked) {
             if !moment.stores[n].writing.is_empty() {
                 actions.push(Step::Sync(n));
@@ -89,18 +90,18 @@
         let mut moment = last.clone();
         match step {
             Step::Deliver(place) => {
-                let (to, letter) = moment.letters.remove(place);
-                match (&letter.word, &moment.stores[to].register) {
-                    (PeerWord::Write { epoch, held }, Some(register))
+                let (to, envelope) = moment.envelopes.remove(place);
+                match (&envelope.message, &moment.stores[to].register) {
+                    (PeerMessage::Write { epoch, held }, Some(register))
                         if self.unchecked
                             && *epoch < register.epoch().max(moment.stores[to].kept.promised) =>
                     {
                         // Taken, and overtaken: the old primary is told that it is on the disk.
-                        let back = (0..3).find(|n| ip(*n) == letter.from.ip)?;
-                        let word = PeerWord::Written { epoch: *epoch, stamp: held.stamp };
-                        moment.letters.push((back, Letter { from: register.member().clone(), word }));
+                        let back = (0..3).find(|n| ip(*n) == envelope.from.ip)?;
+                        let message = PeerMessage::Written { epoch: *epoch, stamp: held.stamp };
+                        moment.envelopes.push((back, Envelope { from: register.member().clone(), message }));
                     }
-                    _ => moment.handle(to, Event::Letter(letter), false),
+                    _ => moment.handle(to, Event::Envelope(envelope), false),
                 }
                 moment.now += 40;
                 moment.handle(to, Event::Tick { disk: true }, false);
@@ -120,9 +121,9 @@
                 for step in [0, SHORT] {
                     moment.now += step;
                     if let Some(primary) = primary {
-                        moment.beat(primary, third);
+                        moment.heartbeat(primary, third);
                     }
-                    moment.beat(third, n);
+                    moment.heartbeat(third, n);
                     moment.handle(n, Event::Tick { disk: true }, false);
                 }
             }
--- a/crates/barograph/tests/model/moment.rs
+++ b/crates/store/tests/model/moment.rs
@@ -1,9 +1,9 @@
-//! One moment of three stores: what each process knows, what each disk has, which letters are on their way.
+//! One moment of three stores: what each process knows, what each disk has, which envelopes are on their way.
 
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
-use violetyoke_barograph::register::{Durable, Effect, Event, Register, Start};
-use violetyoke_mast::words::{Letter, Outcome, PeerWord};
+use violetyoke_store::register::{Durable, Effect, Event, Register, Start};
+use violetyoke_transport::messages::{Envelope, Outcome, PeerMessage};
 
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -14,12 +14,12 @@
     pub writing: Vec<(u64, Durable)>,
 }
 
-/// All that there is at one moment. Beats are no letters here: silence and its end are steps of their own.
+/// All that there is at one moment. Beats are no envelopes here: silence and its end are steps of their own.
 #[derive(Clone, Debug)]
 pub struct Moment {
     pub now: u64,
     pub stores: Vec<Store>,
-    pub letters: Vec<(usize, Letter)>,
+    pub envelopes: Vec<(usize, Envelope)>,
     pub sent: u64,
     pub acknowledged: u64,
     pub deaths: u32,
@@ -49,20 +49,20 @@
 }
 
 impl Moment {
-    pub fn handle(&mut self, n: usize, event: Event, beats: bool) {
+    pub fn handle(&mut self, n: usize, event: Event, heartbeats: bool) {
         let now = self.now;
         let Some(register) = &mut self.stores[n].register else { return };
         let effects = register.handle(now, event);
         let from = register.member().clone();
         for effect in effects {
             match effect {
-                Effect::Send { word: PeerWord::Beat(_), .. } if !beats => {}
-                Effect::Send { to, word } => {
+                Effect::Send { message: PeerMessage::Heartbeat(_), .. } if !heartbeats => {}
+                Effect::Send { to, message } => {
                     let Some(place) = (0..3).find(|place| ip(*place) == to) else { continue };
-                    // The same word sent again while the first is on its way is one letter.
-                    let letter = (place, Letter { from: from.clone(), word });
-                    if !self.letters.contains(&letter) {
-                        self.letters.push(letter);
+                    // The same message sent again while the first is on its way is one envelope.
+                    let envelope = (place, Envelope { from: from.clone(), message });
+                    if !self.envelopes.contains(&envelope) {
+                        self.envelopes.push(envelope);
                     }
                 }
                 Effect::Keep { number, state } => self.stores[n].writing.push((number, state)),
@@ -82,15 +82,15 @@
     }
 
     /// Beats of one store, as another hears them.
-    pub fn beat(&mut self, from: usize, to: usize) {
-        let before = self.letters.len();
+    pub fn heartbeat(&mut self, from: usize, to: usize) {
+        let before = self.envelopes.len();
         self.handle(from, Event::Tick { disk: true }, true);
-        let new = self.letters.split_off(before);
-        for (place, letter) in new {
-            match letter.word {
-                PeerWord::Beat(_) if place == to => self.handle(to, Event::Letter(letter), false),
-                PeerWord::Beat(_) => {}
-                _ => self.letters.push((place, letter)),
+        let new = self.envelopes.split_off(before);
+        for (place, envelope) in new {
+            match envelope.message {
+                PeerMessage::Heartbeat(_) if place == to => self.handle(to, Event::Envelope(envelope), false),
+                PeerMessage::Heartbeat(_) => {}
+                _ => self.envelopes.push((place, envelope)),
             }
         }
     }
@@ -102,9 +102,9 @@
             for n in 0..3 {
                 self.handle(n, Event::Tick { disk: true }, true);
             }
-            while !self.letters.is_empty() || self.stores.iter().any(|store| !store.writing.is_empty()) {
-                for (to, letter) in std::mem::take(&mut self.letters) {
-                    self.handle(to, Event::Letter(letter), true);
+            while !self.envelopes.is_empty() || self.stores.iter().any(|store| !store.writing.is_empty()) {
+                for (to, envelope) in std::mem::take(&mut self.envelopes) {
+                    self.handle(to, Event::Envelope(envelope), true);
                 }
                 (0..3).for_each(|n| self.sync(n));
             }
--- a/crates/barograph/tests/takeover.rs
+++ b/crates/store/tests/takeover.rs
@@ -1,9 +1,9 @@
 //! How long no store answers after its primary is lost, over many losses. Shown by
-//! `cargo test -p violetyoke-barograph --test takeover -- --nocapture`.
+//! `cargo test -p violetyoke-store --test takeover -- --nocapture`.
 
 mod world;
 
-use violetyoke_mast::words::Order;
+use violetyoke_transport::messages::Order;
 use world::operator::primary;
 use world::World;
 
--- a/crates/barograph/tests/world/clients.rs
+++ b/crates/store/tests/world/clients.rs
@@ -1,7 +1,7 @@
 //! What clients were answered, and what must hold of it.
 
 use super::World;
-use violetyoke_mast::words::{Held, Order, Outcome};
+use violetyoke_transport::messages::{ControlState, Order, Outcome};
 
 /// What a client waits for, and what had been acknowledged when it asked.
 #[derive(Clone, Debug)]
@@ -12,7 +12,7 @@
 
 impl World {
     /// A configuration that anybody is told must be one that was sent.
-    pub(super) fn known(&mut self, held: &Held, how: &str) {
+    pub(super) fn known(&mut self, held: &ControlState, how: &str) {
         if held.version > 0 && self.sent.get(&held.version) != Some(&held.text) {
             self.broken.push(format!("{how}: version {} is not what was sent under it", held.version));
         }
--- a/crates/barograph/tests/world/due.rs
+++ b/crates/store/tests/world/due.rs
@@ -1,6 +1,6 @@
 //! What is due when, and chance.
 
-use violetyoke_mast::words::Letter;
+use violetyoke_transport::messages::Envelope;
 
 /// Chance: the same for the same seed.
 #[derive(Clone, Debug)]
@@ -18,9 +18,9 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
-    Letter {
+    Envelope {
         to: usize,
-        letter: LetterBox,
+        envelope: LetterBox,
     },
     Tick {
         to: usize,
@@ -40,7 +40,7 @@
 
 /// Letters have no order of their own: their number is one.
 #[derive(Clone, Debug)]
-pub struct LetterBox(pub u64, pub Box<Letter>);
+pub struct LetterBox(pub u64, pub Box<Envelope>);
 
 impl PartialEq for LetterBox {
     fn eq(&self, other: &LetterBox) -> bool {
--- a/crates/barograph/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -14,9 +14,9 @@
 use due::{Due, LetterBox};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::Ipv4Addr;
-use violetyoke_barograph::disk::{self, Turn};
-use violetyoke_barograph::register::{Durable, Effect, Event, Register, Start};
-use violetyoke_mast::words::{Letter, Order};
+use violetyoke_store::disk::{self, Turn};
+use violetyoke_store::register::{Durable, Effect, Event, Register, Start};
+use violetyoke_transport::messages::{Envelope, Order};
 
 pub type Millis = u64;
 
@@ -42,7 +42,7 @@
     pub machines: Vec<Machine>,
     due: BinaryHeap<std::cmp::Reverse<(Millis, u64, Due)>>,
     count: u64,
-    /// Pairs that letters don't get across, from and to.
+    /// Pairs that envelopes don't get across, from and to.
     pub cut: BTreeSet<(usize, usize)>,
     asked: BTreeMap<u64, Asked>,
     /// The newest configuration that was acknowledged to anybody, and what was sent under each number.
@@ -140,7 +140,7 @@
             let Some(std::cmp::Reverse((when, _, due))) = self.due.pop() else { break };
             self.now = when;
             match due {
-                Due::Letter { to, letter } => self.event(to, Event::Letter(*letter.1)),
+                Due::Envelope { to, envelope } => self.event(to, Event::Envelope(*envelope.1)),
                 Due::Tick { to } => {
                     let disk = self.now >= self.machines[to].stalled_until + 600
                         || self.now < self.machines[to].stalled_until.saturating_sub(3_000)
@@ -195,16 +195,16 @@
 
     fn effect(&mut self, n: usize, effect: Effect) {
         match effect {
-            Effect::Send { to, word } => {
+            Effect::Send { to, message } => {
                 let Some(place) = self.machines.iter().position(|machine| machine.ip == to) else { return };
                 if self.cut.contains(&(n, place)) || !self.up(place) {
                     return;
                 }
                 let Some(register) = &self.machines[n].register else { return };
-                let letter =
-                    LetterBox(self.count, Box::new(Letter { from: register.member().clone(), word }));
+                let envelope =
+                    LetterBox(self.count, Box::new(Envelope { from: register.member().clone(), message }));
                 let delay = self.chance.below(4);
-                self.at(self.now + delay, Due::Letter { to: place, letter });
+                self.at(self.now + delay, Due::Envelope { to: place, envelope });
             }
             Effect::Keep { number, state } => {
                 let took = 1 + self.chance.below(6);
--- a/crates/barograph/tests/world/operator.rs
+++ b/crates/store/tests/world/operator.rs
@@ -1,7 +1,7 @@
 //! What an operator does in the world: insists, reads back, looks who leads.
 
 use super::World;
-use violetyoke_mast::words::Order;
+use violetyoke_transport::messages::Order;
 
 pub fn replace(world: &mut World, n: usize, version: u64) {
     world.order(n, Order::Replace { version, text: format!("configuration {version}") });
--- a/crates/mast/src/changes.rs
+++ b/crates/transport/src/changes.rs
@@ -5,7 +5,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{interval, MissedTickBehavior};
-use violetyoke_station::Settings;
+use violetyoke_api::Settings;
 
 /// How often the file's time is looked at.
 const LOOK: Duration = Duration::from_secs(1);
--- a/crates/mast/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -14,7 +14,7 @@
 
 /// A message's bytes, without its length.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
-    // Writing to memory fails for no message of `words`: none has a map without a length or a number out of range.
+    // Writing to memory fails for no message of `messages`: none has a map without a length or a number out of range.
     Bytes::from(rmp_serde::to_vec(message).unwrap_or_default())
 }
 
--- a/crates/mast/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,4 +1,4 @@
-//! What the system's own processes say to each other (`words`), the connections they say it on (`net`, `link`, `frame`), how
+//! What the system's own processes say to each other (`messages`), the connections they say it on (`net`, `link`, `frame`), how
 //! they begin (`program`, `life`) and log (`log`). Nothing is decided here.
 
 pub mod changes;
@@ -6,8 +6,8 @@
 pub mod life;
 pub mod link;
 pub mod log;
+pub mod messages;
 pub mod net;
 pub mod pack;
 pub mod program;
-pub mod words;
 pub mod world;
--- a/crates/mast/src/life.rs
+++ b/crates/transport/src/life.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use violetyoke_station::Settings;
+use violetyoke_api::Settings;
 
 /// One life of a process.
 #[derive(Debug)]
--- a/crates/mast/src/words/control.rs
+++ b/crates/transport/src/messages/control.rs
@@ -1,6 +1,6 @@
 //! States of control, and orders of operators on their way between registries and stores.
 
-use super::Letter;
+use super::Envelope;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -14,7 +14,7 @@
 
 /// The whole state of control: the newest configuration, as its operator sent it, and the zones to be left empty.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Held {
+pub struct ControlState {
     pub stamp: Stamp,
     pub version: u64,
     pub text: String,
@@ -38,7 +38,7 @@
 
 /// A registry to a store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum StoreAsk {
+pub enum StoreRequest {
     /// Tell me what is newer than this.
     Watch {
         registry: Ipv4Addr,
@@ -48,15 +48,15 @@
         call: u64,
         order: Order,
     },
-    /// A letter between stores comes on the same port.
-    Letter(Letter),
+    /// A envelope between stores comes on the same port.
+    Envelope(Envelope),
 }
 
 /// A store to a registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum StoreSays {
-    Standing { epoch: u64, active: bool, owners: Owners, stores: Vec<Ipv4Addr> },
-    News(Held),
+pub enum StoreReply {
+    Status { epoch: u64, active: bool, owners: Owners, stores: Vec<Ipv4Addr> },
+    News(ControlState),
     Done { call: u64, outcome: Outcome },
 }
 
@@ -64,7 +64,7 @@
 pub enum Outcome {
     /// It is on the disks of all holders.
     Acknowledged,
-    Read(Held),
+    Read(ControlState),
     /// This store may not say; ask another.
     Elsewhere,
 }
--- a/crates/mast/src/words/proxies.rs
+++ b/crates/transport/src/messages/proxies.rs
@@ -20,7 +20,7 @@
 
 /// A proxy to a registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ProxyAsk {
+pub enum ProxyRequest {
     Hello(Session),
     /// Tell me what is newer than this; `lead`: tell me first of all registries.
     Poll {
@@ -50,14 +50,14 @@
 
 /// A registry to a proxy.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum ProxySays {
-    /// The whole state: a packed [`violetyoke_station::Configuration`].
+pub enum ProxyReply {
+    /// The whole state: a packed [`violetyoke_api::Configuration`].
     Whole {
         stamp: Stamp,
         evacuated: BTreeSet<String>,
         packed: Packed,
     },
-    /// From the state under `from` to the next: a packed [`violetyoke_station::change::Change`].
+    /// From the state under `from` to the next: a packed [`violetyoke_api::change::Change`].
     Change {
         from: Stamp,
         stamp: Stamp,
@@ -71,7 +71,7 @@
     List(List),
     ListChange(ListChange),
     Members(Members),
-    /// Of an [`ProxyAsk::Add`]: `retry_ms` where it is past the limit.
+    /// Of an [`ProxyRequest::Add`]: `retry_ms` where it is past the limit.
     Counted {
         call: u32,
         retry_ms: Option<u32>,
@@ -144,7 +144,7 @@
 
 /// What comes in at a registry's inner port.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum RegistryAsk {
-    Proxy(ProxyAsk),
+pub enum RegistryRequest {
+    Proxy(ProxyRequest),
     Registry(Gossip),
 }
--- a/crates/mast/src/words/stores.rs
+++ b/crates/transport/src/messages/stores.rs
@@ -1,6 +1,6 @@
 //! Words between stores.
 
-use super::{Held, Stamp};
+use super::{ControlState, Stamp};
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 
@@ -25,14 +25,14 @@
 
 /// What a store sends another, and from whom.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Letter {
+pub struct Envelope {
     pub from: Member,
-    pub word: PeerWord,
+    pub message: PeerMessage,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum PeerWord {
-    Beat(Beat),
+pub enum PeerMessage {
+    Heartbeat(Heartbeat),
     /// May I open this epoch? From then on nothing of a lower one is taken.
     Prepare {
         epoch: u64,
@@ -41,7 +41,7 @@
     Promise {
         epoch: u64,
         record: Record,
-        held: Held,
+        held: ControlState,
     },
     /// No: a higher one is promised already.
     Refuse {
@@ -51,19 +51,19 @@
     /// An epoch's record; its holders get the state with it.
     Accept {
         record: Record,
-        held: Option<Held>,
+        held: Option<ControlState>,
     },
     Accepted {
         epoch: u64,
     },
     /// That record stands.
-    Stood {
+    Installed {
         epoch: u64,
     },
     /// A state under an epoch that stands.
     Write {
         epoch: u64,
-        held: Held,
+        held: ControlState,
     },
     Written {
         epoch: u64,
@@ -82,7 +82,7 @@
 
 /// What each store tells all others all the time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     pub record: Record,
     /// The sender is primary of its record, and the epoch stands.
     pub active: bool,
--- a/crates/mast/src/program.rs
+++ b/crates/transport/src/program.rs
@@ -7,7 +7,7 @@
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use violetyoke_station::Settings;
+use violetyoke_api::Settings;
 
 const REST: &str = "
   --settings FILE  settings (default: the file that $VIOLETYOKE_CONFIG names)
