--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 //! falls short. `cargo xtask measure NAME` prints figures that have no verdict.
 
 mod account;
+mod draw_days;
 mod figures;
 mod grpc;
 mod load;
@@ -69,6 +70,25 @@
         #[arg(long, default_value_t = 5000)]
         steps: u64,
     },
+    /// Writes days of trouble for the bench, drawn from every kind that may come.
+    DrawDays {
+        /// Where a file is written for each day.
+        folder: PathBuf,
+        /// The seed of the first; the others follow it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 10)]
+        count: u64,
+        /// With the kinds that only the grown deployments know.
+        #[arg(long)]
+        grown: bool,
+        /// Only kinds that strike the control side.
+        #[arg(long)]
+        control_only: bool,
+        /// Troubles of a day, at most.
+        #[arg(long, default_value_t = 8)]
+        most_troubles: u64,
+    },
     /// Prints figures.
     Measure {
         name: Measure,
@@ -117,6 +137,11 @@
         // A table has no verdict.
         What::Account { logs, span } => return ended(account::run(&logs, span).map(|()| true)),
         What::Replay { base, seeds, steps } => return ended(replay::run(&base, seeds, steps)),
+        What::DrawDays { folder, seed, count, grown, control_only, most_troubles } => {
+            let request =
+                draw_days::Request { folder, first_seed: seed, count, grown, control_only, most_troubles };
+            return ended(draw_days::run(&request));
+        }
         What::Prove { name: Proof::Routes, long, without_defence, .. } => {
             prove_routes::run(long, !without_defence)
         }
