Give the places of silent and leaving voters to learners within two seconds

Cause: a voter that was replaced without notice kept its place for 9 s, while its successor counted after 4 s: the loss of one more machine left no majority. A leaver kept its place as long. A voter that returned could put itself first among the holders of a record that no longer named it. `Installed` was sent once.

Who is no voter of the newest record neither asks nor leads. Heartbeats say which record is installed, who leaves, and what is persisted; what they say is repeated, so that a lost message is made up for. A leaver ends once it neither leads nor holds and, where a learner can be reached, its place is taken (4.5 s at most).

--- a/crates/store/src/daemon/mod.rs
+++ b/crates/store/src/daemon/mod.rs
@@ -21,8 +21,8 @@
 use violetyoke_transport::program::Failed;
 use watchers::Watchers;
 
-/// After a SIGTERM another store is waited for so long.
-const LEAVES: Duration = Duration::from_millis(2_500);
+/// After a SIGTERM others have so long to take over what this store has; the platform waits longer.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(4_500);
 const TICK: Duration = Duration::from_millis(50);
 
 /// The program, with the arguments after its name.
@@ -107,13 +107,13 @@
             Some(()) = life.leave.recv(), if leaves.is_none() => {
                 info!(daemon.log, "leaves"; "primary" => daemon.register.active());
                 leaves = Some(Instant::now());
+                daemon.handle(Event::Leave);
             }
             _ = ticks.tick() => {
                 daemon.connect();
-                // A primary that leaves has another take over first: it says that its disk is of no use any more.
-                let disk = daemon.keeper.answers() && leaves.is_none();
+                let disk = daemon.keeper.answers();
                 daemon.handle(Event::Tick { disk });
-                if leaves.is_some_and(|since| since.elapsed() > LEAVES || daemon.register.follows()) {
+                if leaves.is_some_and(|since| since.elapsed() > LEAVE_TIMEOUT || daemon.register.may_end()) {
                     info!(daemon.log, "ends");
                     return Ok(());
                 }
--- /dev/null
+++ b/crates/store/src/register/membership.rs
@@ -0,0 +1,161 @@
+//! Who votes. A store without a vote is a learner: the primary sends it the committed state, and gives it the place of
+//! a voter that is silent, leaves, or has lost its disk, once it has that state. One change of places at a time: a
+//! primary changes the voters of its installed record only.
+
+use super::quorum::majority;
+use super::{Millis, Peer, Register, Role};
+use violetyoke_transport::messages::{ControlState, Member, PeerMessage};
+
+/// Silence after which a voter's place may go to a learner; more than what suspects it.
+const REPLACE_AFTER: Millis = 1_300;
+/// A record is installed for so long before places change again.
+const CHANGE_INTERVAL: Millis = 300;
+/// The same for a change of holders that only spreads them over zones.
+const ZONES_INTERVAL: Millis = 1_500;
+/// Pause after an attempt to change the record.
+const ATTEMPT_INTERVAL: Millis = 500;
+/// A snapshot that a learner has not persisted is sent again after so long.
+const SNAPSHOT_RETRY: Millis = 1_000;
+/// A learner that lacks no more writes than these is caught up: what it lacks comes with the record that names it.
+const LEARNER_LAG: u64 = 8;
+
+impl Register {
+    /// Learners that can be reached and stay.
+    fn learners(&self) -> impl Iterator<Item = &Peer> {
+        let voters = &self.durable.record.voters;
+        let learner = |peer: &&Peer| !voters.contains(&peer.member) && !peer.heartbeat.leaving;
+        self.peers.values().filter(learner).filter(|peer| self.hears(peer))
+    }
+
+    fn caught_up(&self, peer: &Peer) -> bool {
+        let has = peer.heartbeat.persisted;
+        let follows = peer.heartbeat.record.epoch == self.durable.record.epoch;
+        follows && has.epoch == self.committed.epoch && has.seq + LEARNER_LAG >= self.committed.seq
+    }
+
+    /// Sends the committed state to learners that have an older one and nothing newer on its way.
+    pub(super) fn send_snapshots(&mut self) {
+        if !self.active() || self.committed != self.durable.held.stamp {
+            return;
+        }
+        let (now, committed, epoch) = (self.now, self.committed, self.durable.record.epoch);
+        let behind = |peer: &&Peer| {
+            let sent = self.snapshots.get(&peer.member.id);
+            let under_way =
+                |(stamp, at): &(_, Millis)| peer.heartbeat.persisted < *stamp && now < at + SNAPSHOT_RETRY;
+            peer.heartbeat.record.epoch == epoch
+                && peer.heartbeat.persisted < committed
+                && !sent.is_some_and(under_way)
+        };
+        let to: Vec<Member> = self.learners().filter(behind).map(|peer| peer.member.clone()).collect();
+        for learner in to {
+            self.snapshots.insert(learner.id, (committed, now));
+            let state = self.durable.held.clone();
+            self.send(learner.ip, PeerMessage::Snapshot { epoch, state });
+        }
+    }
+
+    /// A learner takes the state of the record that it knows; a voter gets its states as a holder or not at all.
+    pub(super) fn snapshot(&mut self, epoch: u64, state: ControlState) {
+        let learner = epoch == self.durable.record.epoch && !self.voter(self.me.id);
+        if learner && state.stamp > self.durable.held.stamp {
+            self.durable.held = state;
+            self.keep();
+        }
+    }
+
+    /// Voters as they should be: at most one place changes hands, or a pair is added.
+    fn next_voters(&self) -> Vec<Member> {
+        let mut next = self.durable.record.voters.clone();
+        let ready: Vec<&Member> =
+            self.learners().filter(|peer| self.caught_up(peer)).map(|peer| &peer.member).collect();
+        // A machine whose disk was lost takes the place of the disk.
+        for learner in &ready {
+            if let Some(place) = next.iter().position(|voter| voter.ip == learner.ip) {
+                next[place] = (*learner).clone();
+                return next;
+            }
+        }
+        let replaceable = |voter: &Member| {
+            voter.id != self.me.id && (self.silent_for(voter.ip) > REPLACE_AFTER || self.leaves(voter.id))
+        };
+        if let (Some(learner), Some(place)) = (ready.first(), next.iter().position(replaceable)) {
+            next[place] = (*learner).clone();
+            return next;
+        }
+        // An even number bears no more losses than the odd one below it.
+        let most = (2 * self.tolerance as usize + 1).max(self.seeds.len());
+        let added = if next.len().is_multiple_of(2) { 1 } else { 2 };
+        if ready.len() >= added && next.len() + added <= most {
+            next.extend(ready.into_iter().take(added).cloned());
+        }
+        next
+    }
+
+    /// Has said that it leaves, and is still there.
+    fn leaves(&self, id: u64) -> bool {
+        self.reachable(id) && !self.eligible(id)
+    }
+
+    /// The primary looks for a better arrangement: backups that can be reached, in other zones, and voters that are there.
+    pub(super) fn maybe_rearrange(&mut self) {
+        if !self.disk || self.leaving || self.now < self.rest_until {
+            return;
+        }
+        let record = &self.durable.record;
+        let voters = if self.pending.is_none() && self.now > self.settled_at + CHANGE_INTERVAL {
+            self.next_voters()
+        } else {
+            record.voters.clone()
+        };
+        let changes = voters != record.voters;
+        let zones =
+            || self.pending.is_none() && self.now > self.settled_at + ZONES_INTERVAL && self.zones_improve();
+        let reachable = |id| id == self.me.id || self.reachable(id);
+        let worthwhile = changes || self.backup_replaceable(&voters) || zones();
+        if worthwhile && majority(&record.voters, reachable) {
+            self.rest_until = self.now + ATTEMPT_INTERVAL;
+            self.ask(changes.then_some(voters));
+        }
+    }
+
+    /// A backup is down or leaves, and enough other voters could hold the state.
+    fn backup_replaceable(&self, voters: &[Member]) -> bool {
+        let copies = voters.len() / 2 + 1;
+        let count = |may: &dyn Fn(u64) -> bool| {
+            voters.iter().filter(|voter| voter.id == self.me.id || may(voter.id)).count() >= copies
+        };
+        let backups = self.backups();
+        let down = backups.iter().any(|(id, _)| !self.reachable(*id));
+        let leaves = backups.iter().any(|(id, _)| !self.eligible(*id));
+        down && count(&|id| self.reachable(id)) || leaves && count(&|id| self.eligible(id))
+    }
+
+    /// All holders are in one zone, though an eligible voter is in another.
+    fn zones_improve(&self) -> bool {
+        let record = &self.durable.record;
+        let elsewhere = |member: &Member| member.zone != self.me.zone && self.eligible(member.id);
+        let mut holders = record.voters.iter().filter(|voter| record.holders.contains(&voter.id));
+        record.voters.iter().any(elsewhere) && holders.all(|it| it.zone == self.me.zone)
+    }
+
+    /// After `Event::Leave`: others have what this store had, as far as they can. Its place as a voter is waited for
+    /// only while a learner is there to take it.
+    pub fn may_end(&self) -> bool {
+        if !self.leaving || !matches!(self.role, Role::Follower) {
+            return false;
+        }
+        if self.known.is_empty() {
+            return true;
+        }
+        let Some(record) = self.leading_record() else { return false };
+        let me = self.me.id;
+        let voter = record.voters.iter().any(|voter| voter.id == me);
+        let successor = self.peers.values().any(|peer| {
+            let newcomer = !record.voters.iter().any(|voter| voter.ip == peer.member.ip);
+            newcomer && !peer.heartbeat.leaving && self.hears(peer)
+        });
+        let needed = record.holders.contains(&me) || voter && successor;
+        !needed
+    }
+}
--- a/crates/store/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -2,16 +2,19 @@
 //! who takes over. There is no log: a state is small, and is handed on whole.
 //!
 //! - A *record* says who votes, who holds (the primary first) and under which epoch.
-//! - A new epoch stands once a majority of the voters of the record before it and of its own have accepted it, and all
-//!   its holders have the state on their disks. Holders are more than half of the voters, so that any majority has one.
+//! - A record is installed once a majority of the voters of the record before it and of its own have accepted it, and
+//!   all its holders have the state on their disks. Holders are more than half of the voters, so that any majority has
+//!   one.
 //! - Who promises an epoch takes nothing of a lower one any more; receivers check, whatever the sender believes.
 //! - An order is acknowledged when all holders have it on their disks.
-//! - A voter is a disk, not a machine: one that comes back empty is another voter, which the primary has to take in.
+//! - A voter is a disk, not a machine: one that comes back empty is a learner, which the primary makes a voter.
 
+mod membership;
 mod model;
 mod orders;
 mod peers;
 mod quorum;
+mod status;
 mod takeover;
 mod voter;
 
@@ -36,7 +39,13 @@
     /// Follows whoever is primary.
     Follower,
     /// Asks for promises.
-    Asking { epoch: u64, since: Millis, promises: BTreeMap<u64, (Member, Record, ControlState)> },
+    Asking {
+        epoch: u64,
+        since: Millis,
+        /// The voters that a primary wants; none where one takes over.
+        voters: Option<Vec<Member>>,
+        promises: BTreeMap<u64, (Member, Record, ControlState)>,
+    },
     /// Has them, and offers its record.
     Offering { record: Record, number: u64, since: Millis, accepted: BTreeSet<u64> },
     /// Primary, and its epoch stands.
@@ -68,15 +77,21 @@
     tolerance: u32,
     now: Millis,
     durable: Durable,
-    /// Numbers of what was asked to be kept, and of what is.
-    asked: u64,
-    kept: u64,
-    /// What may go out once so much is kept.
+    /// Numbers of the last write that the disk was asked for, and of the last that it has done.
+    requested: u64,
+    persisted: u64,
+    /// The stamp of the newest state that is on the disk.
+    persisted_state: Stamp,
+    /// What may go out once so much is on the disk.
     gated: VecDeque<(u64, Effect)>,
     out: Vec<Effect>,
     disk: bool,
     peers: BTreeMap<Ipv4Addr, Peer>,
     known: BTreeSet<Ipv4Addr>,
+    /// The process is to end.
+    leaving: bool,
+    /// What was last sent to each learner, and when.
+    snapshots: BTreeMap<u64, (Stamp, Millis)>,
     role: Role,
     committed: Stamp,
     /// The highest epoch heard of.
@@ -109,14 +124,17 @@
             tolerance: start.tolerance,
             now,
             highest: durable.promised,
+            persisted_state: durable.held.stamp,
             durable,
-            asked: 0,
-            kept: 0,
+            requested: 0,
+            persisted: 0,
             gated: VecDeque::new(),
             out: Vec::new(),
             disk: true,
             peers: BTreeMap::new(),
             known,
+            leaving: false,
+            snapshots: BTreeMap::new(),
             role: Role::Follower,
             committed: Stamp::default(),
             waiting: VecDeque::new(),
@@ -139,56 +157,32 @@
         match event {
             Event::Envelope(envelope) => self.envelope(envelope),
             Event::Kept(number) => {
-                self.kept = self.kept.max(number);
-                self.own_kept();
+                self.persisted = self.persisted.max(number);
+                self.own_persisted();
             }
             Event::Tick { disk } => {
                 self.disk = disk;
                 self.tick();
             }
             Event::Order { client, order } => self.order(client, order),
+            Event::Leave => {
+                self.leaving = true;
+                self.greet();
+                self.send_heartbeats();
+            }
         }
-        while self.gated.front().is_some_and(|(number, _)| *number <= self.kept) {
+        while self.gated.front().is_some_and(|(number, _)| *number <= self.persisted) {
             self.out.extend(self.gated.pop_front().map(|(_, effect)| effect));
         }
         std::mem::take(&mut self.out)
     }
 
-    /// The state that all holders have, as far as this store knows.
-    pub fn committed(&self) -> Option<&ControlState> {
-        (self.committed == self.durable.held.stamp && self.committed.epoch > 0).then_some(&self.durable.held)
-    }
-
-    /// Machines whose stores are asked first, as the settings have them by now.
-    pub fn seeds(&mut self, seeds: Vec<Ipv4Addr>) {
-        self.known.extend(seeds.into_iter().filter(|ip| *ip != self.me.ip));
-    }
-
-    pub fn member(&self) -> &Member {
-        &self.me
-    }
-
-    /// Another store leads.
-    pub fn follows(&self) -> bool {
-        matches!(self.role, Role::Follower) && self.led()
-    }
-
-    pub fn epoch(&self) -> u64 {
-        self.durable.record.epoch
-    }
-
-    pub fn active(&self) -> bool {
-        matches!(self.role, Role::Active)
-    }
-
-    /// All stores that this one knows of, itself among them.
-    pub fn stores(&self) -> Vec<Ipv4Addr> {
-        self.known.iter().copied().chain([self.me.ip]).collect()
-    }
-
     /// What this store's own disk has counts as another's does.
-    fn own_kept(&mut self) {
-        let (id, kept) = (self.me.id, self.kept);
+    fn own_persisted(&mut self) {
+        let (id, kept) = (self.me.id, self.persisted);
+        if self.persisted == self.requested {
+            self.persisted_state = self.durable.held.stamp;
+        }
         if let Role::Offering { record, number, .. } = &self.role {
             let epoch = record.epoch;
             if *number <= kept {
@@ -202,17 +196,17 @@
 
     /// Asks for the state to be kept; what is sent from now on waits for it.
     fn keep(&mut self) {
-        self.asked += 1;
-        self.out.push(Effect::Keep { number: self.asked, state: self.durable.clone() });
+        self.requested += 1;
+        self.out.push(Effect::Keep { number: self.requested, state: self.durable.clone() });
     }
 
     /// Sends once all that it may rest on is on the disk.
     fn send(&mut self, to: Ipv4Addr, message: PeerMessage) {
-        self.gated.push_back((self.asked, Effect::Send { to, message }));
+        self.gated.push_back((self.requested, Effect::Send { to, message }));
     }
 
     fn answer(&mut self, client: Client, outcome: Outcome) {
-        self.gated.push_back((self.asked, Effect::Answer { client, outcome }));
+        self.gated.push_back((self.requested, Effect::Answer { client, outcome }));
     }
 
     fn voter(&self, id: u64) -> bool {
@@ -230,11 +224,6 @@
         others.filter_map(|id| Some((*id, self.ip_of(*id)?))).collect()
     }
 
-    fn others(&self) -> Vec<(u64, Ipv4Addr)> {
-        let voters = self.durable.record.voters.iter();
-        voters.filter(|voter| voter.id != self.me.id).map(|voter| (voter.id, voter.ip)).collect()
-    }
-
     /// Gives up being primary, or trying to be.
     fn step_down(&mut self) {
         self.role = Role::Follower;
@@ -242,10 +231,10 @@
         let clients = self.pending.take().map(|pending| pending.client).into_iter();
         let confirming = std::mem::take(&mut self.confirming).into_values().map(|one| one.client);
         let waiting = std::mem::take(&mut self.waiting).into_iter().map(|(client, ..)| client);
-        let told: Vec<Client> = clients.chain(confirming).chain(waiting).collect();
+        let waiting: Vec<Client> = clients.chain(confirming).chain(waiting).collect();
         // Nothing that this answer says rests on the disk.
         self.out
-            .extend(told.into_iter().map(|client| Effect::Answer { client, outcome: Outcome::Elsewhere }));
+            .extend(waiting.into_iter().map(|client| Effect::Answer { client, outcome: Outcome::Elsewhere }));
         self.out.push(Effect::Publish);
     }
 }
--- a/crates/store/src/register/model.rs
+++ b/crates/store/src/register/model.rs
@@ -33,6 +33,8 @@
         client: Client,
         order: Order,
     },
+    /// The process is to end: others take over what this store has.
+    Leave,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/store/src/register/orders.rs
+++ b/crates/store/src/register/orders.rs
@@ -63,7 +63,8 @@
         held.stamp.seq += 1;
         self.durable.held = held.clone();
         self.keep();
-        self.pending = Some(Pending { client, number: self.asked, written: BTreeSet::new(), sent: self.now });
+        self.pending =
+            Some(Pending { client, number: self.requested, written: BTreeSet::new(), sent: self.now });
         self.send_pending();
     }
 
@@ -114,7 +115,8 @@
             self.pending = None;
             self.committed = self.durable.held.stamp;
             self.answer(client, Outcome::Acknowledged);
-            self.gated.push_back((self.asked, Effect::Publish));
+            self.gated.push_back((self.requested, Effect::Publish));
+            self.send_snapshots();
             self.next_order();
         }
     }
--- a/crates/store/src/register/peers.rs
+++ b/crates/store/src/register/peers.rs
@@ -1,14 +1,12 @@
-//! Who is there: heartbeats between stores, and who is well.
+//! Heartbeats between stores: who can be reached, who leads, and which record is the newest.
 
 use super::{Effect, Millis, Peer, Register, Role};
 use std::net::Ipv4Addr;
-use violetyoke_transport::messages::{Envelope, Heartbeat, Member, PeerMessage};
+use violetyoke_transport::messages::{Envelope, Heartbeat, Member, PeerMessage, Record};
 
-const BEAT_EVERY: Millis = 150;
-/// Silence after which a store is not well.
+const HEARTBEAT_INTERVAL: Millis = 150;
+/// Silence after which a store is suspected to be down.
 pub(super) const SUSPECT: Millis = 700;
-/// Silence after which a voter's place may go to another store.
-pub(super) const GONE: Millis = 9_000;
 
 impl Register {
     pub(super) fn envelope(&mut self, envelope: Envelope) {
@@ -23,7 +21,7 @@
             PeerMessage::Promise { epoch, record, held } => self.promised(from, epoch, record, held),
             PeerMessage::Refuse { epoch, promised } => self.refused(epoch, promised),
             PeerMessage::Accept { record, held } => self.accept(from, record, held),
-            PeerMessage::Installed { epoch } => self.installed(epoch),
+            PeerMessage::Snapshot { epoch, state } => self.snapshot(epoch, state),
             PeerMessage::Accepted { epoch } => self.accepted(from.id, epoch),
             PeerMessage::Write { epoch, held } => self.write(from, epoch, held),
             PeerMessage::Written { epoch, stamp } => self.written(from.id, epoch, stamp),
@@ -36,13 +34,16 @@
         self.highest = self.highest.max(heartbeat.record.epoch);
         self.known.extend(heartbeat.known.iter().copied().filter(|ip| *ip != self.me.ip));
         let leads = heartbeat.active && heartbeat.record.holders.first() == Some(&from.id);
+        if leads {
+            self.learn_record(&heartbeat.record);
+        }
         // A backup learns from its primary that all holders have what it has.
         if leads
             && heartbeat.record.epoch == self.durable.record.epoch
             && heartbeat.committed == self.durable.held.stamp
         {
             let holder = self.durable.record.holders.contains(&self.me.id);
-            if holder && self.committed != heartbeat.committed && self.kept == self.asked {
+            if holder && self.committed != heartbeat.committed && self.persisted == self.requested {
                 self.committed = heartbeat.committed;
                 self.out.push(Effect::Publish);
             }
@@ -57,7 +58,7 @@
 
     /// Sends each known store a heartbeat when one is due.
     pub(super) fn send_heartbeats(&mut self) {
-        if self.now < self.heartbeat_at + BEAT_EVERY && self.heartbeat_at != 0 {
+        if self.now < self.heartbeat_at + HEARTBEAT_INTERVAL && self.heartbeat_at != 0 {
             return;
         }
         self.heartbeat_at = self.now;
@@ -65,39 +66,59 @@
             record: self.durable.record.clone(),
             active: self.active(),
             committed: self.committed,
+            persisted: self.persisted_state,
             disk: self.disk,
+            leaving: self.leaving,
             fresh: self.durable.fresh,
             known: self.stores(),
         };
         for to in self.known.clone() {
-            // Beats tell how things are; nobody takes them for a promise, so they don't wait for the disk.
+            // No decision rests on a record that isn't installed here: heartbeats don't wait for the disk.
             self.out.push(Effect::Send { to, message: PeerMessage::Heartbeat(heartbeat.clone()) });
         }
     }
 
-    /// Heard of lately under this very id, with a disk that answers.
-    pub(super) fn healthy(&self, id: u64) -> bool {
-        let mut peers = self.peers.values();
-        peers.any(|peer| peer.member.id == id && peer.heartbeat.disk && self.now < peer.heard + SUSPECT)
+    /// Heard of lately under this very id, with a disk that answers: it can promise and accept.
+    pub(super) fn reachable(&self, id: u64) -> bool {
+        self.peers.values().any(|peer| peer.member.id == id && self.hears(peer))
+    }
+
+    /// Reachable, and it stays: it may become a holder.
+    pub(super) fn eligible(&self, id: u64) -> bool {
+        let of_id = |peer: &&Peer| peer.member.id == id && !peer.heartbeat.leaving;
+        self.peers.values().filter(of_id).any(|peer| self.hears(peer))
+    }
+
+    pub(super) fn hears(&self, peer: &Peer) -> bool {
+        peer.heartbeat.disk && self.now < peer.heard + SUSPECT
     }
 
     pub(super) fn silent_for(&self, ip: Ipv4Addr) -> Millis {
         self.peers.get(&ip).map_or(self.now - self.settled_at, |peer| self.now - peer.heard)
     }
 
-    /// The primary of the record in force is well, and says that it leads under that record or a newer one.
-    pub(super) fn led(&self) -> bool {
-        let leads =
-            |peer: &&Peer| peer.heartbeat.active && peer.heartbeat.disk && self.now < peer.heard + SUSPECT;
+    /// The newest record that this store or one that it hears of has accepted.
+    pub(super) fn newest_record(&self) -> &Record {
+        let heard = self.peers.values().filter(|peer| self.hears(peer)).map(|peer| &peer.heartbeat.record);
+        let newest = heard.max_by_key(|record| record.epoch);
+        newest.filter(|record| record.epoch > self.durable.record.epoch).unwrap_or(&self.durable.record)
+    }
+
+    /// The record of a primary that can be reached and stays, where none newer is accepted here.
+    pub(super) fn leading_record(&self) -> Option<&Record> {
         let newest = self.durable.record.epoch;
-        self.peers.values().filter(leads).any(|peer| peer.heartbeat.record.epoch >= newest)
+        let leads = |peer: &&Peer| {
+            peer.heartbeat.active
+                && !peer.heartbeat.leaving
+                && peer.heartbeat.record.epoch >= newest
+                && self.hears(peer)
+        };
+        self.peers.values().find(leads).map(|peer| &peer.heartbeat.record)
     }
 
-    /// Well stores that have no vote yet.
-    pub(super) fn joiners(&self) -> Vec<Member> {
-        let voters = &self.durable.record.voters;
-        let others = self.peers.values().filter(|peer| !voters.contains(&peer.member));
-        others.filter(|peer| self.healthy(peer.member.id)).map(|peer| peer.member.clone()).collect()
+    /// Another store is primary of the newest record.
+    pub(super) fn led(&self) -> bool {
+        self.leading_record().is_some()
     }
 
     /// The first start: all seeds are there, each with an empty disk.
@@ -106,7 +127,7 @@
         for seed in &self.seeds {
             match self.peers.get(seed) {
                 _ if *seed == self.me.ip => members.push(self.me.clone()),
-                Some(peer) if peer.heartbeat.fresh && self.healthy(peer.member.id) => {
+                Some(peer) if peer.heartbeat.fresh && self.reachable(peer.member.id) => {
                     members.push(peer.member.clone())
                 }
                 _ => return None,
--- a/crates/store/src/register/quorum.rs
+++ b/crates/store/src/register/quorum.rs
@@ -4,7 +4,7 @@
 
 /// Enough have said yes to a record: of its voters, and of those of records before it that may not have installed.
 pub(super) fn enough(record: &Record, has: impl Fn(u64) -> bool + Copy) -> bool {
-    majority(&record.voters, has) && record.bases.iter().all(|voters| majority(voters, has))
+    majority(&record.voters, has) && record.prior_voters.iter().all(|voters| majority(voters, has))
 }
 
 /// More than half of the members of a list are in a set.
--- /dev/null
+++ b/crates/store/src/register/status.rs
@@ -0,0 +1,34 @@
+//! What others may ask of a register between events.
+
+use super::{Register, Role};
+use std::net::Ipv4Addr;
+use violetyoke_transport::messages::{ControlState, Member};
+
+impl Register {
+    /// The state that all holders have, as far as this store knows.
+    pub fn committed(&self) -> Option<&ControlState> {
+        (self.committed == self.durable.held.stamp && self.committed.epoch > 0).then_some(&self.durable.held)
+    }
+
+    /// Machines whose stores are asked first, as the settings have them by now.
+    pub fn seeds(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.known.extend(seeds.into_iter().filter(|ip| *ip != self.me.ip));
+    }
+
+    pub fn member(&self) -> &Member {
+        &self.me
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.durable.record.epoch
+    }
+
+    pub fn active(&self) -> bool {
+        matches!(self.role, Role::Active)
+    }
+
+    /// All stores that this one knows of, itself among them.
+    pub fn stores(&self) -> Vec<Ipv4Addr> {
+        self.known.iter().copied().chain([self.me.ip]).collect()
+    }
+}
--- a/crates/store/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -1,19 +1,16 @@
-//! Who takes over, and how an epoch comes to stand: promises first, then a record that names the holders.
+//! Who becomes primary, and how a record is installed: promises of an epoch first, then a record that names the holders.
 
-use super::peers::GONE;
-use super::quorum::{drawn, enough, majority};
+use super::quorum::{drawn, enough};
 use super::{Effect, Millis, Register, Role};
 use std::collections::{BTreeMap, BTreeSet};
 use violetyoke_transport::messages::{ControlState, Member, Outcome, PeerMessage, Record, Stamp};
 
 /// How long promises, and acceptances, are waited for.
-const PATIENCE: Millis = 600;
+const PHASE_TIMEOUT: Millis = 600;
 /// After a majority has promised, so long for the others.
-const GATHER: Millis = 30;
+const PROMISE_GRACE: Millis = 30;
 /// A witness leaves the first try to the backups.
-const WITNESS_LATER: Millis = 300;
-/// An epoch stands for so long before places in it are improved.
-const SETTLED: Millis = 1_500;
+const WITNESS_DELAY: Millis = 300;
 
 impl Register {
     pub(super) fn tick(&mut self) {
@@ -22,19 +19,20 @@
         match &self.role {
             Role::Follower => self.maybe_take_over(),
             Role::Asking { since, .. } => {
-                if self.now > since + PATIENCE {
+                if self.now > since + PHASE_TIMEOUT {
                     self.give_up();
                 } else {
                     self.maybe_offer();
                 }
             }
             Role::Offering { since, .. } => {
-                if self.now > since + PATIENCE {
+                if self.now > since + PHASE_TIMEOUT {
                     self.give_up();
                 }
             }
             Role::Active => {
                 self.send_again();
+                self.send_snapshots();
                 self.maybe_rearrange();
             }
         }
@@ -46,99 +44,45 @@
     }
 
     fn maybe_take_over(&mut self) {
-        let record = &self.durable.record;
+        let record = self.newest_record();
         if record.epoch == 0 {
             if self.durable.fresh && self.seeds.first() == Some(&self.me.ip) && self.disk {
                 if let Some(members) = self.all_fresh() {
                     self.durable.record.voters = members;
-                    self.ask();
+                    self.ask(None);
                 }
             }
             return;
         }
-        if !self.voter(self.me.id) || self.led() {
+        let voter = record.voters.contains(&self.me);
+        let holder = record.holders.contains(&self.me.id);
+        let others = |id| id == self.me.id || self.reachable(id);
+        let heard = enough(record, others);
+        if !voter || self.leaving || self.led() {
             self.unled = None;
             return;
         }
-        let holder = record.holders.contains(&self.me.id);
         let unled = *self.unled.get_or_insert(self.now);
-        let wait = if holder { 0 } else { WITNESS_LATER } + drawn(self.me.id, self.highest, 120);
-        let others = |id| id == self.me.id || self.healthy(id);
-        let heard = enough(record, others);
+        let wait = if holder { 0 } else { WITNESS_DELAY } + drawn(self.me.id, self.highest, 120);
         if self.disk && heard && self.now >= unled + wait && self.now >= self.rest_until {
-            self.ask();
-        }
-    }
-
-    /// The primary looks for a better arrangement: backups that are well, in other zones, and voters that are there.
-    fn maybe_rearrange(&mut self) {
-        if !self.disk || self.now < self.rest_until {
-            return;
-        }
-        let ill = self.backups().iter().any(|(id, _)| !self.healthy(*id));
-        let healthy = |id| id == self.me.id || self.healthy(id);
-        let better = self.now > self.settled_at + SETTLED && self.pending.is_none() && {
-            let voters = self.next_voters(&self.durable.record.voters);
-            voters != self.durable.record.voters || self.zones_improve()
-        };
-        if (ill || better) && majority(&self.durable.record.voters, healthy) {
-            self.rest_until = self.now + 500;
-            self.ask();
-        }
-    }
-
-    /// All holders stand in one zone, though a well voter stands in another.
-    fn zones_improve(&self) -> bool {
-        let record = &self.durable.record;
-        let other = |member: &&Member| member.zone != self.me.zone && self.healthy(member.id);
-        let mut elsewhere = record.voters.iter().filter(other).peekable();
-        elsewhere.peek().is_some()
-            && record
-                .voters
-                .iter()
-                .filter(|voter| record.holders.contains(&voter.id))
-                .all(|it| it.zone == self.me.zone)
-    }
-
-    /// Voters as they should be: a machine's new disk in the place of its old one, places of those long gone given to
-    /// others, and no more than twice the losses to be borne and one.
-    fn next_voters(&self, voters: &[Member]) -> Vec<Member> {
-        let mut next = voters.to_vec();
-        let most = (2 * self.tolerance as usize + 1).max(self.seeds.len());
-        for joiner in self.joiners() {
-            if next.iter().any(|voter| voter.id == joiner.id) {
-                continue;
-            }
-            let same = next.iter().position(|voter| voter.ip == joiner.ip);
-            let gone = || next.iter().position(|it| it.id != self.me.id && self.silent_for(it.ip) > GONE);
-            match same.or_else(gone) {
-                Some(place) => next[place] = joiner,
-                None if next.len() < most => next.push(joiner),
-                None => {}
-            }
+            self.ask(None);
         }
-        // An even number bears no more losses than the odd one below it.
-        if next.len() > voters.len() && next.len().is_multiple_of(2) {
-            next.truncate(next.len() - 1);
-        }
-        next
     }
 
-    /// Asks all voters for a promise.
-    fn ask(&mut self) {
+    /// Asks all voters for a promise; a primary may have another list of voters in mind.
+    pub(super) fn ask(&mut self, voters: Option<Vec<Member>>) {
         let epoch = self.highest.max(self.durable.promised) + 1;
         self.highest = epoch;
         self.durable.promised = epoch;
         self.keep();
         let mine = (self.me.clone(), self.durable.record.clone(), self.durable.held.clone());
         let promises = BTreeMap::from([(self.me.id, mine)]);
-        self.role = Role::Asking { epoch, since: self.now, promises };
+        self.role = Role::Asking { epoch, since: self.now, voters, promises };
         self.out.push(Effect::Publish);
-        let record = &self.durable.record;
-        let mut voters: BTreeSet<Member> =
-            record.bases.iter().flatten().chain(&record.voters).cloned().collect();
-        voters.remove(&self.me);
-        for voter in voters {
+        let records = [&self.durable.record, self.newest_record()];
+        let mut asked: BTreeSet<Member> = records.into_iter().flat_map(named).cloned().collect();
+        asked.remove(&self.me);
+        for voter in asked {
             self.send(voter.ip, PeerMessage::Prepare { epoch });
         }
         self.maybe_offer();
@@ -168,52 +112,68 @@
 
     /// With a majority's promises: the newest record says whose majority it must be, the newest state is the one.
     fn maybe_offer(&mut self) {
-        let Role::Asking { epoch, since, promises } = &self.role else { return };
-        let (epoch, since) = (*epoch, *since);
+        let Role::Asking { epoch, since, voters, promises } = &self.role else { return };
+        let epoch = *epoch;
         let records = promises.values().map(|(_, record, _)| record);
-        let newest = records.max_by_key(|record| (record.epoch, std::cmp::Reverse(record.bases.len())));
-        let Some(base) = newest.cloned() else { return };
-        let base = if base.epoch == 0 { self.durable.record.clone() } else { base };
+        let newest =
+            records.max_by_key(|record| (record.epoch, std::cmp::Reverse(record.prior_voters.len())));
+        let Some(base) = newest else { return };
+        let base = if base.epoch == 0 { self.durable.record.clone() } else { base.clone() };
+        // Holders have to be voters, or a majority might have none among them.
+        if !base.voters.contains(&self.me) {
+            return self.give_up();
+        }
         let has = |id| promises.contains_key(&id);
         let all = base.voters.iter().all(|voter| has(voter.id));
-        if !enough(&base, has) || !(all || self.now >= since + GATHER) {
+        if !enough(&base, has) || !(all || self.now >= since + PROMISE_GRACE) {
             return;
         }
-        let mut held = promises
-            .values()
-            .map(|(.., held)| held)
-            .max_by_key(|held| held.stamp)
-            .cloned()
-            .unwrap_or_default();
+        // Voters change by their installed record's primary alone.
+        let own = base.epoch == self.durable.record.epoch && base.prior_voters.is_empty();
+        let voters = voters.clone().filter(|_| own).unwrap_or_else(|| base.voters.clone());
+        let Some(holders) = self.choose_holders(&base, &voters, has) else { return };
+        let states = promises.values().map(|(.., held)| held);
+        let mut held = states.max_by_key(|held| held.stamp).cloned().unwrap_or_default();
         held.stamp = Stamp { epoch, seq: 0 };
-        let voters = self.next_voters(&base.voters);
-        let able = |voter: &&Member| has(voter.id) && voter.id != self.me.id && self.healthy(voter.id);
+        let mut prior_voters = vec![base.voters.clone()];
+        prior_voters.extend(base.prior_voters.iter().cloned());
+        prior_voters.retain(|list| *list != voters);
+        prior_voters.dedup();
+        self.offer(Record { epoch, voters, holders, prior_voters }, held);
+    }
+
+    /// This store first, then those that stay, in other zones where there are any: more than half of the voters.
+    /// A voter of before has to have promised; one that is new gets the state with the record.
+    fn choose_holders(
+        &self,
+        base: &Record,
+        voters: &[Member],
+        has: impl Fn(u64) -> bool,
+    ) -> Option<Vec<u64>> {
+        let able = |voter: &&Member| {
+            let ready = has(voter.id) || !base.voters.contains(voter);
+            voter.id != self.me.id && ready && self.reachable(voter.id)
+        };
         let mut others: Vec<&Member> = voters.iter().filter(able).collect();
-        others.sort_by_key(|voter| voter.zone == self.me.zone);
+        others.sort_by_key(|voter| (!self.eligible(voter.id), voter.zone == self.me.zone));
         let copies = voters.len() / 2 + 1;
         let holders: Vec<u64> =
             [self.me.id].into_iter().chain(others.iter().map(|it| it.id)).take(copies).collect();
-        if holders.len() < copies {
-            return;
-        }
-        let mut bases = vec![base.voters.clone()];
-        bases.extend(base.bases.iter().cloned());
-        bases.retain(|list| *list != voters);
-        bases.dedup();
-        let record = Record { epoch, voters: voters.clone(), holders, bases };
+        (holders.len() == copies).then_some(holders)
+    }
+
+    fn offer(&mut self, record: Record, held: ControlState) {
         self.durable.record = record.clone();
         self.durable.fresh = false;
         self.durable.held = held.clone();
         self.keep();
-        let number = self.asked;
-        self.role =
-            Role::Offering { record: record.clone(), number, since: self.now, accepted: BTreeSet::new() };
-        let all: BTreeSet<&Member> = record.bases.iter().flatten().chain(&voters).collect();
-        let to: Vec<Member> = all.into_iter().filter(|it| it.id != self.me.id).cloned().collect();
+        let number = self.requested;
+        let to: BTreeSet<&Member> = named(&record).filter(|it| it.id != self.me.id).collect();
         for voter in to {
             let held = record.holders.contains(&voter.id).then(|| held.clone());
             self.send(voter.ip, PeerMessage::Accept { record: record.clone(), held });
         }
+        self.role = Role::Offering { record, number, since: self.now, accepted: BTreeSet::new() };
     }
 
     pub(super) fn accepted(&mut self, id: u64, epoch: u64) {
@@ -230,12 +190,10 @@
         self.settled_at = self.now;
         self.unled = None;
         self.committed = self.durable.held.stamp;
-        self.installed(epoch);
-        for (id, ip) in self.others() {
-            if self.healthy(id) {
-                self.send(ip, PeerMessage::Installed { epoch });
-            }
-        }
+        self.snapshots.clear();
+        self.installed();
+        // All learn from the heartbeats, as often as they need it, that the record is installed.
+        self.greet();
         // What was on its way under the epoch before is part of what all holders have now.
         let pending = self.pending.take().map(|pending| (pending.client, Outcome::Acknowledged));
         let confirmed =
@@ -244,7 +202,12 @@
             self.answer(client, outcome);
         }
         // Told once this store's own disk has it too.
-        self.gated.push_back((self.asked, Effect::Publish));
+        self.gated.push_back((self.requested, Effect::Publish));
         self.next_order();
     }
 }
+
+/// All that a record names as voters, of now and of before.
+fn named(record: &Record) -> impl Iterator<Item = &Member> {
+    record.prior_voters.iter().flatten().chain(&record.voters)
+}
--- a/crates/store/src/register/voter.rs
+++ b/crates/store/src/register/voter.rs
@@ -48,10 +48,32 @@
         self.send(from.ip, PeerMessage::Accepted { epoch });
     }
 
-    /// The record stands: those before it are of no more account.
-    pub(super) fn installed(&mut self, epoch: u64) {
-        if self.durable.record.epoch == epoch && !self.durable.record.bases.is_empty() {
-            self.durable.record.bases.clear();
+    /// A primary says in its heartbeats which record is installed. A voter that accepted it drops the lists of voters
+    /// before it; a store that missed it learns it, and whether it is still a voter. This holds under a higher promise
+    /// too: what is installed is no vote any more, and whoever got the promise finds it at a majority.
+    pub(super) fn learn_record(&mut self, record: &Record) {
+        if record.epoch == self.durable.record.epoch {
+            return self.installed();
+        }
+        // A holder has accepted the record, with the state, before it could be installed.
+        let holder = record.holders.contains(&self.me.id);
+        if holder || record.epoch < self.durable.record.epoch || !record.prior_voters.is_empty() {
+            return;
+        }
+        if !matches!(self.role, Role::Follower) {
+            self.step_down();
+        }
+        self.durable.promised = self.durable.promised.max(record.epoch);
+        self.durable.record = record.clone();
+        self.durable.fresh = false;
+        self.unled = None;
+        self.keep();
+    }
+
+    /// The record accepted here is installed: the voters before it have no more say.
+    pub(super) fn installed(&mut self) {
+        if !self.durable.record.prior_voters.is_empty() {
+            self.durable.record.prior_voters.clear();
             self.keep();
         }
     }
--- a/crates/transport/src/messages/stores.rs
+++ b/crates/transport/src/messages/stores.rs
@@ -1,4 +1,4 @@
-//! Words between stores.
+//! Messages between stores.
 
 use super::{ControlState, Stamp};
 use serde::{Deserialize, Serialize};
@@ -12,15 +12,16 @@
     pub zone: String,
 }
 
-/// Who may do what while an epoch stands.
+/// The configuration of the store's own group under one epoch.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
     pub epoch: u64,
     pub voters: Vec<Member>,
     /// The first is the primary, the others its backups; voters that hold nothing are witnesses.
     pub holders: Vec<u64>,
-    /// Voters of records before this one, as long as it is not known to stand.
-    pub bases: Vec<Vec<Member>>,
+    /// Lists of voters of the records before this one, until it is known to be installed: a majority of each has to
+    /// agree as well.
+    pub prior_voters: Vec<Vec<Member>>,
 }
 
 /// What a store sends another, and from whom.
@@ -56,11 +57,12 @@
     Accepted {
         epoch: u64,
     },
-    /// That record stands.
-    Installed {
+    /// The newest committed state, for a learner (a store without a vote). Its heartbeats say when it is persisted.
+    Snapshot {
         epoch: u64,
+        state: ControlState,
     },
-    /// A state under an epoch that stands.
+    /// A state under an installed epoch, for a backup.
     Write {
         epoch: u64,
         held: ControlState,
@@ -69,7 +71,7 @@
         epoch: u64,
         stamp: Stamp,
     },
-    /// Does this epoch still stand?
+    /// Has no higher epoch been promised?
     Confirm {
         epoch: u64,
         nonce: u64,
@@ -80,17 +82,21 @@
     },
 }
 
-/// What each store tells all others all the time.
+/// What each store sends all others at an interval.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Heartbeat {
     pub record: Record,
-    /// The sender is primary of its record, and the epoch stands.
+    /// The sender is primary of its record, and that record is installed.
     pub active: bool,
     /// The newest state known to be on all holders' disks.
     pub committed: Stamp,
+    /// The newest state that is on the sender's disk.
+    pub persisted: Stamp,
     /// Its disk answers.
     pub disk: bool,
-    /// First start of the whole system, and nothing held.
+    /// It has got a SIGTERM: it hands over what it has, and ends.
+    pub leaving: bool,
+    /// First start of the whole system, and no record yet.
     pub fresh: bool,
     /// Other stores that it knows of.
     pub known: Vec<Ipv4Addr>,
