Send large messages in chunks between heartbeats, and deflate them

Cause: a frame held a whole message, and a reader gave up a connection when no frame was complete within 1,100 ms. A state that takes longer than that on its link (2 MB on 2 Mbit/s take 8.4 s) ended each connection it was sent on, for ever, and kept heartbeats waiting behind it: a sender that is well was suspected after 700 ms. Ruled out: longer silences (a machine that is gone is found later); a connection for states alone (its own liveness, and two orders of messages to argue about).

--- a/crates/store/src/daemon/mod.rs
+++ b/crates/store/src/daemon/mod.rs
@@ -193,7 +193,8 @@
                 Effect::Send { to, message } => {
                     let own = self.peers.get(&to).and_then(Option::as_ref);
                     if let Some(sender) = own.or(self.heard.get(&to).map(|(_, sender)| sender)) {
-                        sender.send(encode(&StoreRequest::Envelope(Envelope {
+                        // The register bears messages in any order: small ones don't wait for a state.
+                        sender.send_urgent(encode(&StoreRequest::Envelope(Envelope {
                             from: self.me.clone(),
                             message,
                         })));
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -1,28 +1,36 @@
-//! One message a frame: four bytes of length, then MessagePack. An empty frame says that the sender is there.
+//! Messages as MessagePack, large ones deflated: states of control are text that repeats much, and bytes between zones
+//! have a price. `chunks` says how they go into frames.
 
-use bytes::{Bytes, BytesMut};
+use crate::pack::{deflate, inflate};
+use bytes::Bytes;
 use serde::{de::DeserializeOwned, Serialize};
 use std::io;
-use tokio_util::codec::{Encoder, LengthDelimitedCodec};
 
-/// The longest frame that is taken: a configuration of 5,000 routes is about 1 MiB.
+/// The longest message that is taken: a configuration of 5,000 routes is about 1 MiB, and the registry refuses orders
+/// over 8 MiB.
 pub const LONGEST: usize = 16 << 20;
+/// Messages that are longer are deflated.
+const DEFLATE_FROM: usize = 4 << 10;
+/// The first byte of a deflated message; no MessagePack value begins with it.
+const DEFLATED: u8 = 0xc1;
 
-pub fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_codec()
-}
-
-/// A message's bytes, without its length.
+/// A message's bytes.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
     // Writing to memory fails for no message of `messages`: none has a map without a length or a number out of range.
-    Bytes::from(rmp_serde::to_vec(message).unwrap_or_default())
+    let plain = rmp_serde::to_vec(message).unwrap_or_default();
+    if plain.len() <= DEFLATE_FROM {
+        return Bytes::from(plain);
+    }
+    match deflate(vec![DEFLATED], &plain) {
+        Ok(deflated) if deflated.len() < plain.len() => Bytes::from(deflated),
+        _ => Bytes::from(plain),
+    }
 }
 
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
-    rmp_serde::from_slice(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
-}
-
-/// Appends a frame to what is to be written.
-pub fn append(out: &mut BytesMut, payload: Bytes) -> io::Result<()> {
-    codec().encode(payload, out)
+    let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
+    match bytes.split_first() {
+        Some((&DEFLATED, deflated)) => rmp_serde::from_slice(&inflate(deflated)?).map_err(invalid),
+        _ => rmp_serde::from_slice(bytes).map_err(invalid),
+    }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,8 @@
-//! What the system's own processes say to each other (`messages`), the connections they say it on (`net`, `link`, `frame`), how
+//! What the system's own processes say to each other (`messages`), the connections they say it on (`net`, `link`, `chunks`, `frame`), how
 //! they begin (`program`, `life`) and log (`log`). Nothing is decided here.
 
 pub mod changes;
+pub mod chunks;
 pub mod frame;
 pub mod life;
 pub mod link;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -1,36 +1,46 @@
-//! Connections between own processes: kept up by the side that opens them, found dead by silence on both.
+//! Connections between own processes: kept up by the side that opens them, found dead by silence on both. Each byte that
+//! gets through counts as a sign of life: a large message on a slow link is no silence.
 
-use crate::frame::{append, codec};
+use crate::chunks::{append_keepalive, codec, Assembler, Outgoing, SendQueue, CHUNK};
 use crate::net::{connect, Listener, Stream};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::{Buf, Bytes, BytesMut};
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{split, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::FramedRead;
+use tokio_util::codec::Decoder;
 
 /// An empty frame after so much silence of one's own.
-const BEAT: Duration = Duration::from_millis(300);
+const KEEPALIVE: Duration = Duration::from_millis(300);
 /// So much silence of the other ends a connection.
 pub const SILENCE: Duration = Duration::from_millis(1100);
 const CONNECT: Duration = Duration::from_millis(350);
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(300);
-/// Bytes written in one go.
-const BATCH: usize = 64 << 10;
+/// Bytes written in one go; an urgent message waits for no more than these.
+const BATCH: usize = CHUNK;
 
 /// Sends to one connection; what is sent while it is down is dropped.
 #[derive(Clone, Debug)]
-pub struct Sender(UnboundedSender<Bytes>);
+pub struct Sender(UnboundedSender<Outgoing>);
 
 impl Sender {
+    /// Sends a message after those that were sent before it.
     pub fn send(&self, payload: Bytes) {
+        self.put(Outgoing { payload, urgent: false });
+    }
+
+    /// Sends a message that may overtake others: a heartbeat does not wait until a large state has crossed the link.
+    pub fn send_urgent(&self, payload: Bytes) {
+        self.put(Outgoing { payload, urgent: true });
+    }
+
+    fn put(&self, message: Outgoing) {
         // A connection that has ended tells so by its own event.
-        let _ = self.0.send(payload);
+        let _ = self.0.send(message);
     }
 
     pub fn same(&self, other: &Sender) -> bool {
@@ -88,29 +98,44 @@
     told(Event::Down);
 }
 
-async fn read(reader: ReadHalf<Stream>, told: &Rc<dyn Fn(Event)>) {
-    let mut frames = FramedRead::new(reader, codec());
-    while let Ok(Some(Ok(frame))) = timeout(SILENCE, frames.next()).await {
-        if !frame.is_empty() {
-            told(Event::Frame(frame.freeze()));
+async fn read(mut reader: ReadHalf<Stream>, told: &Rc<dyn Fn(Event)>) -> io::Result<()> {
+    let mut codec = codec();
+    let mut assembler = Assembler::default();
+    let mut received = BytesMut::new();
+    loop {
+        while let Some(frame) = codec.decode(&mut received)? {
+            if let Some(message) = assembler.take(frame)? {
+                told(Event::Frame(message));
+            }
+        }
+        if timeout(SILENCE, reader.read_buf(&mut received)).await?? == 0 {
+            return Ok(());
         }
     }
 }
 
-async fn write(mut writer: WriteHalf<Stream>, mut queue: UnboundedReceiver<Bytes>) -> io::Result<()> {
+async fn write(mut writer: WriteHalf<Stream>, mut queue: UnboundedReceiver<Outgoing>) -> io::Result<()> {
+    let mut waiting = SendQueue::default();
     let mut out = BytesMut::new();
     loop {
-        match timeout(BEAT, queue.recv()).await {
-            Ok(None) => return Ok(()),
-            Ok(Some(payload)) => append(&mut out, payload)?,
-            Err(_) => append(&mut out, Bytes::new())?,
+        if waiting.is_empty() {
+            match timeout(KEEPALIVE, queue.recv()).await {
+                Ok(None) => return Ok(()),
+                Ok(Some(message)) => waiting.push(message),
+                Err(_) => append_keepalive(&mut out),
+            }
         }
-        while out.len() < BATCH {
-            let Ok(payload) = queue.try_recv() else { break };
-            append(&mut out, payload)?;
+        while let Ok(message) = queue.try_recv() {
+            waiting.push(message);
+        }
+        while out.len() < BATCH && waiting.append_next(&mut out) {}
+        while !out.is_empty() {
+            let written = timeout(SILENCE, writer.write(&out)).await??;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            out.advance(written);
         }
-        timeout(SILENCE, writer.write_all(&out)).await??;
-        out.clear();
         if out.capacity() > 2 * BATCH {
             out = BytesMut::new();
         }
--- a/crates/transport/src/pack.rs
+++ b/crates/transport/src/pack.rs
@@ -1,4 +1,4 @@
-//! Large messages made small: MessagePack, deflated. Names of routes and hosts repeat much.
+//! Large messages made small by deflate. Names of routes and hosts repeat much.
 
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -16,14 +16,11 @@
 impl Packed {
     pub fn new<T: Serialize>(message: &T) -> io::Result<Packed> {
         let plain = rmp_serde::to_vec(message).map_err(io::Error::other)?;
-        let mut out = DeflateEncoder::new(Vec::new(), Compression::fast());
-        out.write_all(&plain)?;
-        out.finish().map(Packed)
+        deflate(Vec::new(), &plain).map(Packed)
     }
 
     pub fn open<T: DeserializeOwned>(&self) -> io::Result<T> {
-        let mut plain = Vec::new();
-        DeflateDecoder::new(self.0.as_slice()).take(LARGEST).read_to_end(&mut plain)?;
+        let plain = inflate(&self.0)?;
         rmp_serde::from_slice(&plain).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 
@@ -32,3 +29,20 @@
         self.0.len()
     }
 }
+
+/// Appends the deflated bytes to what is there.
+pub fn deflate(to: Vec<u8>, plain: &[u8]) -> io::Result<Vec<u8>> {
+    let mut out = DeflateEncoder::new(to, Compression::fast());
+    out.write_all(plain)?;
+    out.finish()
+}
+
+/// The plain bytes; an error if they are cut short, spoiled, or more than any message has.
+pub fn inflate(deflated: &[u8]) -> io::Result<Vec<u8>> {
+    let mut plain = Vec::new();
+    DeflateDecoder::new(deflated).take(LARGEST + 1).read_to_end(&mut plain)?;
+    if plain.len() as u64 > LARGEST {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "a message of too many bytes"));
+    }
+    Ok(plain)
+}
--- /dev/null
+++ b/crates/transport/tests/chunks.rs
@@ -0,0 +1,87 @@
+//! Messages in frames and back: chunks, deflated messages, and what no peer of ours sends.
+
+use bytes::{Bytes, BytesMut};
+use tokio_util::codec::Decoder;
+use violetyoke_transport::chunks::{append_keepalive, codec, Assembler, Outgoing, SendQueue, CHUNK};
+use violetyoke_transport::frame::{decode, encode, LONGEST};
+
+fn ordered(payload: Bytes) -> Outgoing {
+    Outgoing { payload, urgent: false }
+}
+
+fn received(mut bytes: BytesMut) -> std::io::Result<Vec<Bytes>> {
+    let (mut codec, mut assembler, mut messages) = (codec(), Assembler::default(), Vec::new());
+    while let Some(frame) = codec.decode(&mut bytes)? {
+        messages.extend(assembler.take(frame)?);
+    }
+    Ok(messages)
+}
+
+#[test]
+fn messages_of_each_size_about_a_chunk_come_back_whole() {
+    for size in [1, 2, CHUNK - 1, CHUNK, CHUNK + 1, 2 * CHUNK, 2 * CHUNK + 1, 5 * CHUNK + 17] {
+        let payload = Bytes::from((0..size).map(|at| at as u8).collect::<Vec<u8>>());
+        let (mut queue, mut out) = (SendQueue::default(), BytesMut::new());
+        queue.push(ordered(payload.clone()));
+        append_keepalive(&mut out);
+        while queue.append_next(&mut out) {
+            append_keepalive(&mut out);
+        }
+        assert!(queue.is_empty(), "{size}");
+        assert!(received(out).expect("frames") == [payload], "{size}");
+    }
+}
+
+#[test]
+fn an_urgent_message_goes_between_the_chunks_of_a_large_one() {
+    let (mut queue, mut out) = (SendQueue::default(), BytesMut::new());
+    let large = Bytes::from(vec![7; 3 * CHUNK]);
+    queue.push(ordered(large.clone()));
+    assert!(queue.append_next(&mut out));
+    queue.push(ordered(Bytes::from_static(b"in order")));
+    queue.push(Outgoing { payload: Bytes::from_static(b"urgent"), urgent: true });
+    while queue.append_next(&mut out) {}
+    let messages = received(out).expect("frames");
+    assert!(messages == [Bytes::from_static(b"urgent"), large, Bytes::from_static(b"in order")]);
+}
+
+#[test]
+fn a_message_that_no_receiver_takes_is_not_sent_and_the_others_are() {
+    let (mut queue, mut out) = (SendQueue::default(), BytesMut::new());
+    queue.push(ordered(Bytes::from(vec![0; LONGEST + 1])));
+    queue.push(ordered(Bytes::from_static(b"next")));
+    while queue.append_next(&mut out) {}
+    assert!(received(out).expect("frames") == [Bytes::from_static(b"next")]);
+}
+
+#[test]
+fn frames_of_no_known_kind_or_length_and_endless_parts_are_errors() {
+    let frame = |kind: u8, length: usize| {
+        let mut bytes = BytesMut::from((length as u32 + 1).to_be_bytes().as_slice());
+        bytes.extend_from_slice(&[kind]);
+        bytes.resize(length + 5, 0);
+        bytes
+    };
+    assert!(received(frame(3, 10)).is_err());
+    assert!(received(frame(0, CHUNK + 1)).is_err());
+    let mut assembler = Assembler::default();
+    let taken = (0..=LONGEST / CHUNK).try_for_each(|_| {
+        let mut part = BytesMut::from([1].as_slice());
+        part.resize(CHUNK + 1, 0);
+        assembler.take(part).map(drop)
+    });
+    assert!(taken.is_err(), "parts beyond the longest message");
+}
+
+#[test]
+fn large_messages_are_deflated_and_read_back() {
+    let routes: Vec<String> = (0..5_000).map(|n| format!("/prefix{n}/ to a service, for a host")).collect();
+    let bytes = encode(&routes);
+    assert!(bytes.len() * 4 < routes.concat().len(), "{} bytes", bytes.len());
+    assert_eq!(decode::<Vec<String>>(&bytes).expect("read back"), routes);
+    for end in [0, 1, 2, bytes.len() / 2, bytes.len() - 1] {
+        assert!(decode::<Vec<String>>(&bytes[..end]).is_err(), "cut at {end}");
+    }
+    let small = vec!["one".to_owned()];
+    assert_eq!(decode::<Vec<String>>(&encode(&small)).expect("read back"), small);
+}
--- /dev/null
+++ b/crates/transport/tests/link.rs
@@ -0,0 +1,142 @@
+//! Connections on slow links, in virtual time: a large message crosses while heartbeats go on, and silence ends them.
+
+mod slow;
+
+use bytes::Bytes;
+use slow::SlowWorld;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
+use violetyoke_transport::link::{keep, take, Event, Sender, SILENCE};
+use violetyoke_transport::{net, world};
+
+const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7000);
+
+/// What the side that listens has received, and when.
+type Received = Rc<RefCell<Vec<(Instant, Bytes)>>>;
+
+struct Link {
+    world: SlowWorld,
+    sender: Sender,
+    received: Received,
+    downs: Rc<RefCell<u32>>,
+}
+
+/// A connection on a link of so many bits a second, and what `test` does with it.
+fn on_a_link<F: Future<Output = ()>>(bits: u64, test: impl FnOnce(Link) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    let world = SlowWorld::default();
+    world.bits_a_second(bits);
+    world::install(Some(Rc::new(world.clone())));
+    LocalSet::new().block_on(&runtime, async move {
+        let (received, downs) = (Received::default(), Rc::<RefCell<u32>>::default());
+        let into = received.clone();
+        let listener = net::listen(ADDRESS.into()).expect("a listener");
+        spawn_local(take(listener, move |_| {
+            let into = into.clone();
+            // A connection lasts for as long as somebody may send on it.
+            let back = RefCell::new(None);
+            move |event| match event {
+                Event::Up(sender) => *back.borrow_mut() = Some(sender),
+                Event::Frame(message) => into.borrow_mut().push((Instant::now(), message)),
+                Event::Down => {}
+            }
+        }));
+        let senders: Rc<RefCell<Option<Sender>>> = Rc::default();
+        let (opened, ended) = (senders.clone(), downs.clone());
+        spawn_local(keep(ADDRESS, move |event| match event {
+            Event::Up(sender) => *opened.borrow_mut() = Some(sender),
+            Event::Down => *ended.borrow_mut() += 1,
+            Event::Frame(_) => {}
+        }));
+        sleep(Duration::from_millis(50)).await;
+        let sender = senders.borrow().clone().expect("a connection");
+        test(Link { world, sender, received, downs }).await;
+    });
+    world::install(None);
+}
+
+fn state_of(bytes: usize) -> Bytes {
+    (0..bytes).map(|at| (at * 7 + at / 251) as u8).collect::<Vec<u8>>().into()
+}
+
+#[test]
+fn two_megabytes_cross_two_megabits_a_second_while_heartbeats_go_on() {
+    on_a_link(2_000_000, |link| async move {
+        let (state, heartbeat) = (state_of(2 << 20), Bytes::from_static(b"heartbeat"));
+        let begun = Instant::now();
+        link.sender.send(state.clone());
+        for _ in 0..80 {
+            sleep(Duration::from_millis(150)).await;
+            link.sender.send_urgent(heartbeat.clone());
+        }
+        let received = link.received.borrow();
+        let whole = received.iter().filter(|(_, message)| *message == state).count();
+        assert_eq!((whole, *link.downs.borrow(), link.world.connections()), (1, 0, 1));
+        let heartbeats = received.iter().filter(|(_, it)| *it == heartbeat).map(|(at, _)| *at);
+        let beats: Vec<Instant> = [begun].into_iter().chain(heartbeats).collect();
+        assert!(beats.len() >= 80, "{} heartbeats", beats.len());
+        let longest = beats.windows(2).map(|pair| pair[1] - pair[0]).max().expect("some heartbeats");
+        // A store is suspected after 700 ms.
+        assert!(longest < Duration::from_millis(400), "{longest:?} between two heartbeats");
+    });
+}
+
+#[test]
+fn a_link_that_is_slower_than_a_chunk_a_second_still_carries_one() {
+    // A whole chunk takes 4.4 s here: four times the silence that ends a connection.
+    on_a_link(60_000, |link| async move {
+        let state = state_of(100_000);
+        link.sender.send(state.clone());
+        sleep(Duration::from_secs(16)).await;
+        assert_eq!(link.received.borrow().iter().filter(|(_, message)| *message == state).count(), 1);
+        assert_eq!(*link.downs.borrow(), 0);
+    });
+}
+
+#[test]
+fn messages_keep_their_order_and_a_large_one_that_waits_is_not_sent_twice() {
+    on_a_link(2_000_000, |link| async move {
+        let (first, second) = (state_of(300_000), state_of(200_000));
+        let small = Bytes::from_static(b"after both");
+        for message in [&first, &first, &second, &second, &small] {
+            link.sender.send(message.clone());
+        }
+        sleep(Duration::from_secs(6)).await;
+        let received: Vec<Bytes> =
+            link.received.borrow().iter().map(|(_, message)| message.clone()).collect();
+        assert!(received == [first.clone(), second, small], "{} messages", received.len());
+        // Once it has gone, it may be sent again: the answer may have been lost.
+        link.sender.send(first.clone());
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(link.received.borrow().last().map(|(_, message)| message.len()), Some(first.len()));
+    });
+}
+
+#[test]
+fn a_link_that_carries_nothing_ends_in_the_middle_of_a_message_and_the_next_connection_is_whole() {
+    on_a_link(2_000_000, |link| async move {
+        link.sender.send(state_of(1 << 20));
+        sleep(Duration::from_millis(500)).await;
+        link.world.stop();
+        sleep(SILENCE + Duration::from_millis(200)).await;
+        assert_eq!(*link.downs.borrow(), 1);
+        assert!(link.received.borrow().is_empty(), "no part of a message is passed on");
+    });
+}
+
+#[test]
+fn an_idle_connection_stays() {
+    on_a_link(2_000_000, |link| async move {
+        sleep(Duration::from_secs(30)).await;
+        assert_eq!((*link.downs.borrow(), link.world.connections()), (0, 1));
+    });
+}
