--- a/crates/balancing/src/fleet.rs
+++ b/crates/balancing/src/fleet.rs
@@ -47,6 +47,8 @@
     pub(crate) draws: Cell<u64>,
     pub(crate) evacuated: BTreeSet<String>,
     pub place: Place,
+    /// How many ingresses there were when that was last known for certain.
+    pub ingresses: usize,
     /// When the newest list was asked for.
     listed: Option<Millis>,
     /// A list that is here by now runs so far behind.
@@ -153,7 +155,10 @@
         let most = self.terms.get(service).map_or(0, |terms| terms.connections);
         match most {
             0 => u32::MAX,
-            most => (most * 9 / 10 / self.place.members.len().max(1) as u32).max(1),
+            most => {
+                let ingresses = self.place.members.len().max(self.ingresses).max(1);
+                (most * 9 / 10 / ingresses as u32).max(1)
+            }
         }
     }
 
--- a/crates/proxy/src/counting.rs
+++ b/crates/proxy/src/counting.rs
@@ -23,23 +23,38 @@
 const LEAST: f64 = 40.0;
 const MOST: f64 = 400.0;
 
-/// What a holder said.
+/// What a holder answered to an add.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Said {
+pub enum HolderReply {
+    /// Counted, or past the limit, with the time until there may be room (ms).
     Counted(Option<u32>),
     NotMine,
 }
 
+/// One life of the connection to one registry: an answer belongs to what was asked on the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connection {
+    pub registry: Ipv4Addr,
+    pub life: u64,
+}
+
+/// An add whose answer is due.
+struct PendingAdd {
+    asked: Connection,
+    answer: oneshot::Sender<HolderReply>,
+}
+
 #[derive(Default)]
 pub struct Counting {
     passed: Passed,
     dealt: Dealt,
     pub owners: Owners,
-    /// To whom a tenant's use here was last told, and in which life of the connection.
-    told: HashMap<String, (Ipv4Addr, u64)>,
-    calls: HashMap<u32, oneshot::Sender<Said>>,
-    next: u32,
-    ways: HashMap<Ipv4Addr, f64>,
+    /// On which connection a tenant's use here was last told.
+    told: HashMap<String, Connection>,
+    pending: HashMap<u32, PendingAdd>,
+    next_call: u32,
+    /// How long each holder's answers usually take (ms).
+    round_trips: HashMap<Ipv4Addr, f64>,
     pub ingresses: usize,
 }
 
@@ -54,13 +69,22 @@
         self.owners = owners;
     }
 
-    pub fn said(&mut self, call: u32, said: Said) {
-        if let Some(waiting) = self.calls.remove(&call) {
+    /// An answer has come on `from`; one to a call that was made on another connection is nobody's.
+    pub fn answered(&mut self, from: Connection, call: u32, reply: HolderReply) {
+        if self.pending.get(&call).is_none_or(|pending| pending.asked != from) {
+            return;
+        }
+        if let Some(pending) = self.pending.remove(&call) {
             // Whoever asked may have given up.
-            let _ = waiting.send(said);
+            let _ = pending.answer.send(reply);
         }
     }
 
+    /// The connections to a registry have ended: no answer to what was asked on them will come.
+    pub fn disconnected(&mut self, registry: Ipv4Addr) {
+        self.pending.retain(|_, pending| pending.asked.registry != registry);
+    }
+
     pub fn retain(&mut self, table: &Table) {
         self.passed.retain(|name| table.tenants.iter().any(|tenant| tenant.name == name));
         self.told.retain(|name, _| table.tenants.iter().any(|tenant| tenant.name == *name));
@@ -71,12 +95,12 @@
 pub async fn count(proxy: &Rc<Proxy>, tenant: &Tenant) -> Result<(), Millis> {
     let Some(limit) = Limit::new(tenant.rate_per_s, tenant.burst) else { return Ok(()) };
     match ask(proxy, tenant, limit).await {
-        Some(Said::Counted(None)) => {
+        Some(HolderReply::Counted(None)) => {
             proxy.counting.borrow_mut().passed.passed(proxy.now(), &tenant.name, limit);
             Ok(())
         }
-        Some(Said::Counted(Some(retry_ms))) => Err(Millis::from(retry_ms)),
-        Some(Said::NotMine) | None => {
+        Some(HolderReply::Counted(Some(retry_ms))) => Err(Millis::from(retry_ms)),
+        Some(HolderReply::NotMine) | None => {
             add(&proxy.figures.unasked);
             let ingresses = proxy.ingresses();
             proxy.counting.borrow_mut().passed.unasked(proxy.now(), &tenant.name, limit, ingresses)
@@ -84,48 +108,56 @@
     }
 }
 
-async fn ask(proxy: &Rc<Proxy>, tenant: &Tenant, limit: Limit) -> Option<Said> {
+async fn ask(proxy: &Rc<Proxy>, tenant: &Tenant, limit: Limit) -> Option<HolderReply> {
     let begun = proxy.now();
-    let (owner, call, answer, patience) = {
-        let counting = &mut *proxy.counting.borrow_mut();
-        let owner: Ipv4Addr = counting.dealt.owner(&tenant.name)?.parse().ok()?;
-        let registries = proxy.registries.borrow();
-        let registry = registries.get(&owner)?;
-        let sender = registry.sender.as_ref()?;
-        let fence = counting.owners.fence;
-        let at = (owner, registry.lives);
-        if counting.told.get(&tenant.name) != Some(&at) {
-            let (current, previous) = counting.passed.told(begun, &tenant.name, limit);
-            if current + previous > 0.0 {
-                let (current, previous) = (current as u32, previous as u32);
-                let tell = ProxyRequest::Tell { tenant: tenant.name.clone(), fence, current, previous };
-                sender.send(encode(&RegistryRequest::Proxy(tell)));
-            }
-            counting.told.insert(tenant.name.clone(), at);
-        }
-        counting.next = counting.next.wrapping_add(1);
-        let call = counting.next;
-        let (answer, said) = oneshot::channel();
-        counting.calls.insert(call, answer);
-        let add = ProxyRequest::Add { call, tenant: tenant.name.clone(), fence };
-        sender.send(encode(&RegistryRequest::Proxy(add)));
-        let way = counting.ways.get(&owner).copied().unwrap_or(MOST / TIMES);
-        (owner, call, said, (way * TIMES).clamp(LEAST, MOST))
-    };
-    let said = timeout(Duration::from_millis(patience as u64), answer).await;
+    let (owner, call, answer, patience) = send_add(proxy, tenant, limit, begun)?;
+    let reply = timeout(Duration::from_millis(patience as u64), answer).await;
     let counting = &mut *proxy.counting.borrow_mut();
-    let way = counting.ways.entry(owner).or_insert(MOST / TIMES);
-    match said {
-        Ok(Ok(said)) => {
+    let round_trip = counting.round_trips.entry(owner).or_insert(MOST / TIMES);
+    match reply {
+        Ok(Ok(reply)) => {
             let took = (proxy.now() - begun) as f64;
-            *way += 0.1 * (took - *way);
-            Some(said)
+            *round_trip += 0.1 * (took - *round_trip);
+            Some(reply)
         }
         _ => {
             // An add whose answer is lost may have been counted: it stays so, and this one counts here too.
-            counting.calls.remove(&call);
-            *way = (*way * 1.2).min(MOST / TIMES);
+            counting.pending.remove(&call);
+            *round_trip = (*round_trip * 1.2).min(MOST / TIMES);
             None
         }
     }
 }
+
+/// Sends an add to the tenant's holder: to whom, its number, where its answer comes, and how long that is waited for (ms).
+fn send_add(
+    proxy: &Proxy,
+    tenant: &Tenant,
+    limit: Limit,
+    now: Millis,
+) -> Option<(Ipv4Addr, u32, oneshot::Receiver<HolderReply>, f64)> {
+    let counting = &mut *proxy.counting.borrow_mut();
+    let owner: Ipv4Addr = counting.dealt.owner(&tenant.name)?.parse().ok()?;
+    let registries = proxy.registries.borrow();
+    let registry = registries.get(&owner)?;
+    let sender = registry.sender.as_ref()?;
+    let connection = Connection { registry: owner, life: registry.lives };
+    let fence = counting.owners.fence;
+    if counting.told.get(&tenant.name) != Some(&connection) {
+        let (current, previous) = counting.passed.told(now, &tenant.name, limit);
+        if current + previous > 0.0 {
+            let (current, previous) = (current as u32, previous as u32);
+            let tell = ProxyRequest::Tell { tenant: tenant.name.clone(), fence, current, previous };
+            sender.send(encode(&RegistryRequest::Proxy(tell)));
+        }
+        counting.told.insert(tenant.name.clone(), connection);
+    }
+    counting.next_call = counting.next_call.wrapping_add(1);
+    let call = counting.next_call;
+    let (answer, receiver) = oneshot::channel();
+    counting.pending.insert(call, PendingAdd { asked: connection, answer });
+    let add = ProxyRequest::Add { call, tenant: tenant.name.clone(), fence };
+    sender.send(encode(&RegistryRequest::Proxy(add)));
+    let round_trip = counting.round_trips.get(&owner).copied().unwrap_or(MOST / TIMES);
+    Some((owner, call, receiver, (round_trip * TIMES).clamp(LEAST, MOST)))
+}
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -19,6 +19,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Registries that may know something newer are waited for so long, once one has told its state.
 const ALL_HEARD: Duration = Duration::from_millis(700);
+/// And so long where none of those that are connected is in contact with the core.
+const CONTACT: Duration = Duration::from_millis(3_000);
 /// Clients that were sent here before may still come for so long after a SIGTERM.
 const STILL_COME: Duration = Duration::from_millis(2_200);
 
@@ -62,7 +64,8 @@
                 proxy.connect(&inputs);
                 if !proxy.ready.get() && knows(&proxy) {
                     let since = *told.get_or_insert_with(Instant::now);
-                    if all_heard(&proxy) || since.elapsed() > ALL_HEARD {
+                    let patience = if in_contact(&proxy) { ALL_HEARD } else { CONTACT };
+                    if all_heard(&proxy) || since.elapsed() > patience {
                         proxy.ready.set(true);
                         info!(proxy.log, "ready"; "after_ms" => begun.elapsed().as_millis());
                         proxy.announce();
@@ -103,11 +106,19 @@
     proxy.snapshot.borrow().is_some() && proxy.list.get() != 0
 }
 
+/// A registry that is not cut off from the core has told its state, and nothing newer than what is known here.
+fn in_contact(proxy: &Proxy) -> bool {
+    let registries = proxy.registries.borrow();
+    let up = registries.values().filter(|registry| registry.sender.is_some());
+    up.map(|registry| &registry.members).any(|it| it.in_contact && it.newest <= proxy.stamp())
+}
+
 /// All registries that are connected have told how new a state they have, none a newer one than is known here, and
 /// they are more than half of those that are known.
 fn all_heard(proxy: &Proxy) -> bool {
     let registries = proxy.registries.borrow();
     let up = registries.values().filter(|registry| registry.sender.is_some());
     let told = |members: &Members| members.digest != 0 && members.newest <= proxy.stamp();
-    up.clone().all(|registry| told(&registry.members)) && up.count() * 2 > registries.len()
+    let certain = up.clone().any(|registry| registry.members.in_contact);
+    certain && up.clone().all(|registry| told(&registry.members)) && up.count() * 2 > registries.len()
 }
--- a/crates/proxy/src/learning.rs
+++ b/crates/proxy/src/learning.rs
@@ -2,63 +2,123 @@
 //! none for a while after an answer, so that invented keys don't reach the core.
 
 use crate::state::Proxy;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::{timeout_at, Duration, Instant};
 use violetyoke_transport::frame::encode;
-use violetyoke_transport::messages::{ProxyRequest, RegistryRequest};
+use violetyoke_transport::messages::{ProxyRequest, RegistryRequest, Stamp};
 
 /// An answer is waited for so long.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// What was not known then is denied without a question for so long.
 const RESTS: Duration = Duration::from_millis(300);
 
-#[derive(Default)]
+/// What has become of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// A newer state is in force here by now.
+    Newer,
+    /// The registries that were asked know of nothing newer, or it is too soon to ask again.
+    Nothing,
+    /// Nobody whose word counts has answered in time.
+    Unknown,
+}
+
+/// A question that is out.
+#[derive(Debug, Default)]
+struct Question {
+    number: u32,
+    have: Stamp,
+    /// Registries that have not answered yet.
+    due: BTreeSet<Ipv4Addr>,
+    /// One that is in contact with the core knew of nothing newer.
+    certain: bool,
+}
+
+#[derive(Debug, Default)]
 pub struct Learning {
+    question: RefCell<Question>,
     asked: Cell<Option<Instant>>,
     answered: Cell<Option<Instant>>,
-    /// Registries that have not answered yet.
-    out: Cell<usize>,
-    told: Notify,
+    ended: Notify,
 }
 
 impl Learning {
-    /// A registry knows of nothing newer; the last of those that were asked ends the question.
-    pub fn nothing(&self) {
-        self.out.set(self.out.get().saturating_sub(1));
-        if self.out.get() == 0 {
-            self.answered();
+    /// A registry knows of nothing newer than `stamp`; `in_contact`: it is not cut off from the core. The last of those
+    /// that were asked ends the question. An answer to an earlier question, or from one that is behind what is in force
+    /// here, proves nothing.
+    pub fn newest(&self, registry: Ipv4Addr, in_contact: bool, number: u32, stamp: Stamp) {
+        let question = &mut *self.question.borrow_mut();
+        if question.number != number || !question.due.remove(&registry) {
+            return;
+        }
+        question.certain |= in_contact && stamp >= question.have;
+        if question.due.is_empty() && question.certain {
+            self.end();
         }
     }
 
-    /// A newer state has come, or nobody knows of one.
-    pub fn answered(&self) {
+    /// A newer state has come, or those who would know say that there is none.
+    pub fn end(&self) {
         self.asked.set(None);
         self.answered.set(Some(Instant::now()));
-        self.told.notify_waiters();
+        self.ended.notify_waiters();
+    }
+
+    fn rests(&self, now: Instant) -> bool {
+        self.answered.get().is_some_and(|at| now < at + RESTS)
+    }
+
+    /// Begins a question to those registries; its number.
+    fn ask(&self, now: Instant, have: Stamp, due: BTreeSet<Ipv4Addr>) -> u32 {
+        let question = &mut *self.question.borrow_mut();
+        let number = question.number.wrapping_add(1);
+        *question = Question { number, have, due, certain: false };
+        self.asked.set(Some(now));
+        number
     }
 }
 
 impl Proxy {
-    /// Asks whether there is anything newer than what is in force here; whether there was.
-    pub async fn learn(self: &Rc<Self>) -> bool {
+    /// Asks whether there is anything newer than what is in force here.
+    pub async fn learn(self: &Rc<Self>) -> Learned {
         let before = self.stamp();
         let now = Instant::now();
-        if self.learning.answered.get().is_some_and(|at| now < at + RESTS) {
-            return false;
+        if self.learning.rests(now) {
+            return Learned::Nothing;
         }
-        let told = self.learning.told.notified();
+        let ended = self.learning.ended.notified();
         if self.learning.asked.get().is_none_or(|at| now > at + PATIENCE) {
-            // All of them: the one that is asked first may be the one that is cut off.
-            let frame = encode(&RegistryRequest::Proxy(ProxyRequest::Newer { have: before }));
-            let registries = self.registries.borrow();
-            let up = registries.values().filter_map(|registry| registry.sender.as_ref());
-            self.learning.out.set(up.map(|sender| sender.send(frame.clone())).count());
-            self.learning.asked.set(Some(now));
+            self.ask_for_newer(now, before);
+        }
+        if self.learning.question.borrow().due.is_empty() {
+            return Learned::Unknown;
+        }
+        let _ = timeout_at(now + PATIENCE, ended).await;
+        if self.stamp() > before {
+            return Learned::Newer;
+        }
+        // All have to answer to end a question; where some are silent, one that would know is enough in the end.
+        let certain = self.learning.question.borrow().certain;
+        if certain || self.learning.rests(Instant::now()) {
+            Learned::Nothing
+        } else {
+            Learned::Unknown
+        }
+    }
+
+    /// Asks all registries: the one that is asked first may be the one that is cut off.
+    fn ask_for_newer(&self, now: Instant, have: Stamp) {
+        let registries = self.registries.borrow();
+        let connected =
+            registries.iter().filter_map(|(ip, it)| it.sender.as_ref().map(|sender| (*ip, sender)));
+        let question = self.learning.ask(now, have, connected.clone().map(|(ip, _)| ip).collect());
+        let frame = encode(&RegistryRequest::Proxy(ProxyRequest::Newer { question, have }));
+        for (_, sender) in connected {
+            sender.send(frame.clone());
         }
-        // Nobody answers in time: it stays unknown.
-        let _ = timeout_at(now + PATIENCE, told).await;
-        self.stamp() > before
     }
 }
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -1,6 +1,6 @@
 //! Sessions with all registries, and what they tell: states of control, lists of backends, members, counts.
 
-use crate::counting::Said;
+use crate::counting::{Connection, HolderReply};
 use crate::daemon::Input;
 use crate::state::{Proxy, Registry};
 use slog::info;
@@ -60,13 +60,20 @@
         }
     }
 
+    /// The registry that is to answer first: one that is in contact with the core, where any is; ingresses differ in whom
+    /// they choose.
+    fn choose_lead(&self) -> Option<Ipv4Addr> {
+        let registries = self.registries.borrow();
+        let connected = registries.iter().filter(|(_, registry)| registry.sender.is_some());
+        let rank = |ip: Ipv4Addr| u32::from(ip).wrapping_mul(0x9e37_79b9) ^ (self.life as u32);
+        connected.min_by_key(|(ip, it)| (!it.members.in_contact, rank(**ip))).map(|(ip, _)| *ip)
+    }
+
     /// Asks all registries for what is newer than what is known here; one of them is to answer first.
     pub fn poll(&self) {
-        let registries = self.registries.borrow();
-        let up = registries.iter().filter(|(_, registry)| registry.sender.is_some()).map(|(ip, _)| *ip);
-        // Ingresses differ in whom they ask first.
-        let lead = up.min_by_key(|ip| (u32::from(*ip)).wrapping_mul(0x9e37_79b9) ^ (self.life as u32));
+        let lead = self.choose_lead();
         self.lead.set(lead);
+        let registries = self.registries.borrow();
         for (ip, registry) in registries.iter() {
             let Some(sender) = &registry.sender else { continue };
             let ask = ProxyRequest::Poll {
@@ -95,11 +102,16 @@
                     registry.sender = None;
                     registry.members = Members::default();
                 }
+                self.counting.borrow_mut().disconnected(ip);
                 self.members_changed();
                 self.poll();
             }
             link::Event::Frame(frame) => match decode(&frame) {
-                Ok(ProxyReply::Newest { .. }) => self.learning.nothing(),
+                Ok(ProxyReply::Newest { question, stamp }) => {
+                    let registries = self.registries.borrow();
+                    let in_contact = registries.get(&ip).is_some_and(|it| it.members.in_contact);
+                    self.learning.newest(ip, in_contact, question, stamp);
+                }
                 Ok(ProxyReply::Whole { stamp, evacuated, packed }) => {
                     let configuration = packed.open::<Configuration>();
                     self.told(stamp, evacuated, configuration.map(Some));
@@ -129,11 +141,14 @@
                         registry.members = members;
                     }
                     self.members_changed();
+                    if self.choose_lead() != self.lead.get() {
+                        self.poll();
+                    }
                 }
                 Ok(ProxyReply::Counted { call, retry_ms }) => {
-                    self.counting.borrow_mut().said(call, Said::Counted(retry_ms));
+                    self.holder_replied(ip, call, HolderReply::Counted(retry_ms));
                 }
-                Ok(ProxyReply::NotMine { call }) => self.counting.borrow_mut().said(call, Said::NotMine),
+                Ok(ProxyReply::NotMine { call }) => self.holder_replied(ip, call, HolderReply::NotMine),
                 Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
             },
         }
@@ -176,18 +191,26 @@
         self.poll();
     }
 
-    /// Members as the widest view has them: parts cut too small are safe, parts cut too large are not. None while no
-    /// session stands.
+    fn holder_replied(&self, registry: Ipv4Addr, call: u32, reply: HolderReply) {
+        let life = self.registries.borrow().get(&registry).map_or(0, |registry| registry.lives);
+        self.counting.borrow_mut().answered(Connection { registry, life }, call, reply);
+    }
+
+    /// Members as the widest view has them: parts cut too small are safe, parts cut too large are not. A registry that is
+    /// cut off sees too few: its view counts for nothing. Where no registry is in contact there are no members, and so no
+    /// part of cold rates; the number of ingresses stays as it was.
     fn members_changed(&self) {
         let registries = self.registries.borrow();
         let views = registries.values().filter(|it| it.sender.is_some()).map(|it| &it.members);
-        let widest = views.clone().max_by_key(|members| members.proxies.len());
+        let widest = views.clone().filter(|it| it.in_contact).max_by_key(|members| members.proxies.len());
         let counting = &mut *self.counting.borrow_mut();
+        let fleet = &mut *self.fleet.borrow_mut();
         let proxies = widest.map(|members| members.proxies.clone()).unwrap_or_default();
         if !proxies.is_empty() {
             counting.ingresses = proxies.len();
+            fleet.ingresses = proxies.len();
         }
-        self.fleet.borrow_mut().place.members = proxies;
+        fleet.place.members = proxies;
         if let Some(newest) = views.max_by_key(|members| members.owners.fence) {
             counting.deal(newest.owners.clone());
         }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -5,6 +5,7 @@
 use crate::body::{Body, Unusable};
 use crate::counting::count;
 use crate::figures::add;
+use crate::learning::Learned;
 use crate::state::Proxy;
 use bytes::{Bytes, BytesMut};
 use http_body_util::channel::Channel;
@@ -42,6 +43,9 @@
     header::DEADLINE,
 ];
 
+/// Who can't be told yet whether a route or a key exists is told to come back after this (ms).
+const UNKNOWN: Millis = 200;
+
 fn plain(status: u16, why: &'static str) -> Reply {
     let mut reply = Response::new(Either::Left(Full::new(Bytes::from_static(why.as_bytes()))));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
@@ -102,8 +106,13 @@
         Some(snapshot) => snapshot,
         None => return given_up(Verdict::NeverRan, Ending::Overload, Some(200)),
     };
-    if matches!(known(&snapshot.table, &parts), Known::No(_)) && proxy.learn().await {
-        snapshot = proxy.snapshot().unwrap_or(snapshot);
+    if matches!(known(&snapshot.table, &parts), Known::No(_)) {
+        match proxy.learn().await {
+            Learned::Newer => snapshot = proxy.snapshot().unwrap_or(snapshot),
+            Learned::Nothing => {}
+            // An ingress that is cut off denies nothing: what it lacks may have been acknowledged.
+            Learned::Unknown => return given_up(Verdict::NeverRan, Ending::Overload, Some(UNKNOWN)),
+        }
     }
     let table = &snapshot.table;
     let (entry, tenant) = match known(table, &parts) {
--- a/crates/registry/src/daemon/proxies.rs
+++ b/crates/registry/src/daemon/proxies.rs
@@ -1,7 +1,8 @@
 //! Proxies' sessions, and the counts of the tenants that are dealt to this registry.
 
 use super::Registry;
-use crate::Millis;
+use crate::contact::Contact;
+use crate::waits::Waits;
 use slog::info;
 use std::collections::{BTreeMap, HashMap};
 use violetyoke_api::Configuration;
@@ -24,10 +25,13 @@
     /// The state that it was sent, and the one that it says it holds.
     pub have: Stamp,
     pub holds: Stamp,
+    /// The list that it was sent, and the one that it says it holds.
     pub list: u64,
+    pub holds_list: u64,
     pub members: u64,
-    /// Since when there has been news for it here.
-    pub since: Option<Millis>,
+    /// The deal of counts, and the contact, that it was told of.
+    pub deal: (bool, Stamp),
+    pub waits: Waits,
 }
 
 #[derive(Default)]
@@ -36,6 +40,8 @@
     pub counts: Holder<Stamp>,
     /// Proxies that may pass requests without asking.
     pub absent: Absent,
+    /// Whether this registry may count at all.
+    pub contact: Contact,
     limits: HashMap<String, Option<Limit>>,
     dealt: Dealt,
 }
@@ -43,8 +49,19 @@
 impl Proxies {
     pub fn opened(&mut self, number: u64, sender: Sender) {
         let (have, list, members) = (Stamp::default(), 0, 0);
-        let proxy =
-            Proxy { sender, hello: false, lead: false, have, holds: have, list, members, since: None };
+        let waits = Waits::default();
+        let proxy = Proxy {
+            sender,
+            hello: false,
+            lead: false,
+            have,
+            holds: have,
+            list,
+            holds_list: list,
+            members,
+            deal: (false, Stamp::default()),
+            waits,
+        };
         self.by_connection.insert(number, proxy);
     }
 
@@ -69,7 +86,8 @@
                 tenants.map(|it| (it.name.clone(), Limit::new(it.rate_per_s, it.burst))).collect();
             let limits = &self.proxies.limits;
             self.proxies.counts.retain(|tenant| limits.contains_key(tenant));
-            self.telling.state(&held, configuration);
+            let text_differs = held.text != self.held.text;
+            self.telling.state(&held, configuration, text_differs);
         }
         self.held = held;
         self.publish();
@@ -95,14 +113,14 @@
             }
             ProxyRequest::Poll { have, list, members, lead } => {
                 if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
+                    proxy.waits.polled(have > proxy.holds, list != proxy.holds_list);
                     (proxy.have, proxy.list, proxy.members, proxy.lead) = (have, list, members, lead);
-                    proxy.holds = have;
-                    proxy.since = None;
+                    (proxy.holds, proxy.holds_list) = (have, list);
                 }
                 self.polled.notify_waiters();
                 self.publish();
             }
-            ProxyRequest::Newer { have } => {
+            ProxyRequest::Newer { question, have } => {
                 let newest = self.telling.stamp().unwrap_or_default();
                 if let Some(proxy) = self.proxies.by_connection.get_mut(&number) {
                     if newest > have {
@@ -110,7 +128,7 @@
                         proxy.have = have;
                         proxy.lead = true;
                     } else {
-                        proxy.sender.send(encode(&ProxyReply::Newest { stamp: newest }));
+                        proxy.sender.send(encode(&ProxyReply::Newest { question, stamp: newest }));
                     }
                 }
                 self.publish();
@@ -148,7 +166,12 @@
         }
     }
 
+    /// Whether this registry counts for a tenant. One that is cut off does not: another may have been dealt the count by
+    /// now, and keeps back only what proxies pass on their own.
     fn counts(&self, tenant: &str) -> bool {
+        if !self.proxies.contact.stands() {
+            return false;
+        }
         self.proxies.dealt.owner(tenant) == Some(self.settings.me.ip.to_string().as_str())
     }
 }
--- a/crates/registry/src/daemon/telling.rs
+++ b/crates/registry/src/daemon/telling.rs
@@ -3,19 +3,19 @@
 
 use super::Registry;
 use crate::backends::change;
+use crate::waits::Waits;
 use crate::Millis;
 use bytes::Bytes;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
+use std::net::Ipv4Addr;
 use violetyoke_api::change::Change;
 use violetyoke_api::Configuration;
 use violetyoke_transport::frame::encode;
 use violetyoke_transport::messages::{ControlState, List, Members, ProxyReply, Stamp};
 use violetyoke_transport::pack::Packed;
 
-/// A proxy that asks another registry first is told so much later, and only if it has not heard by then.
-const SECOND: Millis = 600;
 /// Earlier states and lists that are known here.
 const KNOWN: usize = 8;
 /// Members are told of no more often: many come and go at once.
@@ -40,11 +40,11 @@
 }
 
 impl Telling {
-    /// A newer state; whether proxies have to be told of it.
-    pub fn state(&mut self, held: &ControlState, configuration: Configuration) -> bool {
+    /// A newer state; whether proxies have to be told of it. `text_differs`: from the text of the state before it.
+    pub fn state(&mut self, held: &ControlState, configuration: Configuration, text_differs: bool) -> bool {
         let same =
             |last: &State| last.configuration.version == held.version && last.evacuated == held.evacuated;
-        if self.states.back().is_some_and(same) {
+        if !text_differs && self.states.back().is_some_and(same) {
             return false;
         }
         self.made.clear();
@@ -127,29 +127,31 @@
             let other_list = digest != 0 && proxy.list != digest;
             let other_members = proxy.members != self.telling.members.digest;
             if news.is_none() && !other_list && !other_members {
-                proxy.since = None;
+                proxy.waits = Waits::default();
                 continue;
             }
-            let since = *proxy.since.get_or_insert(now);
-            // One that knows of nobody here begins: it waits to hear from all registries before it serves.
-            let begins = proxy.members == 0;
-            if !proxy.lead && !begins && now < since + SECOND {
-                continue;
-            }
-            let first = proxy.lead || now >= since + SECOND;
-            if let Some(stamp) = news.filter(|_| first) {
+            proxy.waits.see(now, news.is_some(), other_list, other_members);
+            if let Some(stamp) = news.filter(|_| proxy.lead || proxy.waits.state_is_due(now)) {
                 if let Some(frame) = self.telling.state_since(proxy.have) {
                     proxy.have = stamp;
+                    proxy.waits.state = None;
                     proxy.sender.send(frame);
                 }
             }
-            if let Some(list) = self.lists.newest(now, true).filter(|_| other_list && first) {
+            let list_is_due = other_list && (proxy.lead || proxy.waits.list_is_due(now));
+            if let Some(list) = self.lists.newest(now, true).filter(|_| list_is_due) {
                 let frame = self.telling.list_since(proxy.list, list);
                 proxy.list = digest;
+                proxy.waits.list = None;
                 proxy.sender.send(frame);
             }
-            if other_members {
+            let deal = self.telling.members.deal();
+            // One that knows of nobody here begins: it waits to hear from all registries before it serves.
+            let at_once = proxy.lead || proxy.members == 0 || proxy.deal != deal;
+            if other_members && (at_once || proxy.waits.members_are_due(now)) {
                 proxy.members = self.telling.members.digest;
+                proxy.deal = deal;
+                proxy.waits.members = None;
                 let members = Members { newest: newest.unwrap_or_default(), ..self.telling.members.clone() };
                 proxy.sender.send(encode(&ProxyReply::Members(members)));
             }
@@ -157,20 +159,29 @@
     }
 
     fn gather_members(&mut self, now: Millis) {
+        let live = self.live();
+        let owners = self.stores.owners.clone();
+        let seeds = self.settings.seeds();
+        let in_contact = self.proxies.contact.see(seeds.len(), owners.registries.len(), live.len());
+        // A registry that is cut off names those that it can't reach too: a proxy may reach them.
+        let mut registries: BTreeSet<Ipv4Addr> = self.stores.known().chain(seeds).chain(live).collect();
+        registries.extend(&owners.registries);
         let mut members = Members {
             digest: 0,
             proxies: self.sessions.members(),
-            registries: self.live(),
-            owners: self.stores.owners.clone(),
+            registries: registries.into_iter().collect(),
+            in_contact,
+            owners,
             newest: Stamp::default(),
         };
         self.proxies.absent.see(now, &members.proxies, &self.sessions.not_ready());
         let mut hasher = DefaultHasher::new();
-        (&members.proxies, &members.registries, members.owners.fence).hash(&mut hasher);
+        (&members.proxies, &members.registries, members.in_contact, members.owners.fence).hash(&mut hasher);
         members.digest = hasher.finish() | 1;
         let last = &self.telling.members;
         let dealt = members.owners != last.owners;
-        if members.digest == last.digest || !(dealt || now >= self.telling.members_at + MEMBERS_EVERY) {
+        let at_once = dealt || members.in_contact != last.in_contact;
+        if members.digest == last.digest || !(at_once || now >= self.telling.members_at + MEMBERS_EVERY) {
             return;
         }
         if dealt {
--- a/crates/transport/src/messages/proxies.rs
+++ b/crates/transport/src/messages/proxies.rs
@@ -37,6 +37,8 @@
     },
     /// A key or a route is not known here: is there anything newer? Answered in any case.
     Newer {
+        /// Repeated in the answer.
+        question: u32,
         have: Stamp,
     },
     /// What this proxy let pass of a tenant in its last two windows, for a holder that knows nothing of it.
@@ -66,6 +68,7 @@
     },
     /// Nothing newer than that is known.
     Newest {
+        question: u32,
         stamp: Stamp,
     },
     List(List),
@@ -88,12 +91,22 @@
     pub digest: u64,
     /// Numbers of all proxies ([`member`]), in order.
     pub proxies: Vec<u32>,
+    /// All registries that the sender knows of, connected or not.
     pub registries: Vec<Ipv4Addr>,
+    /// The sender hears more than half of the registries: it is not the one that is cut off.
+    pub in_contact: bool,
     pub owners: Owners,
     /// The newest state of control that the registry has; no part of the digest.
     pub newest: Stamp,
 }
 
+impl Members {
+    /// Who counts, and whether the sender may say so: news of these is never put off.
+    pub fn deal(&self) -> (bool, Stamp) {
+        (self.in_contact, self.owners.fence)
+    }
+}
+
 /// The platform's list of backends, as it was some time ago.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct List {
