Check a change of voters in the model, and show what each rule of membership is for

Without the majority of the voters before, the loss is found and printed step by step. `Guards` is the tests' way to take a rule out; a store has them all.

--- a/crates/store/src/register/membership.rs
+++ b/crates/store/src/register/membership.rs
@@ -28,6 +28,9 @@
     }
 
     fn caught_up(&self, peer: &Peer) -> bool {
+        if !self.guards.learner_first {
+            return true;
+        }
         let has = peer.heartbeat.persisted;
         let follows = peer.heartbeat.record.epoch == self.durable.record.epoch;
         follows && has.epoch == self.committed.epoch && has.seq + LEARNER_LAG >= self.committed.seq
--- a/crates/store/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -18,6 +18,8 @@
 mod takeover;
 mod voter;
 
+#[doc(hidden)]
+pub use model::Guards;
 pub use model::{Client, Durable, Effect, Event, Millis, Start};
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -105,6 +107,7 @@
     rest_until: Millis,
     heartbeat_at: Millis,
     settled_at: Millis,
+    guards: Guards,
 }
 
 impl Register {
@@ -145,6 +148,7 @@
             rest_until: 0,
             heartbeat_at: 0,
             settled_at: now,
+            guards: Guards::default(),
         };
         if empty {
             register.keep();
--- a/crates/store/src/register/model.rs
+++ b/crates/store/src/register/model.rs
@@ -66,3 +66,21 @@
     pub tolerance: u32,
     pub kept: Durable,
 }
+
+/// Checks that tests take out one by one, to see what each is for. A store has them all.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guards {
+    /// A record needs a majority of the voters before it too.
+    pub prior_majorities: bool,
+    /// Only a voter of the newest record takes over and is a holder.
+    pub holders_vote: bool,
+    /// Only a learner that has the state gets a vote.
+    pub learner_first: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards { prior_majorities: true, holders_vote: true, learner_first: true }
+    }
+}
--- a/crates/store/src/register/status.rs
+++ b/crates/store/src/register/status.rs
@@ -1,6 +1,6 @@
 //! What others may ask of a register between events.
 
-use super::{Register, Role};
+use super::{Guards, Register, Role};
 use std::net::Ipv4Addr;
 use violetyoke_transport::messages::{ControlState, Member};
 
@@ -31,4 +31,9 @@
     pub fn stores(&self) -> Vec<Ipv4Addr> {
         self.known.iter().copied().chain([self.me.ip]).collect()
     }
+
+    #[doc(hidden)]
+    pub fn set_guards(&mut self, guards: Guards) {
+        self.guards = guards;
+    }
 }
--- a/crates/store/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -1,6 +1,6 @@
 //! Who becomes primary, and how a record is installed: promises of an epoch first, then a record that names the holders.
 
-use super::quorum::{drawn, enough};
+use super::quorum::{drawn, enough, majority};
 use super::{Effect, Millis, Register, Role};
 use std::collections::{BTreeMap, BTreeSet};
 use violetyoke_transport::messages::{ControlState, Member, Outcome, PeerMessage, Record, Stamp};
@@ -54,6 +54,7 @@
             }
             return;
         }
+        let record = if self.guards.holders_vote { record } else { &self.durable.record };
         let voter = record.voters.contains(&self.me);
         let holder = record.holders.contains(&self.me.id);
         let others = |id| id == self.me.id || self.reachable(id);
@@ -120,7 +121,7 @@
         let Some(base) = newest else { return };
         let base = if base.epoch == 0 { self.durable.record.clone() } else { base.clone() };
         // Holders have to be voters, or a majority might have none among them.
-        if !base.voters.contains(&self.me) {
+        if !base.voters.contains(&self.me) && self.guards.holders_vote {
             return self.give_up();
         }
         let has = |id| promises.contains_key(&id);
@@ -183,7 +184,9 @@
         }
         accepted.insert(id);
         let has = |id| accepted.contains(&id);
-        if !record.holders.iter().all(|id| has(*id)) || !enough(record, has) {
+        let agreed =
+            if self.guards.prior_majorities { enough(record, has) } else { majority(&record.voters, has) };
+        if !record.holders.iter().all(|id| has(*id)) || !agreed {
             return;
         }
         self.role = Role::Active;
--- /dev/null
+++ b/crates/store/tests/model/change.rs
@@ -0,0 +1,263 @@
+//! A change of voters in every order: the primary (0) gives the place of a silent voter (1) to a learner (3), while
+//! messages are lost, the silent one returns and takes over, processes die and a disk is lost.
+
+use crate::moment::{begin, ip, Moment, Store};
+use stateright::{Checker, Model, Property};
+use violetyoke_store::register::{Durable, Event, Guards, Register};
+use violetyoke_transport::messages::{Order, PeerMessage};
+
+const SILENT: usize = 1;
+const OTHER: usize = 2;
+const LEARNER: usize = 3;
+
+const LOST: &str = "what is acknowledged is held by whoever leads";
+const ACKNOWLEDGED: &str = "an order is acknowledged after the change";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    /// A message that is never delivered is lost.
+    Deliver(usize),
+    /// A store takes over, hearing only one other.
+    Elect(usize, usize),
+    Dies(usize),
+    /// A disk is lost: an empty store begins at the same address.
+    Wiped(usize),
+}
+
+/// From where all orders are looked at.
+#[derive(PartialEq)]
+enum Start {
+    /// The record that names the learner has just been sent.
+    Offered,
+    /// The learner and the third voter have accepted it.
+    Accepted,
+    /// It has just been sent, and the silent one has returned and asks for promises.
+    Returned,
+}
+
+struct Change {
+    guards: Guards,
+    start: Start,
+    /// Nothing but deliveries: what a guard is for is found by them alone.
+    deliveries: bool,
+}
+
+/// Ticks and heartbeats among some stores, and all messages between them, for one step.
+fn advance(moment: &mut Moment, among: &[usize], until: impl Fn(&Moment) -> bool) {
+    moment.now += 50;
+    for n in among {
+        moment.handle(*n, Event::Tick { disk: true }, true);
+    }
+    while !moment.envelopes.is_empty() && !until(moment) {
+        for (to, envelope) in std::mem::take(&mut moment.envelopes) {
+            if among.contains(&to) {
+                moment.handle(to, Event::Envelope(envelope), true);
+            }
+        }
+        moment.sync_all();
+    }
+}
+
+/// A record that names the learner is on its way.
+fn offered(moment: &Moment) -> bool {
+    let names = |message: &PeerMessage| match message {
+        PeerMessage::Accept { record, .. } => record.voters.iter().any(|voter| voter.ip == ip(LEARNER)),
+        _ => false,
+    };
+    moment.envelopes.iter().any(|(_, envelope)| names(&envelope.message))
+}
+
+impl Change {
+    /// From the first start to the moment in which the record that names the learner is sent, and an order waits.
+    fn begun(&self) -> Moment {
+        let store = |n: usize| {
+            let mut register = begin(n, Durable::default(), 1);
+            register.set_guards(self.guards);
+            Store { register: Some(register), kept: Durable::default(), writing: Vec::new() }
+        };
+        let stores = (0..4).map(store).collect();
+        let mut moment =
+            Moment { now: 1, stores, envelopes: Vec::new(), sent: 0, acknowledged: 0, deaths: 0 };
+        moment.settle();
+        let among = [0, OTHER, LEARNER];
+        for _ in 0..100 {
+            advance(&mut moment, &among, offered);
+            if offered(&moment) {
+                break;
+            }
+        }
+        assert!(offered(&moment), "no change of voters begins");
+        moment.envelopes.retain(|(_, envelope)| matches!(envelope.message, PeerMessage::Accept { .. }));
+        moment.sent = 1;
+        let order = Order::Replace { version: 1, text: "configuration 1".into() };
+        moment.handle(0, Event::Order { client: 1, order }, false);
+        moment
+    }
+
+    fn accepted(&self, mut moment: Moment) -> Moment {
+        for store in [LEARNER, OTHER] {
+            let to = |moment: &Moment| moment.envelopes.iter().position(|(to, _)| *to == store);
+            if let Some(next) = to(&moment).and_then(|place| self.next_state(&moment, Step::Deliver(place))) {
+                moment = next;
+            }
+        }
+        moment
+    }
+
+    /// The silent voter has returned and asks for promises of an epoch that is new to the third one.
+    fn returns(mut moment: Moment) -> Moment {
+        let accepts = std::mem::take(&mut moment.envelopes);
+        while !moment.envelopes.iter().any(|(to, envelope)| {
+            *to == OTHER && matches!(envelope.message, PeerMessage::Prepare { epoch } if epoch > 3)
+        }) {
+            moment.elect(SILENT, OTHER);
+            let refused = std::mem::take(&mut moment.envelopes);
+            let last = refused.into_iter().rfind(|(to, _)| *to == OTHER);
+            let Some((to, envelope)) = last else { continue };
+            match envelope.message {
+                PeerMessage::Prepare { epoch } if epoch > 3 => moment.envelopes.push((to, envelope)),
+                _ => {
+                    moment.handle(to, Event::Envelope(envelope), false);
+                    for (to, answer) in std::mem::take(&mut moment.envelopes) {
+                        moment.handle(to, Event::Envelope(answer), false);
+                    }
+                    moment.sync_all();
+                }
+            }
+        }
+        moment.envelopes.extend(accepts);
+        moment
+    }
+}
+
+impl Model for Change {
+    type State = Moment;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<Moment> {
+        let begun = self.begun();
+        vec![match self.start {
+            Start::Offered => begun,
+            Start::Accepted => self.accepted(begun),
+            Start::Returned => Change::returns(begun),
+        }]
+    }
+
+    fn actions(&self, moment: &Moment, actions: &mut Vec<Step>) {
+        actions.extend((0..moment.envelopes.len().min(8)).map(Step::Deliver));
+        if self.deliveries {
+            return;
+        }
+        actions.extend([
+            Step::Elect(SILENT, OTHER),
+            Step::Elect(OTHER, LEARNER),
+            Step::Elect(LEARNER, OTHER),
+        ]);
+        if moment.deaths < 1 {
+            actions.extend((0..4).flat_map(|n| [Step::Dies(n), Step::Wiped(n)]));
+        }
+    }
+
+    fn next_state(&self, last: &Moment, step: Step) -> Option<Moment> {
+        let mut moment = last.clone();
+        match step {
+            Step::Deliver(place) => {
+                let (to, envelope) = moment.envelopes.remove(place);
+                moment.handle(to, Event::Envelope(envelope), false);
+                moment.sync_all();
+                moment.now += 40;
+                moment.handle(to, Event::Tick { disk: true }, false);
+            }
+            Step::Elect(n, heard) => moment.elect(n, heard),
+            Step::Dies(n) | Step::Wiped(n) => {
+                moment.deaths += 1;
+                if step == Step::Wiped(n) {
+                    moment.stores[n].kept = Durable { id: n as u64 + 11, ..Durable::default() };
+                }
+                let mut register = begin(n, moment.stores[n].kept.clone(), moment.now);
+                register.set_guards(self.guards);
+                moment.stores[n].writing.clear();
+                moment.stores[n].register = Some(register);
+            }
+        }
+        moment.sync_all();
+        Some(moment)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(LOST, |_, moment: &Moment| {
+                let holds = |register: &Register| {
+                    register.committed().is_none_or(|held| held.version >= moment.acknowledged)
+                };
+                moment.leader().is_none_or(holds)
+            }),
+            Property::always("one store leads under an epoch", |_, moment: &Moment| {
+                let registers = moment.stores.iter().filter_map(|store| store.register.as_ref());
+                let mut epochs: Vec<u64> =
+                    registers.filter(|register| register.active()).map(Register::epoch).collect();
+                let all = epochs.len();
+                epochs.sort_unstable();
+                epochs.dedup();
+                epochs.len() == all
+            }),
+            Property::sometimes(ACKNOWLEDGED, |_, moment: &Moment| moment.acknowledged > 0),
+            Property::sometimes("the one that returned leads", |_, moment: &Moment| {
+                moment.stores[SILENT].register.as_ref().is_some_and(Register::active)
+            }),
+        ]
+    }
+}
+
+/// What is found within so many steps, and how many states were looked at; a loss is printed step by step.
+fn found(change: Change, depth: usize) -> (Vec<&'static str>, usize) {
+    let checker = change.checker().threads(2).target_max_depth(depth).spawn_bfs().join();
+    println!("a change of voters: states={} depth={}", checker.unique_state_count(), checker.max_depth());
+    let discoveries = checker.discoveries();
+    for name in [LOST, "one store leads under an epoch"] {
+        for (moment, step) in discoveries.get(name).into_iter().flat_map(|path| path.clone().into_vec()) {
+            let Some(step) = step else { break };
+            match step {
+                Step::Deliver(place) => {
+                    let (to, envelope) = &moment.envelopes[place];
+                    println!("  {} to {to}: {:?}", envelope.from.ip, envelope.message);
+                }
+                other => println!("  {other:?}"),
+            }
+        }
+    }
+    let mut found: Vec<&str> = discoveries.into_keys().collect();
+    found.sort_unstable();
+    (found, checker.unique_state_count())
+}
+
+#[test]
+fn a_change_of_voters_loses_nothing_whoever_dies_returns_or_takes_over() {
+    let change = Change { guards: Guards::default(), start: Start::Accepted, deliveries: false };
+    let (found, states) = found(change, 6);
+    assert_eq!(found, [ACKNOWLEDGED]);
+    assert!(states > 10_000, "{states}");
+}
+
+#[test]
+fn a_change_of_voters_loses_nothing_in_any_order_of_its_messages() {
+    let change = Change { guards: Guards::default(), start: Start::Offered, deliveries: true };
+    let (found, states) = found(change, 9);
+    assert_eq!(found, [ACKNOWLEDGED]);
+    assert!(states > 1_000, "{states}");
+}
+
+#[test]
+fn a_change_of_voters_loses_nothing_while_the_silent_one_takes_over() {
+    let change = Change { guards: Guards::default(), start: Start::Returned, deliveries: true };
+    let (found, states) = found(change, 10);
+    assert_eq!(found, ["the one that returned leads"]);
+    assert!(states > 1_000, "{states}");
+}
+
+#[test]
+fn without_the_majority_of_the_voters_before_an_acknowledged_order_is_lost() {
+    let guards = Guards { prior_majorities: false, ..Guards::default() };
+    let (found, _) = found(Change { guards, start: Start::Returned, deliveries: true }, 10);
+    assert!(found.contains(&LOST), "{found:?}");
+}
--- a/crates/store/tests/model/main.rs
+++ b/crates/store/tests/model/main.rs
@@ -1,6 +1,7 @@
 //! The shipped register at three stores, in every order in which envelopes, syncs, silence, deaths and orders can come, from a
 //! standing epoch on. The same with receivers that don't check epochs has to find what that guard is for.
 
+mod change;
 mod moment;
 
 use moment::{begin, ip, Moment, Store};
@@ -160,7 +161,21 @@
 fn found(stores: Stores, depth: usize) -> (Vec<&'static str>, usize) {
     let checker = stores.checker().threads(2).target_max_depth(depth).spawn_bfs().join();
     println!("states={} depth={}", checker.unique_state_count(), checker.max_depth());
-    let mut found: Vec<&str> = checker.discoveries().into_keys().collect();
+    let discoveries = checker.discoveries();
+    // A loss is printed step by step.
+    if let Some(lost) = discoveries.get("what is acknowledged is held by whoever leads") {
+        for (moment, step) in lost.clone().into_vec() {
+            match step {
+                Some(Step::Deliver(place)) => {
+                    let (to, envelope) = &moment.envelopes[place];
+                    println!("  {} to {to}: {:?}", envelope.from.ip, envelope.message);
+                }
+                Some(other) => println!("  {other:?}"),
+                None => {}
+            }
+        }
+    }
+    let mut found: Vec<&str> = discoveries.into_keys().collect();
     found.sort_unstable();
     (found, checker.unique_state_count())
 }
--- a/crates/store/tests/model/moment.rs
+++ b/crates/store/tests/model/moment.rs
@@ -1,4 +1,4 @@
-//! One moment of three stores: what each process knows, what each disk has, which envelopes are on their way.
+//! One moment of some stores: what each process knows, what each disk has, which envelopes are on their way.
 
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
@@ -43,7 +43,7 @@
 }
 
 pub fn begin(n: usize, kept: Durable, now: u64) -> Register {
-    let zone = if n == 1 { "b" } else { "a" }.to_owned();
+    let zone = if n % 2 == 1 { "b" } else { "a" }.to_owned();
     let start = Start { ip: ip(n), zone, seeds: (0..3).map(ip).collect(), tolerance: 1, kept };
     Register::new(start, now, n as u64 + 1, true)
 }
@@ -58,7 +58,7 @@
             match effect {
                 Effect::Send { message: PeerMessage::Heartbeat(_), .. } if !heartbeats => {}
                 Effect::Send { to, message } => {
-                    let Some(place) = (0..3).find(|place| ip(*place) == to) else { continue };
+                    let Some(place) = (0..self.stores.len()).find(|place| ip(*place) == to) else { continue };
                     // The same message sent again while the first is on its way is one envelope.
                     let envelope = (place, Envelope { from: from.clone(), message });
                     if !self.envelopes.contains(&envelope) {
@@ -99,18 +99,35 @@
     pub fn settle(&mut self) {
         for _ in 0..60 {
             self.now += 50;
-            for n in 0..3 {
+            for n in 0..self.stores.len() {
                 self.handle(n, Event::Tick { disk: true }, true);
             }
             while !self.envelopes.is_empty() || self.stores.iter().any(|store| !store.writing.is_empty()) {
                 for (to, envelope) in std::mem::take(&mut self.envelopes) {
                     self.handle(to, Event::Envelope(envelope), true);
                 }
-                (0..3).for_each(|n| self.sync(n));
+                (0..self.stores.len()).for_each(|n| self.sync(n));
             }
         }
     }
 
+    /// All disks do what they were asked to.
+    pub fn sync_all(&mut self) {
+        while self.stores.iter().any(|store| !store.writing.is_empty()) {
+            (0..self.stores.len()).for_each(|n| self.sync(n));
+        }
+    }
+
+    /// A store hears nobody but one other for so long that it takes over, where it may.
+    pub fn elect(&mut self, n: usize, heard: usize) {
+        for step in [900, 450] {
+            self.now += step;
+            self.heartbeat(heard, n);
+            self.handle(n, Event::Tick { disk: true }, false);
+            self.sync_all();
+        }
+    }
+
     /// The store that leads under the highest epoch.
     pub fn leader(&self) -> Option<&Register> {
         let registers = self.stores.iter().filter_map(|store| store.register.as_ref());
