--- a/crates/store/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -24,9 +24,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
-use violetyoke_transport::messages::{
-    ControlState, Heartbeat, Member, Order, Outcome, PeerMessage, Record, Stamp,
-};
+use takeover::Promised;
+use violetyoke_transport::messages::{Heartbeat, Member, Order, Outcome, PeerMessage, Record, Stamp};
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -46,7 +45,7 @@
         since: Millis,
         /// The voters that a primary wants; none where one takes over.
         voters: Option<Vec<Member>>,
-        promises: BTreeMap<u64, (Member, Record, ControlState)>,
+        promises: BTreeMap<u64, Promised>,
     },
     /// Has them, and offers its record.
     Offering { record: Record, number: u64, since: Millis, accepted: BTreeSet<u64> },
--- a/crates/store/src/register/peers.rs
+++ b/crates/store/src/register/peers.rs
@@ -1,6 +1,6 @@
 //! Heartbeats between stores: who can be reached, who leads, and which record is the newest.
 
-use super::{Effect, Millis, Peer, Register, Role};
+use super::{Effect, Millis, Peer, Promised, Register, Role};
 use std::net::Ipv4Addr;
 use violetyoke_transport::messages::{Envelope, Heartbeat, Member, PeerMessage, Record};
 
@@ -17,10 +17,12 @@
         self.known.insert(from.ip);
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.heartbeat(from, heartbeat),
-            PeerMessage::Prepare { epoch } => self.prepare(from, epoch),
-            PeerMessage::Promise { epoch, record, held } => self.promised(from, epoch, record, held),
+            PeerMessage::Prepare { epoch, has } => self.prepare(from, epoch, has),
+            PeerMessage::Promise { epoch, record, stamp, state } => {
+                self.promised(epoch, Promised { from, record, stamp, state });
+            }
             PeerMessage::Refuse { epoch, promised } => self.refused(epoch, promised),
-            PeerMessage::Accept { record, held } => self.accept(from, record, held),
+            PeerMessage::Accept { record, state } => self.accept(from, record, state),
             PeerMessage::Snapshot { epoch, state } => self.snapshot(epoch, state),
             PeerMessage::Accepted { epoch } => self.accepted(from.id, epoch),
             PeerMessage::Write { epoch, held } => self.write(from, epoch, held),
--- a/crates/store/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -3,7 +3,9 @@
 use super::quorum::{drawn, enough, majority};
 use super::{Effect, Millis, Register, Role};
 use std::collections::{BTreeMap, BTreeSet};
-use violetyoke_transport::messages::{ControlState, Member, Outcome, PeerMessage, Record, Stamp};
+use violetyoke_transport::messages::{
+    ControlState, HolderState, Member, Outcome, PeerMessage, Record, Stamp,
+};
 
 /// How long promises, and acceptances, are waited for.
 const PHASE_TIMEOUT: Millis = 600;
@@ -12,6 +14,16 @@
 /// A witness leaves the first try to the backups.
 const WITNESS_DELAY: Millis = 300;
 
+/// What a voter had when it promised.
+#[derive(Clone, Debug)]
+pub(super) struct Promised {
+    pub from: Member,
+    pub record: Record,
+    pub stamp: Stamp,
+    /// Where it is newer than the asker's.
+    pub state: Option<ControlState>,
+}
+
 impl Register {
     pub(super) fn tick(&mut self) {
         self.send_heartbeats();
@@ -76,15 +88,17 @@
         self.highest = epoch;
         self.durable.promised = epoch;
         self.keep();
-        let mine = (self.me.clone(), self.durable.record.clone(), self.durable.held.clone());
-        let promises = BTreeMap::from([(self.me.id, mine)]);
+        let has = self.durable.held.stamp;
+        let (from, record) = (self.me.clone(), self.durable.record.clone());
+        let own = Promised { from, record, stamp: has, state: None };
+        let promises = BTreeMap::from([(self.me.id, own)]);
         self.role = Role::Asking { epoch, since: self.now, voters, promises };
         self.out.push(Effect::Publish);
         let records = [&self.durable.record, self.newest_record()];
         let mut asked: BTreeSet<Member> = records.into_iter().flat_map(named).cloned().collect();
         asked.remove(&self.me);
         for voter in asked {
-            self.send(voter.ip, PeerMessage::Prepare { epoch });
+            self.send(voter.ip, PeerMessage::Prepare { epoch, has });
         }
         self.maybe_offer();
     }
@@ -102,10 +116,10 @@
         }
     }
 
-    pub(super) fn promised(&mut self, from: Member, epoch: u64, record: Record, held: ControlState) {
+    pub(super) fn promised(&mut self, epoch: u64, promised: Promised) {
         if let Role::Asking { epoch: mine, promises, .. } = &mut self.role {
             if *mine == epoch {
-                promises.insert(from.id, (from, record, held));
+                promises.insert(promised.from.id, promised);
                 self.maybe_offer();
             }
         }
@@ -115,7 +129,7 @@
     fn maybe_offer(&mut self) {
         let Role::Asking { epoch, since, voters, promises } = &self.role else { return };
         let epoch = *epoch;
-        let records = promises.values().map(|(_, record, _)| record);
+        let records = promises.values().map(|promised| &promised.record);
         let newest =
             records.max_by_key(|record| (record.epoch, std::cmp::Reverse(record.prior_voters.len())));
         let Some(base) = newest else { return };
@@ -133,14 +147,17 @@
         let own = base.epoch == self.durable.record.epoch && base.prior_voters.is_empty();
         let voters = voters.clone().filter(|_| own).unwrap_or_else(|| base.voters.clone());
         let Some(holders) = self.choose_holders(&base, &voters, has) else { return };
-        let states = promises.values().map(|(.., held)| held);
-        let mut held = states.max_by_key(|held| held.stamp).cloned().unwrap_or_default();
-        held.stamp = Stamp { epoch, seq: 0 };
+        let states = promises.values().filter_map(|promised| promised.state.as_ref());
+        let mut state =
+            states.chain([&self.durable.held]).max_by_key(|state| state.stamp).cloned().unwrap_or_default();
+        let from = std::mem::replace(&mut state.stamp, Stamp { epoch, seq: 0 });
+        let have = promises.values().filter(|promised| promised.stamp == from);
+        let have: BTreeSet<u64> = have.map(|promised| promised.from.id).collect();
         let mut prior_voters = vec![base.voters.clone()];
         prior_voters.extend(base.prior_voters.iter().cloned());
         prior_voters.retain(|list| *list != voters);
         prior_voters.dedup();
-        self.offer(Record { epoch, voters, holders, prior_voters }, held);
+        self.offer(Record { epoch, voters, holders, prior_voters }, state, from, &have);
     }
 
     /// This store first, then those that stay, in other zones where there are any: more than half of the voters.
@@ -163,16 +180,23 @@
         (holders.len() == copies).then_some(holders)
     }
 
-    fn offer(&mut self, record: Record, held: ControlState) {
+    /// Sends the record to all that it names; a holder that has promised with that very state (`from`) gets its new
+    /// stamp alone.
+    fn offer(&mut self, record: Record, state: ControlState, from: Stamp, have: &BTreeSet<u64>) {
         self.durable.record = record.clone();
         self.durable.fresh = false;
-        self.durable.held = held.clone();
+        self.durable.held = state.clone();
         self.keep();
         let number = self.requested;
+        let state_for = |id: u64| match (record.holders.contains(&id), have.contains(&id)) {
+            (false, _) => None,
+            (true, true) => Some(HolderState::Promised { from, to: state.stamp }),
+            (true, false) => Some(HolderState::Whole(state.clone())),
+        };
         let to: BTreeSet<&Member> = named(&record).filter(|it| it.id != self.me.id).collect();
         for voter in to {
-            let held = record.holders.contains(&voter.id).then(|| held.clone());
-            self.send(voter.ip, PeerMessage::Accept { record: record.clone(), held });
+            let state = state_for(voter.id);
+            self.send(voter.ip, PeerMessage::Accept { record: record.clone(), state });
         }
         self.role = Role::Offering { record, number, since: self.now, accepted: BTreeSet::new() };
     }
--- a/crates/store/src/register/voter.rs
+++ b/crates/store/src/register/voter.rs
@@ -1,7 +1,7 @@
 //! The voter's side: what is promised, accepted and written here. Each answer waits for the disk.
 
 use super::{Register, Role};
-use violetyoke_transport::messages::{ControlState, Member, PeerMessage, Record};
+use violetyoke_transport::messages::{ControlState, HolderState, Member, PeerMessage, Record, Stamp};
 
 impl Register {
     fn refuse(&mut self, to: &Member, epoch: u64) {
@@ -18,31 +18,40 @@
         }
     }
 
-    pub(super) fn prepare(&mut self, from: Member, epoch: u64) {
+    pub(super) fn prepare(&mut self, from: Member, epoch: u64, has: Stamp) {
         if epoch <= self.durable.promised {
             return self.refuse(&from, epoch);
         }
         self.raise(epoch);
         self.keep();
-        let (record, held) = (self.durable.record.clone(), self.durable.held.clone());
-        self.send(from.ip, PeerMessage::Promise { epoch, record, held });
+        let (record, stamp) = (self.durable.record.clone(), self.durable.held.stamp);
+        let state = (stamp > has).then(|| self.durable.held.clone());
+        self.send(from.ip, PeerMessage::Promise { epoch, record, stamp, state });
         // Whoever asks gets the time that an epoch takes.
         self.unled = Some(self.now);
     }
 
-    pub(super) fn accept(&mut self, from: Member, record: Record, held: Option<ControlState>) {
+    pub(super) fn accept(&mut self, from: Member, record: Record, state: Option<HolderState>) {
         let epoch = record.epoch;
         if epoch < self.durable.promised {
             return self.refuse(&from, epoch);
         }
+        let now = self.durable.held.stamp;
+        match state {
+            None => {}
+            Some(HolderState::Whole(state)) if state.stamp > now => self.durable.held = state,
+            Some(HolderState::Whole(_)) => {}
+            Some(HolderState::Promised { from, to }) if from == now || to == now => {
+                self.durable.held.stamp = to;
+            }
+            // Not the state that is meant: nothing is accepted, and the asker tries again.
+            Some(HolderState::Promised { .. }) => return,
+        }
         if epoch > self.durable.promised || !matches!(self.role, Role::Follower) {
             self.raise(epoch);
         }
         self.durable.record = record;
         self.durable.fresh = false;
-        if let Some(held) = held.filter(|held| held.stamp > self.durable.held.stamp) {
-            self.durable.held = held;
-        }
         self.unled = None;
         self.keep();
         self.send(from.ip, PeerMessage::Accepted { epoch });
--- a/crates/store/tests/model/change.rs
+++ b/crates/store/tests/model/change.rs
@@ -108,14 +108,14 @@
     fn returns(mut moment: Moment) -> Moment {
         let accepts = std::mem::take(&mut moment.envelopes);
         while !moment.envelopes.iter().any(|(to, envelope)| {
-            *to == OTHER && matches!(envelope.message, PeerMessage::Prepare { epoch } if epoch > 3)
+            *to == OTHER && matches!(envelope.message, PeerMessage::Prepare { epoch, .. } if epoch > 3)
         }) {
             moment.elect(SILENT, OTHER);
             let refused = std::mem::take(&mut moment.envelopes);
             let last = refused.into_iter().rfind(|(to, _)| *to == OTHER);
             let Some((to, envelope)) = last else { continue };
             match envelope.message {
-                PeerMessage::Prepare { epoch } if epoch > 3 => moment.envelopes.push((to, envelope)),
+                PeerMessage::Prepare { epoch, .. } if epoch > 3 => moment.envelopes.push((to, envelope)),
                 _ => {
                     moment.handle(to, Event::Envelope(envelope), false);
                     for (to, answer) in std::mem::take(&mut moment.envelopes) {
--- a/crates/store/tests/model/main.rs
+++ b/crates/store/tests/model/main.rs
@@ -3,6 +3,7 @@
 
 mod change;
 mod moment;
+mod sizes;
 
 use moment::{begin, ip, Moment, Store};
 use stateright::{Checker, Model, Property};
--- /dev/null
+++ b/crates/store/tests/model/sizes.rs
@@ -0,0 +1,82 @@
+//! What a takeover sends: no state to a store that has it already.
+
+use crate::moment::{begin, Moment, Store};
+use violetyoke_store::register::{Durable, Event, Register};
+use violetyoke_transport::messages::{HolderState, Order, PeerMessage};
+
+/// Three stores with an acknowledged order, and the primary among them.
+fn settled() -> (Moment, usize) {
+    let store = |n: usize| Store {
+        register: Some(begin(n, Durable::default(), 1)),
+        kept: Durable::default(),
+        writing: Vec::new(),
+    };
+    let stores = (0..3).map(store).collect();
+    let mut moment = Moment { now: 1, stores, envelopes: Vec::new(), sent: 1, acknowledged: 0, deaths: 0 };
+    moment.settle();
+    let active = |n: &usize| moment.stores[*n].register.as_ref().is_some_and(Register::active);
+    let primary = (0..3).find(active).expect("a primary");
+    let order = Order::Replace { version: 1, text: "configuration 1".into() };
+    moment.handle(primary, Event::Order { client: 1, order }, false);
+    moment.settle();
+    assert_eq!(moment.acknowledged, 1);
+    (moment, primary)
+}
+
+/// The messages that `deliver`ing all envelopes leads to.
+fn deliver(moment: &mut Moment) -> Vec<(usize, PeerMessage)> {
+    for (to, envelope) in std::mem::take(&mut moment.envelopes) {
+        moment.handle(to, Event::Envelope(envelope), false);
+    }
+    moment.sync_all();
+    moment.envelopes.iter().map(|(to, envelope)| (*to, envelope.message.clone())).collect()
+}
+
+#[test]
+fn a_backup_that_takes_over_is_sent_no_state_and_sends_it_only_where_it_is_missing() {
+    let (mut moment, primary) = settled();
+    let backup =
+        (0..3).find(|n| *n != primary && moment.stores[*n].kept.held.version == 1).expect("a backup");
+    let witness = 3 - primary - backup;
+    moment.elect(backup, witness);
+    moment.envelopes.retain(|(to, _)| *to != primary);
+    let promises = deliver(&mut moment);
+    assert!(matches!(&promises[..], [(_, PeerMessage::Promise { state: None, .. })]), "{promises:?}");
+    moment.now += 50;
+    moment.handle(backup, Event::Tick { disk: true }, false);
+    deliver(&mut moment);
+    moment.now += 50;
+    moment.handle(backup, Event::Tick { disk: true }, false);
+    moment.sync_all();
+    let whole = |message: &PeerMessage| matches!(message, PeerMessage::Accept { state: Some(HolderState::Whole(state)), .. } if state.version == 1);
+    let to_witness =
+        moment.envelopes.iter().filter(|(to, envelope)| *to == witness && whole(&envelope.message));
+    assert_eq!(to_witness.count(), 1, "{:?}", moment.envelopes);
+}
+
+#[test]
+fn a_witness_that_takes_over_is_sent_the_state_once_and_sends_back_a_stamp() {
+    let (mut moment, primary) = settled();
+    let backup =
+        (0..3).find(|n| *n != primary && moment.stores[*n].kept.held.version == 1).expect("a backup");
+    let witness = 3 - primary - backup;
+    moment.elect(witness, backup);
+    moment.envelopes.retain(|(to, _)| *to != primary);
+    let promises = deliver(&mut moment);
+    assert!(matches!(&promises[..], [(_, PeerMessage::Promise { state: Some(_), .. })]), "{promises:?}");
+    deliver(&mut moment);
+    moment.now += 50;
+    moment.handle(witness, Event::Tick { disk: true }, false);
+    moment.sync_all();
+    let to_backup = moment.envelopes.iter().find_map(|(to, envelope)| match &envelope.message {
+        PeerMessage::Accept { state, .. } if *to == backup => Some(state.clone()),
+        _ => None,
+    });
+    assert!(matches!(to_backup, Some(Some(HolderState::Promised { .. }))), "{to_backup:?}");
+    // It has the new stamp, and both lead on.
+    deliver(&mut moment);
+    deliver(&mut moment);
+    let leads = moment.stores[witness].register.as_ref().is_some_and(Register::active);
+    assert!(leads && moment.stores[backup].kept.held.version == 1);
+    assert_eq!(moment.stores[backup].kept.held.stamp.epoch, moment.stores[backup].kept.record.epoch);
+}
--- a/crates/transport/src/messages/stores.rs
+++ b/crates/transport/src/messages/stores.rs
@@ -37,12 +37,15 @@
     /// May I open this epoch? From then on nothing of a lower one is taken.
     Prepare {
         epoch: u64,
+        /// The newest state that the sender has.
+        has: Stamp,
     },
-    /// Yes; with the newest record and state that the voter has.
+    /// Yes; with the newest record that the voter has, and its state where that is newer than the asker's.
     Promise {
         epoch: u64,
         record: Record,
-        held: ControlState,
+        stamp: Stamp,
+        state: Option<ControlState>,
     },
     /// No: a higher one is promised already.
     Refuse {
@@ -52,7 +55,7 @@
     /// An epoch's record; its holders get the state with it.
     Accept {
         record: Record,
-        held: Option<ControlState>,
+        state: Option<HolderState>,
     },
     Accepted {
         epoch: u64,
@@ -82,6 +85,17 @@
     },
 }
 
+/// The state with which a holder begins an epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum HolderState {
+    /// The one that it has promised with, under a new stamp.
+    Promised {
+        from: Stamp,
+        to: Stamp,
+    },
+    Whole(ControlState),
+}
+
 /// What each store sends all others at an interval.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Heartbeat {
