Confirm one text under each version, and tie each answer to the call it was sent for

Cause: a primary acknowledged any configuration that was not newer, at once and without a look at its text: two operators were both confirmed under one number, also by a primary that was cut off. An order that was pending when its primary lost the lead was acknowledged when that primary led again, though it began its next epoch with another store's state (found by reading; the test acknowledges what nobody has without the mend). A registry took any answer with the right number, and held orders for 2,800 ms, long after their operator had moved on.

The control state remembers the digests of the last 256 accepted versions. The same bytes again are acknowledged, also when they are old and by another primary; other bytes under the number are answered 409; an older version that was never accepted is acknowledged as the protocol says and takes its number. Every answer waits for a commit or for the backups' confirmation, orders that wait are written together, and waiting answers are dropped when a primary begins an epoch with a newer state than its own. Each sending of an order has a number of its own and its answer counts only on its connection. Orders without an answer are unclear after 900 ms, or 250 ms where no primary has been known for 1,500 ms; a store is named as primary only while it hears all its backups.

--- a/crates/ctl/tests/store.rs
+++ b/crates/ctl/tests/store.rs
@@ -5,7 +5,7 @@
 use violetyoke_ctl::verbs::{read, run, Ended};
 use violetyoke_store::disk::Slots;
 use violetyoke_store::register::Durable;
-use violetyoke_transport::messages::{ControlState, Member, Record, Stamp};
+use violetyoke_transport::messages::{AcceptedVersions, ControlState, Member, Record, Stamp};
 
 struct Folder(PathBuf);
 
@@ -18,14 +18,19 @@
 
 fn state(version: u64) -> Durable {
     let voter = |n: u8| Member { id: u64::from(n), ip: [10, 0, 0, n].into(), zone: "a".into() };
-    let record =
-        Record { epoch: 3, voters: (1..=3).map(voter).collect(), holders: vec![2, 1], bases: Vec::new() };
+    let record = Record {
+        epoch: 3,
+        voters: (1..=3).map(voter).collect(),
+        holders: vec![2, 1],
+        prior_voters: Vec::new(),
+    };
     let text = format!("{{\"version\":{version}}}");
     let held = ControlState {
         stamp: Stamp { epoch: 3, seq: version },
         version,
         text,
         evacuated: ["b".to_owned()].into(),
+        accepted: AcceptedVersions::default(),
     };
     Durable { id: 2, fresh: false, promised: 3, record, held }
 }
--- a/crates/local/tests/control.rs
+++ b/crates/local/tests/control.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{configuration, stage, Stage, LONG, REPLACE};
+use common::{configuration, stage, Stage, LONG, READ, REPLACE};
 use serde_json::json;
 use std::time::Duration;
 use violetyoke_ctl::verbs::{self, Ended};
@@ -47,6 +47,72 @@
     assert_eq!(stage.version(), 12);
 }
 
+#[test]
+fn one_text_is_confirmed_under_a_version_and_the_same_again_at_every_registry() {
+    let stage = stage();
+    let controls = stage.system.controls();
+    let text = |timeout: u64| {
+        let mut next = configuration(40);
+        next["routes"]["rows"][0][4] = json!(timeout);
+        next.to_string()
+    };
+    // Eight orders at once, at all registries, with two texts under one version.
+    let threads: Vec<_> = (0..8)
+        .map(|n| {
+            let (to, text) = ([controls[n % 3]], text([1_500, 1_600][n % 2]));
+            std::thread::spawn(move || order(&to, REPLACE, text.as_bytes()).map(|answer| answer.status()))
+        })
+        .collect();
+    let statuses: Vec<Option<u16>> = threads.into_iter().map(|it| it.join().expect("an answer")).collect();
+    let of = |one: usize| statuses.iter().skip(one).step_by(2).copied().collect::<Vec<_>>();
+    let (accepted, other) = if of(0)[0] == Some(200) { (0, 1) } else { (1, 0) };
+    assert_eq!((of(accepted), of(other)), (vec![Some(200); 4], vec![Some(409); 4]), "{statuses:?}");
+    stage.put(configuration(50));
+    for control in controls {
+        let again = |which: usize| {
+            let text = text([1_500, 1_600][which]);
+            order(&[control], REPLACE, text.as_bytes()).map(|answer| answer.status())
+        };
+        assert_eq!((again(accepted), again(other)), (Some(200), Some(409)));
+    }
+    assert_eq!(stage.version(), 50);
+}
+
+#[test]
+fn a_registry_that_hears_no_primary_leaves_orders_unclear_before_their_operator_moves_on() {
+    let stage = stage();
+    for core in &stage.system.cores[1..] {
+        core.store.stop().expect("stopped");
+    }
+    let control = stage.system.controls()[0];
+    let begun = std::time::Instant::now();
+    let mut longest = Duration::ZERO;
+    while begun.elapsed() < Duration::from_secs(6) {
+        let sent = std::time::Instant::now();
+        // The same as is in force, another, and a read: none of them may be confirmed or refused.
+        for (target, body) in [
+            (REPLACE, configuration(1).to_string()),
+            (REPLACE, configuration(2).to_string()),
+            (READ, String::new()),
+        ] {
+            let one = std::time::Instant::now();
+            let answer = call(control, "POST", target, &[], body.as_bytes()).expect("an answer");
+            assert_eq!(answer.status(), 503, "{}", String::from_utf8_lossy(&answer.body));
+            longest = longest.max(one.elapsed());
+        }
+        assert!(sent.elapsed() > Duration::from_millis(300), "answered without having waited for a primary");
+    }
+    println!("longest wait {longest:?}");
+    assert!(longest < Duration::from_millis(1_500), "{longest:?}: operators wait a second");
+    // An order that can't be read needs no store to be refused.
+    assert_eq!(call(control, "POST", REPLACE, &[], b"{").map(|answer| answer.status()), Some(400));
+    for core in &stage.system.cores[1..] {
+        core.store.go_on().expect("goes on");
+    }
+    stage.put(configuration(1));
+    stage.put(configuration(2));
+}
+
 #[test]
 fn a_stopped_core_machine_and_a_cut_link_cost_no_request() {
     let mut stage = stage();
--- a/crates/registry/src/daemon/mod.rs
+++ b/crates/registry/src/daemon/mod.rs
@@ -11,7 +11,7 @@
 use crate::sessions::Sessions;
 use crate::Millis;
 use error_stack::{Report, ResultExt};
-use orders::Orders;
+use orders::Clients;
 use proxies::Proxies;
 use slog::{info, Logger};
 use std::cell::RefCell;
@@ -65,7 +65,7 @@
     sessions: Sessions,
     lists: Lists,
     stores: Stores,
-    orders: Orders,
+    orders: Clients,
     proxies: Proxies,
     telling: Telling,
     held: ControlState,
@@ -98,7 +98,7 @@
         sessions: Sessions::default(),
         lists: Lists::default(),
         stores: Stores::new(me, settings.inner(Process::Store)),
-        orders: Orders::default(),
+        orders: Clients::new(life.drawn),
         proxies: Proxies::default(),
         telling: Telling::default(),
         held: ControlState::default(),
@@ -174,7 +174,7 @@
                 }));
             }
         }
-        self.orders.tick(now, &self.stores);
+        self.orders.step(now, &self.stores);
         self.ask_platform(now);
         self.tell_list(now);
         self.publish();
--- a/crates/registry/src/daemon/outside.rs
+++ b/crates/registry/src/daemon/outside.rs
@@ -1,12 +1,14 @@
 //! The outside calls: operators' orders, and clients that ask where to go.
 
 use super::Registry;
+use crate::orders::ANSWER_WITHIN;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::info;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -20,8 +22,10 @@
 /// The largest body of an order.
 const LARGEST: usize = 8 << 20;
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
-/// The longest that an order which is taken waits for all proxies to hold it.
-const HELD_WITHIN: Duration = Duration::from_millis(450);
+/// The longest that an acknowledgement waits for all proxies to install the version, and the longest that it may take in
+/// all: an operator goes on to another registry after a second of silence.
+const INSTALLED_WITHIN: Duration = Duration::from_millis(450);
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_millis(ANSWER_WITHIN + 50);
 /// Clients keep an answer for so long, at most: each time that they ask they wait for a way to the core and back, and an
 /// edge that is gone is passed over by who tries it.
 const TTL_S: f64 = 5.0;
@@ -81,7 +85,7 @@
             Ok(body) => replace(registry, &body.to_bytes()).await,
         },
         Call::ConfigurationRead => match order(registry, Order::Read).await {
-            Some(Outcome::Read(held)) if held.version > 0 || !held.text.is_empty() => plain(200, held.text),
+            Some(Outcome::Read(state)) if !state.text.is_empty() => plain(200, state.text),
             Some(Outcome::Read(_)) => refusal(404, &Invalid::new("configuration", "none was ever sent")),
             _ => unclear(),
         },
@@ -117,20 +121,30 @@
     let Ok(text) = String::from_utf8(body.to_vec()) else {
         return refusal(400, &Invalid::new("document", "is not UTF-8"));
     };
+    let answered_by = Instant::now() + ACKNOWLEDGED_WITHIN;
     match order(registry, Order::Replace { version, text }).await {
         Some(Outcome::Acknowledged) => {
-            held_by_all(registry, version).await;
+            installed_by_all(registry, version, answered_by).await;
             plain(200, "{}")
         }
+        Some(Outcome::VersionTaken) => {
+            info!(registry.borrow().log, "not confirmed: the version has another text"; "version" => version);
+            version_taken(version)
+        }
         _ => unclear(),
     }
 }
 
-/// Waits until each proxy with a session here holds the version: whoever is told that a change is taken finds it in
-/// force everywhere. One that does not answer is not waited for longer than a moment.
-async fn held_by_all(registry: &Shared, version: u64) {
+/// Another operator's text was accepted under the version. This one is not confirmed, and sent again it would not be.
+fn version_taken(version: u64) -> Answer {
+    refusal(409, &Invalid::new("version", format!("{version} was accepted with another text")))
+}
+
+/// Waits until each proxy with a session here has installed the version: whoever is told that a change is acknowledged
+/// finds it in force everywhere. A proxy that does not answer is not waited for longer than a moment.
+async fn installed_by_all(registry: &Shared, version: u64, answered_by: Instant) {
     let polled = registry.borrow().polled.clone();
-    let until = Instant::now() + HELD_WITHIN;
+    let until = answered_by.min(Instant::now() + INSTALLED_WITHIN);
     loop {
         let next = polled.notified();
         if registry.borrow().all_hold(version) || timeout_at(until, next).await.is_err() {
--- a/crates/registry/src/daemon/stores.rs
+++ b/crates/registry/src/daemon/stores.rs
@@ -1,6 +1,7 @@
-//! Connections to all stores, and how each says that it stands.
+//! Connections to all stores, and the status of each.
 
 use super::{Input, Registry};
+use crate::orders::StoreConnection;
 use slog::info;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -12,6 +13,8 @@
 #[derive(Default)]
 struct Store {
     sender: Option<Sender>,
+    /// How many connections to it there have been.
+    connection: u64,
     epoch: u64,
     active: bool,
 }
@@ -46,11 +49,28 @@
         }
     }
 
-    /// The store that leads under the highest epoch.
-    pub fn primary(&self) -> Option<(Ipv4Addr, &Sender)> {
+    /// The store that leads under the highest epoch, in contact with its backups by its own account.
+    pub fn primary(&self) -> Option<(StoreConnection, &Sender)> {
         let active = self.by_ip.iter().filter(|(_, store)| store.active);
-        let active = active.filter_map(|(ip, store)| Some((store.epoch, *ip, store.sender.as_ref()?)));
-        active.max_by_key(|(epoch, ..)| *epoch).map(|(_, ip, sender)| (ip, sender))
+        let (ip, store) = active.max_by_key(|(_, store)| store.epoch)?;
+        Some((StoreConnection { ip: *ip, connection: store.connection }, store.sender.as_ref()?))
+    }
+
+    fn opened(&mut self, ip: Ipv4Addr, sender: Sender) {
+        let store = self.by_ip.entry(ip).or_default();
+        store.connection += 1;
+        store.sender = Some(sender);
+    }
+
+    /// The connection to a store has ended: nothing is known of it but how many there were.
+    fn closed(&mut self, ip: Ipv4Addr) -> StoreConnection {
+        let connection = self.connection(ip);
+        self.by_ip.insert(ip, Store { connection: connection.connection, ..Store::default() });
+        connection
+    }
+
+    fn connection(&self, ip: Ipv4Addr) -> StoreConnection {
+        StoreConnection { ip, connection: self.by_ip.get(&ip).map_or(0, |store| store.connection) }
     }
 }
 
@@ -61,11 +81,11 @@
             link::Event::Up(sender) => {
                 let watch = StoreRequest::Watch { registry: self.settings.me.ip, have: self.held.stamp };
                 sender.send(encode(&watch));
-                self.stores.by_ip.entry(ip).or_default().sender = Some(sender);
+                self.stores.opened(ip, sender);
             }
             link::Event::Down => {
-                self.stores.by_ip.insert(ip, Store::default());
-                self.orders.lost(ip);
+                let connection = self.stores.closed(ip);
+                self.orders.lost(connection);
             }
             link::Event::Frame(frame) => match decode(&frame) {
                 Ok(StoreReply::Status { epoch, active, owners, stores }) => {
@@ -85,10 +105,13 @@
                         self.take(held);
                     }
                 }
-                Ok(StoreReply::Done { call, outcome }) => self.orders.done(now, call, outcome),
+                Ok(StoreReply::Done { call, outcome }) => {
+                    let from = self.stores.connection(ip);
+                    self.orders.done(now, from, call, outcome);
+                }
                 Err(error) => slog::warn!(self.log, "unread frame"; "why" => error.to_string()),
             },
         }
-        self.orders.tick(now, &self.stores);
+        self.orders.step(now, &self.stores);
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,10 +1,11 @@
 //! The registry: which proxies and backends there are, and the outside calls of operators and of clients that ask
-//! where to go. `sessions`, `backends`, `contact` and `waits` decide, apart from sockets and clocks; `daemon` is the
+//! where to go. `sessions`, `backends`, `orders`, `contact` and `waits` decide, apart from sockets and clocks; `daemon` is the
 //! process round them.
 
 pub mod backends;
 pub mod contact;
 pub mod daemon;
+pub mod orders;
 pub mod platform;
 pub mod sessions;
 pub mod waits;
--- a/crates/store/src/daemon/watchers.rs
+++ b/crates/store/src/daemon/watchers.rs
@@ -11,6 +11,7 @@
     sender: Sender,
     registry: Option<Ipv4Addr>,
     have: Stamp,
+    /// The status that it was told last.
     told: Option<StoreReply>,
 }
 
@@ -57,7 +58,7 @@
         }
     }
 
-    /// Tells each registry how the store stands, and the newest state where it has an older one.
+    /// Tells each registry the status of the store, and the newest state where it has an older one.
     pub fn publish(&mut self, register: &Register) {
         let epoch = register.epoch();
         if register.active() {
@@ -70,12 +71,12 @@
             }
         }
         let owners = if register.active() { self.owners.clone() } else { Owners::default() };
-        let standing =
-            StoreReply::Status { epoch, active: register.active(), owners, stores: register.stores() };
+        let active = register.leads_in_contact();
+        let status = StoreReply::Status { epoch, active, owners, stores: register.stores() };
         for watcher in self.by_connection.values_mut().filter(|watcher| watcher.registry.is_some()) {
-            if watcher.told.as_ref() != Some(&standing) {
-                watcher.sender.send(encode(&standing));
-                watcher.told = Some(standing.clone());
+            if watcher.told.as_ref() != Some(&status) {
+                watcher.sender.send(encode(&status));
+                watcher.told = Some(status.clone());
             }
             if let Some(held) = register.committed().filter(|held| held.stamp > watcher.have) {
                 watcher.have = held.stamp;
--- a/crates/store/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -55,7 +55,7 @@
 
 #[derive(Clone, Debug)]
 struct Pending {
-    client: Client,
+    answers: orders::Answers,
     /// What is asked to be kept of it here.
     number: u64,
     written: BTreeSet<u64>,
@@ -65,8 +65,7 @@
 
 #[derive(Clone, Debug)]
 struct Confirming {
-    client: Client,
-    outcome: Outcome,
+    answers: orders::Answers,
     confirmed: BTreeSet<u64>,
     since: Millis,
 }
@@ -101,6 +100,8 @@
     pending: Option<Pending>,
     confirming: BTreeMap<u64, Confirming>,
     nonce: u64,
+    /// Whether registries were last told that this store leads in contact with its backups.
+    published_contact: bool,
     /// Since when the primary has not been well, and until when not to ask.
     unled: Option<Millis>,
     rest_until: Millis,
@@ -143,6 +144,7 @@
             pending: None,
             confirming: BTreeMap::new(),
             nonce: 0,
+            published_contact: false,
             unled: None,
             rest_until: 0,
             heartbeat_at: 0,
@@ -231,13 +233,8 @@
     fn step_down(&mut self) {
         self.role = Role::Follower;
         self.unled = Some(self.now);
-        let clients = self.pending.take().map(|pending| pending.client).into_iter();
-        let confirming = std::mem::take(&mut self.confirming).into_values().map(|one| one.client);
-        let waiting = std::mem::take(&mut self.waiting).into_iter().map(|(client, ..)| client);
-        let waiting: Vec<Client> = clients.chain(confirming).chain(waiting).collect();
-        // Nothing that this answer says rests on the disk.
-        self.out
-            .extend(waiting.into_iter().map(|client| Effect::Answer { client, outcome: Outcome::Elsewhere }));
+        let clients = self.take_clients();
+        self.turn_away(clients);
         self.out.push(Effect::Publish);
     }
 }
--- a/crates/store/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -3,9 +3,7 @@
 use super::quorum::{drawn, enough, majority};
 use super::{Effect, Millis, Register, Role};
 use std::collections::{BTreeMap, BTreeSet};
-use violetyoke_transport::messages::{
-    ControlState, HolderState, Member, Outcome, PeerMessage, Record, Stamp,
-};
+use violetyoke_transport::messages::{ControlState, HolderState, Member, PeerMessage, Record, Stamp};
 
 /// How long promises, and acceptances, are waited for.
 const PHASE_TIMEOUT: Millis = 600;
@@ -28,6 +26,7 @@
     pub(super) fn tick(&mut self) {
         self.send_heartbeats();
         self.expire_orders();
+        self.publish_contact();
         match &self.role {
             Role::Follower => self.maybe_take_over(),
             Role::Asking { since, .. } => {
@@ -157,6 +156,7 @@
         prior_voters.extend(base.prior_voters.iter().cloned());
         prior_voters.retain(|list| *list != voters);
         prior_voters.dedup();
+        self.keep_answers_if_newest(from);
         self.offer(Record { epoch, voters, holders, prior_voters }, state, from, &have);
     }
 
@@ -221,16 +221,10 @@
         self.installed();
         // All learn from the heartbeats, as often as they need it, that the record is installed.
         self.greet();
-        // What was on its way under the epoch before is part of what all holders have now.
-        let pending = self.pending.take().map(|pending| (pending.client, Outcome::Acknowledged));
-        let confirmed =
-            std::mem::take(&mut self.confirming).into_values().map(|one| (one.client, one.outcome));
-        for (client, outcome) in pending.into_iter().chain(confirmed) {
-            self.answer(client, outcome);
-        }
+        self.answer_under_next_epoch();
         // Told once this store's own disk has it too.
         self.gated.push_back((self.requested, Effect::Publish));
-        self.next_order();
+        self.next_orders();
     }
 }
 
