Answer operators that have closed their side, and end platform calls with their list

Cause: the outside calls were served with the library's default, by which a client that closes its sending side is taken for gone: its order ran or not, and the answer was never sent (new test: third of three answers missing without the mend). The connection of a call to the platform is now ended by a guard in each case; the tests of late and missing pages pass without it too (the library ends such connections by itself), so that no fault was found there.

--- a/crates/local/tests/control.rs
+++ b/crates/local/tests/control.rs
@@ -4,11 +4,14 @@
 
 use common::{configuration, stage, Stage, LONG, READ, REPLACE};
 use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 use violetyoke_ctl::verbs::{self, Ended};
 use violetyoke_local::calls::{call, order, resolve};
 use violetyoke_rig::link::Link;
 use violetyoke_rig::until;
+use violetyoke_standin::http::read_http;
 
 #[test]
 fn control_outlives_its_primary_and_an_edge_follows_within_the_bound() {
@@ -78,6 +81,21 @@
     assert_eq!(stage.version(), 50);
 }
 
+#[test]
+fn an_operator_that_has_closed_its_side_still_gets_the_answers_to_its_orders_in_their_order() {
+    let stage = stage();
+    let read = format!("POST {READ} HTTP/1.1\r\nhost: core\r\ncontent-length: 0\r\n\r\n");
+    let invalid = format!("POST {REPLACE} HTTP/1.1\r\nhost: core\r\ncontent-length: 1\r\n\r\n{{");
+    let mut stream = TcpStream::connect(stage.system.controls()[0]).expect("a connection");
+    stream.set_read_timeout(Some(LONG)).expect("a timeout");
+    stream.write_all(format!("{read}{invalid}{read}").as_bytes()).expect("sent");
+    stream.shutdown(Shutdown::Write).expect("closed on this side");
+    let mut answers = BufReader::new(stream);
+    let statuses = [(); 3].map(|()| read_http(&mut answers).map_or(0, |answer| answer.status()));
+    assert_eq!(statuses, [200, 400, 200]);
+    assert!(read_http(&mut answers).is_none(), "and no answer that nobody asked for");
+}
+
 #[test]
 fn a_registry_that_hears_no_primary_leaves_orders_unclear_before_their_operator_moves_on() {
     let stage = stage();
--- a/crates/registry/src/daemon/outside.rs
+++ b/crates/registry/src/daemon/outside.rs
@@ -53,6 +53,8 @@
             });
             let mut builder = hyper::server::conn::http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN);
+            // A client that has sent all that it has to say still waits for the answer.
+            builder.half_close(true);
             // A client that breaks off has its own reasons.
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
         });
--- a/crates/registry/src/platform.rs
+++ b/crates/registry/src/platform.rs
@@ -1,4 +1,4 @@
-//! The platform's list of backends as it comes: pages of `GET /instances`.
+//! The platform's list of backends: pages of `GET /instances`.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use violetyoke_api::calls::{path_of, Call};
 use violetyoke_transport::messages::Backend;
@@ -62,7 +63,17 @@
     Ok((backends.collect(), page.next_token))
 }
 
-/// Asks for the whole list; nothing where any page could not be had.
+/// The task that drives a connection; it ends, and the connection with it, when the call that needs it does.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Asks for the whole list; nothing where any page could not be had. Each list has a connection of its own and its pages
+/// are asked for one after the other, so that an answer that comes late belongs to no other page or list.
 pub async fn whole(address: SocketAddr) -> Option<Vec<Backend>> {
     timeout(PATIENCE, pages(address)).await.ok().flatten()
 }
@@ -70,10 +81,9 @@
 async fn pages(address: SocketAddr) -> Option<Vec<Backend>> {
     let stream = connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.ok()?;
-    let driver = tokio::task::spawn_local(async move { drop(connection.await) });
+    let _driver = Driver(tokio::task::spawn_local(async move { drop(connection.await) }));
     let mut all = Vec::new();
     let mut token: Option<String> = None;
-    let mut found = None;
     for _ in 0..MOST_PAGES {
         let path = match &token {
             None => path_of(Call::Instances).to_owned(),
@@ -83,17 +93,15 @@
         let request = Request::get(path).header("host", address.to_string()).body(Empty::new()).ok()?;
         let answer = sender.send_request(request).await.ok()?;
         if answer.status() != StatusCode::OK {
-            break;
+            return None;
         }
         let body = Limited::new(answer.into_body(), LARGEST).collect().await.ok()?.to_bytes();
         let (backends, next) = page(&body).ok()?;
         all.extend(backends);
-        token = next;
-        if token.is_none() {
-            found = Some(all);
-            break;
+        if next.is_none() {
+            return Some(all);
         }
+        token = next;
     }
-    driver.abort();
-    found
+    None
 }
