Sync what a store finds on its disk before it counts

Cause: a process that is killed between its write and its sync leaves bytes that the next one read as if they were durable. A backup acknowledged them without writing again, and the next write went over the only slot that was synced: a loss of power could take a state that had counted, or both slots. Ruled out: rewriting the state at each start (a write of the whole state where a sync is enough). Change: Slots::recover syncs each slot it finds and the folder's names first; the files under the slots are a trait, so that a test can stop them at any step.

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -1,12 +1,14 @@
 //! What the register must not forget, on disk: two slots, each a whole state with its number and digest. The older slot
-//! is the one that is written, and synced before it counts; a torn write spoils no more than itself. A log was weighed
-//! (docs/design/system.md): what is kept is one small state, and a log's tail has to be trusted after a loss of power.
+//! is the one that is written, and synced before it counts; a torn write spoils no more than itself. What is found at a
+//! start is synced before it counts too: a process that died before its sync leaves bytes that the next loss of power may
+//! take. A log was weighed (docs/design/system.md): what is kept is one small state, and a log's tail has to be trusted
+//! after a loss of power.
 
 use crate::register::Durable;
 use siphasher::sip::SipHasher13;
 use std::fs::{File, OpenOptions};
 use std::hash::Hasher;
-use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
 const MAGIC: &[u8; 8] = b"barogr01";
@@ -44,12 +46,24 @@
     }
 }
 
-/// The two slots of a folder.
+/// What both slots' files can do: those of a folder, or a test's.
+pub trait SlotFiles {
+    /// The bytes of a slot, where it has a file.
+    fn read(&mut self, slot: usize) -> io::Result<Option<Vec<u8>>>;
+    /// Writes a slot whole and syncs it. Where this fails, the slot may hold any part of the bytes.
+    fn write(&mut self, slot: usize, bytes: &[u8]) -> io::Result<()>;
+    /// Syncs a slot as it is: a loss of power no longer takes what was read from it.
+    fn sync(&mut self, slot: usize) -> io::Result<()>;
+    /// Syncs the names of the files.
+    fn sync_names(&mut self) -> io::Result<()>;
+}
+
+/// Two slots, and which of them is written next.
 #[derive(Debug)]
-pub struct Slots {
-    folder: PathBuf,
+pub struct Slots<F = Folder> {
+    files: F,
     turn: Turn,
-    /// The folder holds the names for sure.
+    /// The names of both files are synced.
     named: bool,
 }
 
@@ -104,21 +118,33 @@
     /// Opens a folder, and what it holds: nothing, where it is empty or new.
     pub fn open(folder: &Path) -> io::Result<(Slots, Option<Durable>)> {
         std::fs::create_dir_all(folder)?;
-        let (turn, kept) = Turn::after(look_at(folder)?);
-        Ok((Slots { folder: folder.to_owned(), turn, named: false }, kept))
+        Slots::recover(Folder(folder.to_owned()))
+    }
+}
+
+impl<F: SlotFiles> Slots<F> {
+    /// Syncs and reads both slots.
+    pub fn recover(mut files: F) -> io::Result<(Slots<F>, Option<Durable>)> {
+        let mut found = [Found::Missing, Found::Missing];
+        for (slot, found) in found.iter_mut().enumerate() {
+            if let Some(bytes) = files.read(slot)? {
+                files.sync(slot)?;
+                *found = read(&bytes);
+            }
+        }
+        let named = !found.contains(&Found::Missing);
+        if found != [Found::Missing, Found::Missing] {
+            files.sync_names()?;
+        }
+        let (turn, state) = Turn::after(found);
+        Ok((Slots { files, turn, named }, state))
     }
 
     /// Writes and syncs a state; where it returns, a loss of power does not take it.
     pub fn put(&mut self, state: &Durable) -> io::Result<()> {
-        let path = self.folder.join(NAMES[self.turn.slot]);
-        let mut file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
-        let bytes = self.turn.bytes(state);
-        file.seek(SeekFrom::Start(0))?;
-        file.write_all(&bytes)?;
-        file.set_len(bytes.len() as u64)?;
-        file.sync_all()?;
+        self.files.write(self.turn.slot, &self.turn.bytes(state))?;
         if !self.named {
-            File::open(&self.folder)?.sync_all()?;
+            self.files.sync_names()?;
             self.named = self.turn.slot == 1;
         }
         self.turn.done();
@@ -126,6 +152,38 @@
     }
 }
 
+/// The files of a folder.
+#[derive(Debug)]
+pub struct Folder(PathBuf);
+
+impl Folder {
+    fn path(&self, slot: usize) -> PathBuf {
+        self.0.join(NAMES[slot])
+    }
+}
+
+impl SlotFiles for Folder {
+    fn read(&mut self, slot: usize) -> io::Result<Option<Vec<u8>>> {
+        bytes_of(&self.path(slot))
+    }
+
+    fn write(&mut self, slot: usize, bytes: &[u8]) -> io::Result<()> {
+        let path = self.path(slot);
+        let mut file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
+        file.write_all(bytes)?;
+        file.set_len(bytes.len() as u64)?;
+        file.sync_all()
+    }
+
+    fn sync(&mut self, slot: usize) -> io::Result<()> {
+        OpenOptions::new().write(true).open(self.path(slot))?.sync_all()
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.0)?.sync_all()
+    }
+}
+
 /// What both slots of a folder hold; nothing is made or written.
 pub fn look_at(folder: &Path) -> io::Result<[Found; 2]> {
     let [first, second] = NAMES;
@@ -134,13 +192,13 @@
 
 /// What a slot's file holds.
 pub fn look(path: &Path) -> io::Result<Found> {
-    let mut bytes = Vec::new();
-    match File::open(path) {
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Found::Missing),
+    Ok(bytes_of(path)?.map_or(Found::Missing, |bytes| read(&bytes)))
+}
+
+fn bytes_of(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    match std::fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(error) => Err(error),
-        Ok(mut file) => {
-            file.read_to_end(&mut bytes)?;
-            Ok(read(&bytes))
-        }
     }
 }
