--- /dev/null
+++ b/crates/transport/examples/message_cost.rs
@@ -0,0 +1,56 @@
+//! What messages with a whole state cost, in bytes and in time: `cargo run --release -p violetyoke-transport --example
+//! message_cost`. Routes are like those of an operator's configuration, about 120 bytes each.
+
+use std::time::{Duration, Instant};
+use violetyoke_transport::frame::{decode, encode};
+use violetyoke_transport::messages::{ControlState, Envelope, Member, PeerMessage, Stamp, StoreRequest};
+
+const RUNS: u32 = 20;
+
+/// Letters that repeat no more than drawn names do.
+fn name(seed: u64, length: usize) -> String {
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x5851_f42d_4c95_7f2d;
+    let mut letter = || {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        char::from(b'a' + (state >> 33) as u8 % 26)
+    };
+    (0..length).map(|_| letter()).collect()
+}
+
+fn state(routes: u64) -> ControlState {
+    let rows = (0..routes).map(|n| {
+        let (route, host, path) = (name(n, 7), name(n % 40, 5), name(n + 1_000_000, 8));
+        let service = name(n % 60 + 500, 6);
+        format!(
+            r#"["r-{route}","{host}.example","/{path}/","idempotent",2000,500,2,null,2,false,[],"{service}"]"#
+        )
+    });
+    let text = format!(r#"{{"version":7,"routes":{{"rows":[{}]}}}}"#, rows.collect::<Vec<_>>().join(","));
+    ControlState { stamp: Stamp { epoch: 3, seq: 9 }, version: 7, text, ..ControlState::default() }
+}
+
+fn mean(mut run: impl FnMut()) -> Duration {
+    let begun = Instant::now();
+    (0..RUNS).for_each(|_| run());
+    begun.elapsed() / RUNS
+}
+
+fn main() {
+    println!(
+        "{:>7} {:>11} {:>10} {:>10} {:>10}",
+        "routes", "state bytes", "sent bytes", "encode ms", "decode ms"
+    );
+    for routes in [50, 500, 1_700, 5_000, 17_000, 60_000] {
+        let held = state(routes);
+        let plain = held.text.len();
+        let from = Member { id: 1, ip: [10, 0, 0, 1].into(), zone: "zone-a".into() };
+        let message =
+            StoreRequest::Envelope(Envelope { from, message: PeerMessage::Write { epoch: 3, held } });
+        let bytes = encode(&message);
+        let encoded = mean(|| drop(encode(&message)));
+        let decoded = mean(|| assert!(decode::<StoreRequest>(&bytes).is_ok()));
+        let millis = |span: Duration| span.as_secs_f64() * 1_000.0;
+        let sent = bytes.len();
+        println!("{routes:>7} {plain:>11} {sent:>10} {:>10.2} {:>10.2}", millis(encoded), millis(decoded));
+    }
+}
