--- a/crates/local/src/platform.rs
+++ b/crates/local/src/platform.rs
@@ -15,6 +15,7 @@
 use tokio::runtime::Handle;
 use violetyoke_api::calls::query;
 
+/// Entries of a page, unless more are wanted.
 const PAGE: usize = 4;
 
 #[derive(Clone)]
@@ -22,14 +23,20 @@
     pub address: SocketAddr,
     lines: Arc<Mutex<Map<String, Value>>>,
     calls: Arc<AtomicU64>,
+    page: usize,
 }
 
 impl Platform {
     pub fn start(runtime: &Handle) -> io::Result<Platform> {
+        Platform::with_pages(runtime, PAGE)
+    }
+
+    /// The same, with so many entries on a page.
+    pub fn with_pages(runtime: &Handle, page: usize) -> io::Result<Platform> {
         let listener = violetyoke_standin::listen(violetyoke_standin::any())?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let platform = Platform { address, lines: Arc::default(), calls: Arc::default() };
+        let platform = Platform { address, lines: Arc::default(), calls: Arc::default(), page };
         let _entered = runtime.enter();
         runtime.spawn(serve(TcpListener::from_std(listener)?, platform.clone()));
         Ok(platform)
@@ -52,8 +59,8 @@
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         let from = token.and_then(|token| token.strip_prefix("p-")?.parse().ok()).unwrap_or(0);
         let page: Map<String, Value> =
-            lines.iter().skip(from).take(PAGE).map(|(id, line)| (id.clone(), line.clone())).collect();
-        let next = (from + PAGE < lines.len()).then(|| format!("p-{}", from + PAGE));
+            lines.iter().skip(from).take(self.page).map(|(id, line)| (id.clone(), line.clone())).collect();
+        let next = (from + self.page < lines.len()).then(|| format!("p-{}", from + self.page));
         serde_json::json!({ "instances": page, "next-token": next }).to_string()
     }
 }
