Let backups take over in the order of the record, each after the one before it

Cause: with five stores both backups asked for promises within 120 ms of each other, at times for the same epoch, and both tries failed: p99 1,160 ms without a store. Now the first backup asks at once, the second 150 ms later.

--- a/crates/store/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -9,8 +9,12 @@
 const PHASE_TIMEOUT: Millis = 600;
 /// After a majority has promised, so long for the others.
 const PROMISE_GRACE: Millis = 30;
-/// A witness leaves the first try to the backups.
+/// Each backup leaves the first try to those before it.
+const BACKUP_DELAY: Millis = 150;
+/// A witness leaves it to the backups.
 const WITNESS_DELAY: Millis = 300;
+/// Stores with the same delay differ by up to this much.
+const JITTER: Millis = 60;
 
 /// What a voter had when it promised.
 #[derive(Clone, Debug)]
@@ -67,7 +71,7 @@
         }
         let record = if self.guards.holders_vote { record } else { &self.durable.record };
         let voter = record.voters.contains(&self.me);
-        let holder = record.holders.contains(&self.me.id);
+        let place = record.holders.iter().skip(1).position(|id| *id == self.me.id);
         let others = |id| id == self.me.id || self.reachable(id);
         let heard = enough(record, others);
         if !voter || self.leaving || self.led() {
@@ -75,7 +79,8 @@
             return;
         }
         let unled = *self.unled.get_or_insert(self.now);
-        let wait = if holder { 0 } else { WITNESS_DELAY } + drawn(self.me.id, self.highest, 120);
+        let delay = place.map_or(WITNESS_DELAY, |place| place as Millis * BACKUP_DELAY);
+        let wait = delay + drawn(self.me.id, self.highest, JITTER);
         if self.disk && heard && self.now >= unled + wait && self.now >= self.rest_until {
             self.ask(None);
         }
