--- a/crates/store/src/daemon/mod.rs
+++ b/crates/store/src/daemon/mod.rs
@@ -21,8 +21,8 @@
 use violetyoke_transport::program::Failed;
 use watchers::Watchers;
 
-/// After a SIGTERM others have so long to take over what this store has; the platform waits longer.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// After a SIGTERM others have until so long before the end of `grace-s` to take over what this store has.
+const LEAVE_RESERVE: Duration = Duration::from_millis(1_500);
 const TICK: Duration = Duration::from_millis(50);
 
 /// The program, with the arguments after its name.
@@ -94,6 +94,8 @@
         log,
         told: (0, false),
     };
+    let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(0.5, 60.0));
+    let leave_timeout = grace.saturating_sub(LEAVE_RESERVE);
     let mut leaves: Option<Instant> = None;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -113,7 +115,7 @@
                 daemon.connect();
                 let disk = daemon.keeper.answers();
                 daemon.handle(Event::Tick { disk });
-                if leaves.is_some_and(|since| since.elapsed() > LEAVE_TIMEOUT || daemon.register.may_end()) {
+                if leaves.is_some_and(|since| since.elapsed() > leave_timeout || daemon.register.may_end()) {
                     info!(daemon.log, "ends");
                     return Ok(());
                 }
--- a/crates/store/src/register/membership.rs
+++ b/crates/store/src/register/membership.rs
@@ -58,10 +58,13 @@
         }
     }
 
-    /// A learner takes the state of the record that it knows; a voter gets its states as a holder or not at all.
+    /// A learner takes the state of the record that it knows. So does a voter that holds nothing and has promised no
+    /// higher epoch: the primary takes it for a learner where its address or zone is another by now.
     pub(super) fn snapshot(&mut self, epoch: u64, state: ControlState) {
-        let learner = epoch == self.durable.record.epoch && !self.voter(self.me.id);
-        if learner && state.stamp > self.durable.held.stamp {
+        let record = &self.durable.record;
+        let holder = record.holders.contains(&self.me.id);
+        let free = !record.has_voter(self.me.id) || epoch == self.durable.promised;
+        if epoch == record.epoch && !holder && free && state.stamp > self.durable.held.stamp {
             self.durable.held = state;
             self.keep();
         }
--- a/crates/store/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -214,10 +214,6 @@
         self.gated.push_back((self.requested, Effect::Answer { client, outcome }));
     }
 
-    fn voter(&self, id: u64) -> bool {
-        self.durable.record.has_voter(id)
-    }
-
     fn ip_of(&self, id: u64) -> Option<Ipv4Addr> {
         let voters = self.durable.record.voters.iter();
         voters.clone().find(|voter| voter.id == id).map(|voter| voter.ip)
--- a/crates/store/tests/model/sizes.rs
+++ b/crates/store/tests/model/sizes.rs
@@ -1,7 +1,8 @@
-//! What a takeover sends: no state to a store that has it already.
+//! Three stores at rest, and what one of them sends as it takes over or returns from elsewhere: no state to a store that
+//! has it already.
 
-use crate::moment::{begin, Moment, Store};
-use violetyoke_store::register::{Durable, Event, Register};
+use crate::moment::{begin, ip, Moment, Store};
+use violetyoke_store::register::{Durable, Event, Register, Start};
 use violetyoke_transport::messages::{HolderState, Order, PeerMessage};
 
 /// Three stores with an acknowledged order, and the primary among them.
@@ -80,3 +81,21 @@
     assert!(leads && moment.stores[backup].kept.held.version == 1);
     assert_eq!(moment.stores[backup].kept.held.stamp.epoch, moment.stores[backup].kept.record.epoch);
 }
+
+#[test]
+fn a_voter_whose_zone_is_another_after_a_restart_keeps_its_vote_under_its_new_name() {
+    let (mut moment, primary) = settled();
+    for moved in (0..3).filter(|n| *n != primary) {
+        let kept = moment.stores[moved].kept.clone();
+        let id = kept.id;
+        let seeds = (0..3).map(ip).collect();
+        let start = Start { ip: ip(moved), zone: format!("moved-{moved}"), seeds, tolerance: 1, kept };
+        moment.stores[moved].register = Some(Register::new(start, moment.now, 99, false));
+        moment.settle();
+        let record = &moment.stores[primary].kept.record;
+        let named: Vec<&str> =
+            record.voters.iter().filter(|voter| voter.id == id).map(|voter| voter.zone.as_str()).collect();
+        assert_eq!((named, record.voters.len()), (vec![format!("moved-{moved}").as_str()], 3));
+        assert!(record.prior_voters.is_empty() && moment.stores[moved].kept.record == *record);
+    }
+}
