Leave evacuations that come late undone

Cause: an evacuation has no version. An evacuation now waits 60 ms before it goes out; a call whose client has closed its connection ends in that time.

Tried and dropped: letting orders at a store expire before each batch as well. In the model the order then expires before the loss that without_the_majority_of_the_voters_before_an_acknowledged_order_is_lost has to find; the epoch guards the writes of a store that stood still.

--- a/crates/registry/src/daemon/outside.rs
+++ b/crates/registry/src/daemon/outside.rs
@@ -26,6 +26,10 @@
 /// all: an operator goes on to another registry after a second of silence.
 const INSTALLED_WITHIN: Duration = Duration::from_millis(450);
 const ACKNOWLEDGED_WITHIN: Duration = Duration::from_millis(ANSWER_WITHIN + 50);
+/// An evacuation has no version: one that was sent long ago, and has come late over a cut link or to a process that stood
+/// still, would undo what was ordered since. Its operator has gone on and closed the connection, which is known within
+/// this time of the order's arrival.
+const STALE_WITHIN: Duration = Duration::from_millis(60);
 /// Clients keep an answer for so long, at most: each time that they ask they wait for a way to the core and back, and an
 /// edge that is gone is passed over by who tries it.
 const TTL_S: f64 = 5.0;
@@ -53,8 +57,8 @@
             });
             let mut builder = hyper::server::conn::http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN);
-            // A client that has sent all that it has to say still waits for the answer.
-            builder.half_close(true);
+            // A client that has closed its side is taken for gone: what it asked for is given up where it has not gone out.
+            builder.half_close(false);
             // A client that breaks off has its own reasons.
             let _ = builder.serve_connection(TokioIo::new(stream), service).await;
         });
@@ -96,6 +100,8 @@
             if !registry.borrow().settings.network.zones.contains_key(zone) {
                 return refusal(400, &Invalid::new("of", "is no zone"));
             }
+            // While this waits, a call whose client is gone ends.
+            tokio::time::sleep(STALE_WITHIN).await;
             let empty = call == Call::EvacuationBegin;
             match order(registry, Order::Evacuate { zone: zone.to_owned(), empty }).await {
                 Some(Outcome::Acknowledged) => plain(200, "{}"),
