--- a/crates/proxy/src/backend/answer.rs
+++ b/crates/proxy/src/backend/answer.rs
@@ -65,7 +65,6 @@
         if (100..200).contains(&answer.status) {
             continue;
         }
-        answer.keep &= reader != Reader::Open;
         let mut pieces: Vec<Bytes> = Vec::new();
         let mut held = 0;
         while held <= HELD {
@@ -96,6 +95,9 @@
         httparse::Status::Complete(size) => size,
     };
     let status = parsed.code.unwrap_or(0);
+    if !(100..600).contains(&status) {
+        return Err(bad("status"));
+    }
     let mut answer = Answer { status, keep: parsed.version == Some(1), ..Answer::default() };
     let (mut exact, mut chunked) = (None, false);
     for field in parsed.headers.iter() {
@@ -103,7 +105,7 @@
         let text = std::str::from_utf8(field.value).unwrap_or("").trim();
         match name.as_str() {
             "content-length" => {
-                let told = text.parse::<u64>().map_err(|_| bad("length"))?;
+                let told = digits(text).ok_or_else(|| bad("length"))?;
                 if exact.is_some_and(|other| other != told) {
                     return Err(bad("two lengths"));
                 }
@@ -141,12 +143,18 @@
         (_, true, Some(_)) => return Err(bad("length and chunks")),
         (_, true, None) => Reader::Size,
         (_, _, Some(size)) => Reader::Exact(size),
-        _ => Reader::Open,
+        // It would end with the connection: one that was cut short could not be told from a whole one.
+        _ => return Err(bad("no length")),
     };
     answer.length = exact;
     Ok(Some((answer, reader, size)))
 }
 
+/// A length: digits alone, no sign.
+fn digits(text: &str) -> Option<u64> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 /// Requests running and waiting, of `running, waiting, slots`.
 fn load(text: &str) -> Option<(u32, u32)> {
     let mut figures = text.split(',').map(|figure| figure.trim().parse::<u32>().ok());
--- a/crates/proxy/src/backend/exchange.rs
+++ b/crates/proxy/src/backend/exchange.rs
@@ -82,7 +82,7 @@
         },
     };
     let begun = Instant::now();
-    let mut due = wait(exchange(&mut stream, &mut buffer, one), one, elsewhere).await;
+    let mut due = wait(exchange(&mut stream, &mut buffer, one, reused), one, elsewhere).await;
     if reused && matches!(due, Some(Err(Broken { answered: false, .. }))) {
         proxy.pools.borrow_mut().forgotten();
         // The backend had forgotten the connection: where the request may run again, it goes out on a new one.
@@ -93,7 +93,7 @@
                 Ok(stream) => stream,
                 Err(_) => return Ended::without(Verdict::MayHaveRun, Showed::Dead),
             };
-            due = wait(exchange(&mut stream, &mut buffer, one), one, elsewhere).await;
+            due = wait(exchange(&mut stream, &mut buffer, one, false), one, elsewhere).await;
         }
     }
     let answer = match due {
@@ -137,13 +137,18 @@
 }
 
 /// Sends the request and reads the answer to it, which may come before all is sent.
-async fn exchange(stream: &mut Stream, buffer: &mut BytesMut, one: &Try) -> Result<Answer, Broken> {
+async fn exchange(
+    stream: &mut Stream,
+    buffer: &mut BytesMut,
+    one: &Try,
+    reused: bool,
+) -> Result<Answer, Broken> {
     let (mut reader, mut writer) = split(stream);
     let mut sending = pin!(async {
         writer.write_all(&one.bytes).await.map_err(|_| Stopped::Backend)?;
         one.body.send_rest(&mut writer).await
     });
-    let mut reading = pin!(due(&mut reader, buffer, one));
+    let mut reading = pin!(due(&mut reader, buffer, one, reused));
     tokio::select! {
         biased;
         sent = sending.as_mut() => match sent {
@@ -162,21 +167,23 @@
     Answer { keep: false, ..answer }
 }
 
-/// Reads the answer that is due.
+/// Reads the answer that is due. One that bears no id is believed only where it refuses, and only as the first on its
+/// connection: on one that was used before it may be a second answer to an earlier request, while this one runs.
 async fn due(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
     one: &Try,
+    reused: bool,
 ) -> Result<Answer, Broken> {
     for earlier in 0..MOST_EARLIER {
         let answer = answer::read(stream, buffer, one.head_only).await;
         let answer = answer.map_err(|_| Broken::backend(earlier > 0 || !buffer.is_empty()))?;
-        // One that bears another's id is late: it belongs to no request, also where it says that one did not run.
-        if answer.attempt.as_deref().map_or(refuses(&answer), |id| id == one.attempt) {
-            return Ok(answer);
-        }
-        if answer.rest.is_some() {
-            break;
+        match answer.attempt.as_deref() {
+            Some(id) if id == one.attempt => return Ok(answer),
+            None if refuses(&answer) && !reused && earlier == 0 => return Ok(answer),
+            // One that bears another's id is late: it belongs to no request, also where it says that one did not run.
+            _ if answer.rest.is_some() => break,
+            _ => {}
         }
     }
     Err(Broken::backend(true))
--- a/crates/proxy/src/backend/reader.rs
+++ b/crates/proxy/src/backend/reader.rs
@@ -14,8 +14,6 @@
     Size,
     Chunk(u64),
     ChunkEnd,
-    /// With the connection.
-    Open,
     Ended,
 }
 
@@ -34,11 +32,6 @@
                     *self = Reader::Exact(left - piece.len() as u64);
                     return Ok(Some(piece));
                 }
-                Reader::Open => match piece(stream, buffer, u64::MAX).await {
-                    Ok(piece) => return Ok(Some(piece)),
-                    Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => *self = Reader::Ended,
-                    Err(error) => return Err(error),
-                },
                 Reader::Size => *self = size(stream, buffer).await?,
                 Reader::Chunk(left) => {
                     let piece = piece(stream, buffer, left).await?;
