Deflate only the messages that carry a state of control

Change: encode_deflated for what holds a state (between stores, News, answers to reads, orders to the store); encode leaves the rest as it was.

--- a/crates/registry/src/daemon/orders.rs
+++ b/crates/registry/src/daemon/orders.rs
@@ -5,7 +5,7 @@
 use crate::Millis;
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
-use violetyoke_transport::frame::encode;
+use violetyoke_transport::frame::encode_deflated;
 use violetyoke_transport::messages::{Order, Outcome, StoreRequest};
 
 pub(super) struct Clients {
@@ -44,7 +44,7 @@
         }
         let Some((_, sender)) = primary else { return };
         for (call, order) in step.calls {
-            sender.send(encode(&StoreRequest::Do { call, order }));
+            sender.send(encode_deflated(&StoreRequest::Do { call, order }));
         }
     }
 
--- a/crates/store/src/daemon/encoder.rs
+++ b/crates/store/src/daemon/encoder.rs
@@ -1,7 +1,7 @@
 //! Messages with a whole state are encoded once for all who get the same: deflating a megabyte takes tens of milliseconds.
 
 use bytes::Bytes;
-use violetyoke_transport::frame::encode;
+use violetyoke_transport::frame::encode_deflated;
 use violetyoke_transport::messages::{
     ControlState, Envelope, Member, PeerMessage, Stamp, StoreReply, StoreRequest,
 };
@@ -24,7 +24,7 @@
             return bytes.clone();
         }
         let request = StoreRequest::Envelope(Envelope { from: from.clone(), message });
-        let bytes = encode(&request);
+        let bytes = encode_deflated(&request);
         if let (LARGE.., StoreRequest::Envelope(envelope)) = (bytes.len(), request) {
             self.peer = Some((envelope.message, bytes.clone()));
         }
@@ -41,7 +41,7 @@
         if let Some((_, bytes)) = self.news.as_ref().filter(|(stamp, _)| *stamp == state.stamp) {
             return bytes.clone();
         }
-        let bytes = encode(&StoreReply::News(state.clone()));
+        let bytes = encode_deflated(&StoreReply::News(state.clone()));
         self.news = Some((state.stamp, bytes.clone()));
         bytes
     }
--- a/crates/store/src/daemon/watchers.rs
+++ b/crates/store/src/daemon/watchers.rs
@@ -4,7 +4,7 @@
 use crate::register::{Client, Register};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
-use violetyoke_transport::frame::encode;
+use violetyoke_transport::frame::{encode, encode_deflated};
 use violetyoke_transport::link::Sender;
 use violetyoke_transport::messages::{Outcome, Owners, Stamp, StoreReply};
 
@@ -55,7 +55,7 @@
     pub fn answer(&mut self, client: Client, outcome: Outcome) {
         let Some((number, call)) = self.clients.remove(&client) else { return };
         if let Some(watcher) = self.by_connection.get(&number) {
-            watcher.sender.send(encode(&StoreReply::Done { call, outcome }));
+            watcher.sender.send(encode_deflated(&StoreReply::Done { call, outcome }));
         }
     }
 
--- a/crates/transport/examples/message_cost.rs
+++ b/crates/transport/examples/message_cost.rs
@@ -2,7 +2,7 @@
 //! message_cost`. Routes are like those of an operator's configuration, about 120 bytes each.
 
 use std::time::{Duration, Instant};
-use violetyoke_transport::frame::{decode, encode};
+use violetyoke_transport::frame::{decode, encode_deflated};
 use violetyoke_transport::messages::{ControlState, Envelope, Member, PeerMessage, Stamp, StoreRequest};
 
 const RUNS: u32 = 20;
@@ -46,8 +46,8 @@
         let from = Member { id: 1, ip: [10, 0, 0, 1].into(), zone: "zone-a".into() };
         let message =
             StoreRequest::Envelope(Envelope { from, message: PeerMessage::Write { epoch: 3, held } });
-        let bytes = encode(&message);
-        let encoded = mean(|| drop(encode(&message)));
+        let bytes = encode_deflated(&message);
+        let encoded = mean(|| drop(encode_deflated(&message)));
         let decoded = mean(|| assert!(decode::<StoreRequest>(&bytes).is_ok()));
         let millis = |span: Duration| span.as_secs_f64() * 1_000.0;
         let sent = bytes.len();
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -1,4 +1,4 @@
-//! Messages as MessagePack, large ones deflated: states of control are text that repeats much, and bytes between zones
+//! Messages as MessagePack, those with a state of control deflated: it is text that repeats much, and bytes between zones
 //! have a price. `chunks` says how they go into frames.
 
 use crate::pack::{deflate, inflate};
@@ -9,15 +9,20 @@
 /// The longest message that is taken: a configuration of 5,000 routes is about 1 MiB, and the registry refuses orders
 /// over 8 MiB.
 pub const LONGEST: usize = 16 << 20;
-/// Messages that are longer are deflated.
+/// Messages with a state that are longer are deflated.
 const DEFLATE_FROM: usize = 4 << 10;
 /// The first byte of a deflated message; no MessagePack value begins with it.
 const DEFLATED: u8 = 0xc1;
 
 /// A message's bytes.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
-    // Writing to memory fails for no message of `messages`: none has a map without a length or a number out of range.
-    let plain = rmp_serde::to_vec(message).unwrap_or_default();
+    Bytes::from(plain(message))
+}
+
+/// The bytes of a message that may carry a whole state: deflated, where it is large. Lists of backends and members go to
+/// many proxies in many versions, and are not worth the time.
+pub fn encode_deflated<T: Serialize>(message: &T) -> Bytes {
+    let plain = plain(message);
     if plain.len() <= DEFLATE_FROM {
         return Bytes::from(plain);
     }
@@ -27,6 +32,12 @@
     }
 }
 
+fn plain<T: Serialize>(message: &T) -> Vec<u8> {
+    // Writing to memory fails for no message of `messages`: none has a map without a length or a number out of range.
+    rmp_serde::to_vec(message).unwrap_or_default()
+}
+
+/// Reads a message, deflated or not.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
     let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
     match bytes.split_first() {
--- a/crates/transport/tests/chunks.rs
+++ b/crates/transport/tests/chunks.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 use violetyoke_transport::chunks::{append_keepalive, codec, Assembler, Outgoing, SendQueue, CHUNK};
-use violetyoke_transport::frame::{decode, encode, LONGEST};
+use violetyoke_transport::frame::{decode, encode, encode_deflated, LONGEST};
 
 fn ordered(payload: Bytes) -> Outgoing {
     Outgoing { payload, urgent: false }
@@ -76,12 +76,13 @@
 #[test]
 fn large_messages_are_deflated_and_read_back() {
     let routes: Vec<String> = (0..5_000).map(|n| format!("/prefix{n}/ to a service, for a host")).collect();
-    let bytes = encode(&routes);
+    let bytes = encode_deflated(&routes);
     assert!(bytes.len() * 4 < routes.concat().len(), "{} bytes", bytes.len());
     assert_eq!(decode::<Vec<String>>(&bytes).expect("read back"), routes);
     for end in [0, 1, 2, bytes.len() / 2, bytes.len() - 1] {
         assert!(decode::<Vec<String>>(&bytes[..end]).is_err(), "cut at {end}");
     }
+    assert_eq!(decode::<Vec<String>>(&encode(&routes)).expect("plain"), routes);
     let small = vec!["one".to_owned()];
-    assert_eq!(decode::<Vec<String>>(&encode(&small)).expect("read back"), small);
+    assert_eq!(decode::<Vec<String>>(&encode_deflated(&small)).expect("read back"), small);
 }
