Compute the registry's list of members when sessions change, not at each message

Cause of the registry's quadratic work, by `perf record` on one registry before 300 hollow ingresses (1,683 samples in 25 s): `publish` runs at each message of a proxy, and each time built a table of all sessions by name, twice: BTreeMap::insert 26.5 of 100 samples, memcmp 20.2, Sessions::all 2.4, Absent::see 5.1. N ingresses poll for each change, so that a change cost N tables of N entries. Ruled out: sending (9 of 100), packing and hashing (below 2).

The numbers of the members and of those that are not ready are now kept, and computed anew only when a session begins, changes or ends, here or at another registry.

--- a/crates/registry/src/daemon/telling.rs
+++ b/crates/registry/src/daemon/telling.rs
@@ -168,13 +168,13 @@
         registries.extend(&owners.registries);
         let mut members = Members {
             digest: 0,
-            proxies: self.sessions.members(),
+            proxies: self.sessions.members().to_vec(),
             registries: registries.into_iter().collect(),
             in_contact,
             owners,
             newest: Stamp::default(),
         };
-        self.proxies.absent.see(now, &members.proxies, &self.sessions.not_ready());
+        self.proxies.absent.see(now, &members.proxies, self.sessions.not_ready());
         let mut hasher = DefaultHasher::new();
         (&members.proxies, &members.registries, members.in_contact, members.owners.fence).hash(&mut hasher);
         members.digest = hasher.finish() | 1;
--- a/crates/registry/src/sessions.rs
+++ b/crates/registry/src/sessions.rs
@@ -12,25 +12,48 @@
 pub struct Sessions {
     own: BTreeMap<u64, Session>,
     others: BTreeMap<Ipv4Addr, Vec<Session>>,
+    /// Computed anew when a session begins, changes or ends, not each time that it is read: the registry reads it at
+    /// each message of a proxy, and a table of all sessions for each message makes the work grow with their square.
+    members: Members,
+}
+
+/// Numbers of all proxies, in order, and of those that are not ready.
+#[derive(Clone, Debug, Default)]
+struct Members {
+    all: Vec<u32>,
+    not_ready: Vec<u32>,
 }
 
 impl Sessions {
     /// A proxy says who it is, on a connection of that number.
     pub fn begin(&mut self, connection: u64, session: Session) {
+        let changed = self.own.get(&connection) != Some(&session);
         self.own.insert(connection, session);
+        if changed {
+            self.update_members();
+        }
     }
 
     /// The connection has ended; whether a session did.
     pub fn end(&mut self, connection: u64) -> bool {
-        self.own.remove(&connection).is_some()
+        let ended = self.own.remove(&connection).is_some();
+        if ended {
+            self.update_members();
+        }
+        ended
     }
 
     pub fn told(&mut self, registry: Ipv4Addr, sessions: Vec<Session>) {
-        self.others.insert(registry, sessions);
+        if self.others.get(&registry) != Some(&sessions) {
+            self.others.insert(registry, sessions);
+            self.update_members();
+        }
     }
 
     pub fn lost(&mut self, registry: Ipv4Addr) {
-        self.others.remove(&registry);
+        if self.others.remove(&registry).is_some() {
+            self.update_members();
+        }
     }
 
     /// What is told to other registries.
@@ -48,15 +71,20 @@
     }
 
     /// Numbers of all proxies, in order.
-    pub fn members(&self) -> Vec<u32> {
-        let members: BTreeSet<u32> = self.all().keys().map(|name| member(name)).collect();
-        members.into_iter().collect()
+    pub fn members(&self) -> &[u32] {
+        &self.members.all
     }
 
     /// Those of them that are not ready: most have just begun.
-    pub fn not_ready(&self) -> Vec<u32> {
+    pub fn not_ready(&self) -> &[u32] {
+        &self.members.not_ready
+    }
+
+    fn update_members(&mut self) {
         let all = self.all();
-        all.values().filter(|session| !session.ready).map(|session| member(&session.node)).collect()
+        let members: BTreeSet<u32> = all.keys().map(|name| member(name)).collect();
+        let not_ready = all.values().filter(|session| !session.ready).map(|session| member(&session.node));
+        self.members = Members { all: members.into_iter().collect(), not_ready: not_ready.collect() };
     }
 
     /// Where a client of that zone is to go: ready proxies of its zone, or else of its region, or else any.
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -36,6 +36,31 @@
     assert_eq!(sessions.members(), [member("edge-1")], "not ready, and still a member");
 }
 
+#[test]
+fn members_follow_each_beginning_change_and_end_of_a_session() {
+    let other = Ipv4Addr::new(10, 0, 0, 9);
+    let mut numbers = [member("edge-1"), member("edge-2")];
+    numbers.sort();
+    let mut sessions = Sessions::default();
+    assert!(sessions.members().is_empty());
+    sessions.begin(1, session("edge-1", "a1", 1, false));
+    assert_eq!(
+        (sessions.members(), sessions.not_ready()),
+        (&[member("edge-1")][..], &[member("edge-1")][..])
+    );
+    sessions.begin(1, session("edge-1", "a1", 1, true));
+    assert!(sessions.not_ready().is_empty(), "it says on the same connection that it is ready");
+    sessions.told(other, vec![session("edge-2", "a1", 2, false)]);
+    assert_eq!((sessions.members(), sessions.not_ready()), (&numbers[..], &[member("edge-2")][..]));
+    sessions.told(other, vec![session("edge-2", "a1", 2, true)]);
+    assert!(sessions.not_ready().is_empty());
+    assert!(!sessions.end(7), "a connection without a session");
+    assert!(sessions.end(1));
+    assert_eq!(sessions.members(), [member("edge-2")]);
+    sessions.lost(other);
+    assert!(sessions.members().is_empty());
+}
+
 fn backend(id: &str, draining: bool, cold_left_ms: u64) -> Backend {
     Backend {
         id: id.into(),
