Copy the registry's list of backends only when it is sent

Cause: `publish` runs at each message of a proxy, and copied the whole list of backends each time to see whether it was another; since proxies wait for each kind of news apart also once for each proxy that any news was waiting for, so that a message cost ingresses times backends.

The list's digest is compared first, and the list copied where it is due.

--- a/crates/registry/src/daemon/telling.rs
+++ b/crates/registry/src/daemon/telling.rs
@@ -84,6 +84,11 @@
         Some(frame)
     }
 
+    /// The digest of the newest list, or 0.
+    fn list_digest(&self) -> u64 {
+        self.lists.back().map_or(0, |list| list.digest)
+    }
+
     /// The newest list is another.
     pub fn list(&mut self, list: Option<List>) {
         if let Some(list) =
@@ -117,8 +122,11 @@
     pub(super) fn publish(&mut self) {
         let now = self.now();
         self.gather_members(now);
-        self.telling.list(self.lists.newest(now, true));
         let digest = self.lists.digest();
+        // A list is copied only when it is sent or is another: this runs at each message of each proxy.
+        if self.telling.list_digest() != digest {
+            self.telling.list(self.lists.newest(now, true));
+        }
         let newest = self.telling.stamp();
         // Ages in messages that were made before are too young by now.
         self.telling.list_made.clear();
@@ -139,7 +147,7 @@
                 }
             }
             let list_is_due = other_list && (proxy.lead || proxy.waits.list_is_due(now));
-            if let Some(list) = self.lists.newest(now, true).filter(|_| list_is_due) {
+            if let Some(list) = list_is_due.then(|| self.lists.newest(now, true)).flatten() {
                 let frame = self.telling.list_since(proxy.list, list);
                 proxy.list = digest;
                 proxy.waits.list = None;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod run;
 pub mod seen;
 pub mod stage;
+pub mod state;
 pub mod traffic;
 pub mod troubles;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -157,7 +157,7 @@
 fn play(run: &Run) -> std::io::Result<()> {
     let program = std::env::current_exe()?;
     let begun = Instant::now();
-    let command = std::env::args().skip(1).collect::<Vec<_>>().join(" ");
+    let command = command_of(std::env::args().skip(1));
     let mut record = Record {
         axis: run.axis.clone(),
         command: format!("violetyoke-scale {command}"),
@@ -183,6 +183,15 @@
     run.out.as_deref().map_or(Ok(()), |out: &Path| record.write(out))
 }
 
+/// The command line, but for where the record goes.
+fn command_of(arguments: impl Iterator<Item = String>) -> String {
+    let mut words: Vec<String> = arguments.collect();
+    if let Some(out) = words.iter().position(|word| word == "--out") {
+        words.drain(out..(out + 2).min(words.len()));
+    }
+    words.join(" ")
+}
+
 /// Why the next step can't begin.
 fn stop(run: &Run, begun: Instant, ingresses: usize, most: usize) -> Option<String> {
     if begun.elapsed() > run.until {
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -3,6 +3,7 @@
 
 use crate::reckon;
 use crate::record::Record;
+use crate::state::state_table;
 use std::fmt::Write;
 use std::io;
 use std::path::Path;
@@ -37,13 +38,14 @@
     Ok(out)
 }
 
-/// A table by its name: `run AXIS`, `check AXIS`, or `role ROLE`.
+/// A table by its name: `run RECORD`, `check RECORD`, `role ROLE`, or `state`.
 fn table(name: &str, folder: &Path) -> io::Result<String> {
-    let read = |axis: &str| Record::read(&folder.join(format!("{axis}.json")));
+    let read = |record: &str| Record::read(&folder.join(format!("{record}.json")));
     match name.split_once(' ') {
-        Some(("run", axis)) => read(axis).map(|record| record_table(&record)),
-        Some(("check", axis)) => read(axis).map(|record| check_table(&record)),
+        Some(("run", record)) => read(record).map(|record| record_table(&record)),
+        Some(("check", record)) => read(record).map(|record| check_table(&record)),
         Some(("role", role)) => reckon::role_table(role, &read("ingresses")?),
+        None if name == "state" => Ok(state_table(&[read("routes")?, read("tenants")?, read("backends")?])),
         _ => Err(io::Error::other(format!("no table is called {name}"))),
     }
 }
