--- a/crates/store/tests/schedules/operators.rs
+++ b/crates/store/tests/schedules/operators.rs
@@ -110,7 +110,12 @@
         current.looked = now;
         current.calm = if self.settled() { current.calm + elapsed } else { 0 };
         let answer = self.cluster.answers.remove(&current.client);
-        // Another outcome is no clear answer.
+        if answer == Some(Outcome::VersionTaken) {
+            if !current.contested {
+                self.breaks("refused", shown(&current.order));
+            }
+            return self.pause();
+        }
         if let Some(Outcome::Acknowledged | Outcome::Read(_)) = &answer {
             self.figures.answered(now - current.begun);
             return self.pause();
--- a/crates/store/tests/schedules/player.rs
+++ b/crates/store/tests/schedules/player.rs
@@ -184,6 +184,9 @@
         for version in self.cluster.history.ambiguous_numbers() {
             self.breaks("one text", format!("two texts were confirmed or read under {version}"));
         }
+        for version in self.cluster.history.refused_though_acknowledged() {
+            self.breaks("refused", format!("{version} was acknowledged and refused"));
+        }
         if let Err(error) = check(&self.cluster.history.operations) {
             self.breaks("linearizability", format!("{error:?}").chars().take(300).collect());
         }
--- a/crates/store/tests/simulation/linearizability.rs
+++ b/crates/store/tests/simulation/linearizability.rs
@@ -211,6 +211,10 @@
         (Order::Replace { version, text }, Answer::Acknowledged) => {
             (*version < state.version || *text == state.text).then(|| state.clone())
         }
+        (Order::Replace { version, text }, Answer::Refused) => {
+            let own = *version == state.version && *text == state.text;
+            (*version <= state.version && !own).then(|| state.clone())
+        }
         (Order::Evacuate { zone, empty }, Answer::Acknowledged) => Some(evacuate(state, zone, *empty)),
         (Order::Read, Answer::Read(held)) => (*state == read(held)).then(|| state.clone()),
         _ => None,
