Name what backends are seen to do by the field's terms: Observation, Availability, BackendReport

Mechanical: Showed, Held, Shown, Line, again.rs, shown.rs, Fleet::list and list_change, Proxy::take, told, listed and line of news.rs. No behaviour changes; the tests of balancing and proxy pass as before.

--- a/crates/balancing/src/backend.rs
+++ b/crates/balancing/src/backend.rs
@@ -1,7 +1,7 @@
 //! One life of a backend: what is known of it, and what it has shown.
 
 use crate::cold::Cold;
-use crate::shown::Counts;
+use crate::report::Counts;
 use crate::Millis;
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
@@ -17,7 +17,7 @@
 
 /// How one attempt ended, as far as it tells of the backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Showed {
+pub enum Observation {
     /// An answer, after so many ms; `load` is what it told of itself: running, waiting.
     Answer { took: Millis, load: Option<(u32, u32)> },
     /// It turned the request away: full, or leaving.
@@ -120,12 +120,12 @@
     }
 
     /// An attempt has ended.
-    pub fn ended(&mut self, now: Millis, showed: Showed) {
-        self.counts.ended(showed);
+    pub fn ended(&mut self, now: Millis, observed: Observation) {
+        self.counts.ended(observed);
         let open = self.open;
         self.open = self.open.saturating_sub(1);
-        match showed {
-            Showed::Answer { took, load } => {
+        match observed {
+            Observation::Answer { took, load } => {
                 (self.failures, self.away) = (0, false);
                 self.resting_until = 0;
                 self.answered = now;
@@ -137,20 +137,20 @@
                     self.told = now;
                 }
             }
-            Showed::TurnedAway => {
+            Observation::TurnedAway => {
                 self.answered = now;
                 self.others = f64::from(self.slots).max(self.others);
                 self.told = now;
                 self.resting_until = self.resting_until.max(now + 100);
             }
-            Showed::Dead => {
+            Observation::Dead => {
                 self.away = true;
                 self.fail(now, 2);
             }
-            Showed::Silent => self.fail(now, 2),
-            Showed::Broke => self.fail(now, 0),
-            Showed::NotThere => self.leaving = true,
-            Showed::Nothing => {}
+            Observation::Silent => self.fail(now, 2),
+            Observation::Broke => self.fail(now, 0),
+            Observation::NotThere => self.leaving = true,
+            Observation::Nothing => {}
         }
     }
 
--- a/crates/balancing/src/fleet.rs
+++ b/crates/balancing/src/fleet.rs
@@ -1,13 +1,13 @@
 //! All backends that are known, as the platform's list tells of them.
 
-use crate::backend::{Backend, Showed};
+use crate::backend::{Backend, Observation};
 use crate::Millis;
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 
 /// One line of the list.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Line {
+pub struct ListedBackend {
     pub id: String,
     pub service: String,
     pub address: std::net::SocketAddrV4,
@@ -67,7 +67,7 @@
     }
 
     /// A list that was asked for at `at`; an older one than is known changes nothing, and is not taken.
-    pub fn list(&mut self, now: Millis, at: Millis, lines: Vec<Line>) -> bool {
+    pub fn replace_list(&mut self, now: Millis, at: Millis, lines: Vec<ListedBackend>) -> bool {
         if self.listed.is_some_and(|listed| at < listed) {
             return false;
         }
@@ -93,7 +93,13 @@
     }
 
     /// What has changed since the newest list; made from one that was asked for at `at`.
-    pub fn list_change(&mut self, now: Millis, at: Millis, set: Vec<Line>, gone: &[String]) -> bool {
+    pub fn apply_list_change(
+        &mut self,
+        now: Millis,
+        at: Millis,
+        set: Vec<ListedBackend>,
+        gone: &[String],
+    ) -> bool {
         if self.listed.is_some_and(|listed| at < listed) {
             return false;
         }
@@ -103,12 +109,12 @@
         true
     }
 
-    fn set(&mut self, lines: Vec<Line>, at: Millis) {
+    fn set(&mut self, lines: Vec<ListedBackend>, at: Millis) {
         for line in lines {
             if self.ended.contains_key(&line.id) {
                 continue;
             }
-            let Line { id, service, address, zone, region, slots, draining, cold_left_ms } = line;
+            let ListedBackend { id, service, address, zone, region, slots, draining, cold_left_ms } = line;
             let backend = self
                 .backends
                 .entry(id.clone())
@@ -180,10 +186,10 @@
         }
     }
 
-    pub fn ended(&mut self, now: Millis, id: &str, showed: Showed) {
+    pub fn ended(&mut self, now: Millis, id: &str, observed: Observation) {
         let Some(backend) = self.backends.get_mut(id) else { return };
         let (leaving, away) = (backend.leaving, backend.away);
-        backend.ended(now, showed);
+        backend.ended(now, observed);
         if away || backend.away {
             // One that had no power comes back cold, and a list that says so comes later.
             let cold = self.terms.get(&backend.service).map_or(0, |terms| terms.cold_ms);
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -1,14 +1,14 @@
 //! Which backend gets a request, how many at once, and whether a request may be sent again. Nothing here does I/O or
 //! reads a clock; chance is seeded.
 
-pub mod again;
 pub mod backend;
 pub mod budget;
 pub mod choose;
 pub mod cold;
 pub mod fleet;
 pub mod queue;
-pub mod shown;
+pub mod report;
+pub mod retry;
 
 /// Milliseconds of a clock that only advances.
 pub type Millis = u64;
--- a/crates/balancing/src/shown.rs
+++ b/crates/balancing/src/report.rs
@@ -1,6 +1,6 @@
 //! What each backend was given and has shown, for operators.
 
-use crate::backend::{Backend, Showed};
+use crate::backend::{Backend, Observation};
 use crate::fleet::Fleet;
 use crate::Millis;
 
@@ -14,19 +14,19 @@
 }
 
 impl Counts {
-    pub(crate) fn ended(&mut self, showed: Showed) {
-        match showed {
-            Showed::Answer { .. } => self.answered += 1,
-            Showed::TurnedAway | Showed::NotThere => self.turned_away += 1,
-            Showed::Dead | Showed::Broke | Showed::Silent => self.failed += 1,
-            Showed::Nothing => {}
+    pub(crate) fn ended(&mut self, observed: Observation) {
+        match observed {
+            Observation::Answer { .. } => self.answered += 1,
+            Observation::TurnedAway | Observation::NotThere => self.turned_away += 1,
+            Observation::Dead | Observation::Broke | Observation::Silent => self.failed += 1,
+            Observation::Nothing => {}
         }
     }
 }
 
 /// Why a backend gets less than it could, or nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Held {
+pub enum Availability {
     /// It gets what it has room for.
     Back,
     Leaving,
@@ -36,22 +36,22 @@
     Full,
 }
 
-impl Held {
+impl Availability {
     pub fn text(self) -> &'static str {
         match self {
-            Held::Back => "well",
-            Held::Leaving => "leaving",
-            Held::Evacuated => "evacuated",
-            Held::Resting => "resting",
-            Held::Cold => "cold",
-            Held::Full => "full",
+            Availability::Back => "well",
+            Availability::Leaving => "leaving",
+            Availability::Evacuated => "evacuated",
+            Availability::Resting => "resting",
+            Availability::Cold => "cold",
+            Availability::Full => "full",
         }
     }
 }
 
 /// One backend as this ingress sees it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Shown {
+pub struct BackendReport {
     pub id: String,
     pub service: String,
     pub zone: String,
@@ -62,32 +62,33 @@
     /// Mean time of an answer (ms).
     pub pace_ms: Option<f64>,
     pub counts: Counts,
-    pub held: Held,
+    pub held: Availability,
 }
 
 impl Fleet {
     /// All backends by service and id.
-    pub fn shown(&self, now: Millis) -> Vec<Shown> {
-        let mut all: Vec<Shown> = self.backends.values().map(|backend| self.show(now, backend)).collect();
+    pub fn shown(&self, now: Millis) -> Vec<BackendReport> {
+        let mut all: Vec<BackendReport> =
+            self.backends.values().map(|backend| self.show(now, backend)).collect();
         all.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
         all
     }
 
-    fn show(&self, now: Millis, backend: &Backend) -> Shown {
+    fn show(&self, now: Millis, backend: &Backend) -> BackendReport {
         let held = if backend.leaving {
-            Held::Leaving
+            Availability::Leaving
         } else if self.evacuated.contains(&backend.zone) {
-            Held::Evacuated
+            Availability::Evacuated
         } else if backend.resting(now) {
-            Held::Resting
+            Availability::Resting
         } else if backend.cold.is(now) {
-            Held::Cold
+            Availability::Cold
         } else if self.room(now, backend) {
-            Held::Back
+            Availability::Back
         } else {
-            Held::Full
+            Availability::Full
         };
-        Shown {
+        BackendReport {
             id: backend.id.clone(),
             service: backend.service.clone(),
             zone: backend.zone.clone(),
--- a/crates/balancing/src/again.rs
+++ b/crates/balancing/src/retry.rs
@@ -1,7 +1,7 @@
 //! When a request waits, when an attempt has been waited for long enough, and whether another may be made.
 //!
 //! ```
-//! use violetyoke_balancing::again::Bounds;
+//! use violetyoke_balancing::retry::Bounds;
 //!
 //! let search = Bounds { repeatable: true, attempts: 2, target: 400, deadline: 1_000 };
 //! assert_eq!(search.queues(), 88);
--- a/crates/balancing/tests/choice.rs
+++ b/crates/balancing/tests/choice.rs
@@ -1,13 +1,13 @@
 //! Which backend, by what backends have shown and where they stand.
 
 use std::collections::{BTreeSet, HashMap};
-use violetyoke_balancing::backend::Showed;
+use violetyoke_balancing::backend::Observation;
 use violetyoke_balancing::cold::part;
-use violetyoke_balancing::fleet::{Line, Place, Terms};
+use violetyoke_balancing::fleet::{ListedBackend, Place, Terms};
 use violetyoke_balancing::{Choice, Fleet, Wanted};
 
-fn line(id: &str, zone: &str, slots: u32) -> Line {
-    Line {
+fn line(id: &str, zone: &str, slots: u32) -> ListedBackend {
+    ListedBackend {
         id: id.into(),
         service: "finder".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
@@ -23,12 +23,12 @@
     (0..count).collect()
 }
 
-fn fleet(lines: Vec<Line>) -> Fleet {
+fn fleet(lines: Vec<ListedBackend>) -> Fleet {
     let place = Place { me: 0, zone: "a1".into(), region: "a".into(), members: members(9) };
     let mut fleet = Fleet::new(place);
     let warming = Terms { cold_ms: 3_000, cold_rate: 21.0, connections: 100 };
     fleet.configure(0, HashMap::from([("finder".into(), warming)]), BTreeSet::new(), 1_500);
-    assert!(fleet.list(10, 10, lines));
+    assert!(fleet.replace_list(10, 10, lines));
     fleet
 }
 
@@ -61,7 +61,7 @@
         assert_eq!(counts[id], 8, "{counts:?}");
     }
     // One place comes free far away: it is taken, as nothing nearer is.
-    fleet.ended(150, "far", Showed::Nothing);
+    fleet.ended(150, "far", Observation::Nothing);
     assert_eq!(chosen(&fleet, 150, ANY).as_deref(), Some("far"));
 }
 
@@ -81,7 +81,7 @@
     for me in 0..200 {
         let mut fleet = fleet(ids.iter().map(|id| line(id, "a1", 6)).collect());
         fleet = Fleet::new(Place { me, ..fleet.place.clone() });
-        fleet.list(10, 10, ids.iter().map(|id| line(id, "a1", 6)).collect());
+        fleet.replace_list(10, 10, ids.iter().map(|id| line(id, "a1", 6)).collect());
         *chosen_by.entry(chosen(&fleet, 100, ANY).expect("one of twenty")).or_default() += 1;
     }
     assert!(chosen_by.len() == 20 && chosen_by.values().all(|count| *count < 30), "{chosen_by:?}");
@@ -100,7 +100,7 @@
 fn loads_that_others_caused_count_and_fade() {
     let mut fleet = fleet(vec![line("one", "a1", 2), line("two", "a1", 2)]);
     fleet.sent(100, "one");
-    fleet.ended(160, "one", Showed::Answer { took: 60, load: Some((2, 1)) });
+    fleet.ended(160, "one", Observation::Answer { took: 60, load: Some((2, 1)) });
     assert_eq!(chosen(&fleet, 170, ANY).as_deref(), Some("two"));
     fleet.sent(170, "two");
     fleet.sent(170, "two");
@@ -115,7 +115,7 @@
     for now in (100..60_000).step_by(20) {
         open.retain(|(end, took, id)| {
             if *end <= now {
-                fleet.ended(now, id, Showed::Answer { took: *took, load: None });
+                fleet.ended(now, id, Observation::Answer { took: *took, load: None });
             }
             *end > now
         });
@@ -133,10 +133,10 @@
 fn one_that_is_dead_is_left_alone_and_tried_again_where_all_are() {
     let mut fleet = fleet(vec![line("dead", "a1", 6), line("well", "a2", 6)]);
     fleet.sent(100, "dead");
-    fleet.ended(101, "dead", Showed::Dead);
+    fleet.ended(101, "dead", Observation::Dead);
     assert_eq!(chosen(&fleet, 110, ANY).as_deref(), Some("well"));
     fleet.sent(110, "well");
-    fleet.ended(111, "well", Showed::Dead);
+    fleet.ended(111, "well", Observation::Dead);
     assert_eq!(chosen(&fleet, 120, ANY).as_deref(), Some("dead"), "the one that rests least");
     assert_eq!(chosen(&fleet, 5_000, ANY).as_deref(), Some("dead"), "rested, and near");
 }
@@ -144,17 +144,17 @@
 #[test]
 fn drained_ended_and_evacuated_ones_get_nothing() {
     let mut fleet = fleet(vec![line("one", "a1", 6), line("two", "a2", 6), line("three", "b1", 6)]);
-    let draining = Line { draining: true, ..line("one", "a1", 6) };
-    assert!(fleet.list(1_000, 990, vec![draining, line("two", "a2", 6), line("three", "b1", 6)]));
+    let draining = ListedBackend { draining: true, ..line("one", "a1", 6) };
+    assert!(fleet.replace_list(1_000, 990, vec![draining, line("two", "a2", 6), line("three", "b1", 6)]));
     assert_eq!(chosen(&fleet, 1_001, ANY).as_deref(), Some("two"));
     // An older list, told late, brings nothing back.
-    assert!(!fleet.list(1_010, 500, vec![line("one", "a1", 6)]));
+    assert!(!fleet.replace_list(1_010, 500, vec![line("one", "a1", 6)]));
     fleet.configure(1_020, HashMap::new(), BTreeSet::from(["a2".to_owned()]), 0);
     assert_eq!(chosen(&fleet, 1_030, ANY).as_deref(), Some("three"));
-    assert!(fleet.list(1_100, 1_090, vec![line("two", "a2", 6)]));
+    assert!(fleet.replace_list(1_100, 1_090, vec![line("two", "a2", 6)]));
     assert_eq!(fleet.choose(1_110, ANY), Choice::Nobody);
     // A life that has ended never comes back, whatever a list says.
-    assert!(fleet.list(1_200, 1_190, vec![line("two", "a2", 6), line("three", "b1", 6)]));
+    assert!(fleet.replace_list(1_200, 1_190, vec![line("two", "a2", 6), line("three", "b1", 6)]));
     assert_eq!(fleet.choose(1_210, ANY), Choice::Nobody);
 }
 
@@ -162,7 +162,7 @@
 fn another_life_at_its_address_ends_one() {
     let mut fleet = fleet(vec![line("one", "a1", 6)]);
     fleet.sent(100, "one");
-    fleet.ended(110, "one", Showed::NotThere);
+    fleet.ended(110, "one", Observation::NotThere);
     assert_eq!(fleet.choose(120, ANY), Choice::Nobody);
 }
 
@@ -199,7 +199,7 @@
     for now in from..from + 1_000 {
         while let Some(id) = chosen(fleet, now, ANY).filter(|_| sent < 400) {
             fleet.sent(now, &id);
-            fleet.ended(now, &id, Showed::Nothing);
+            fleet.ended(now, &id, Observation::Nothing);
             sent += 1;
         }
     }
@@ -214,11 +214,11 @@
 fn one_that_was_dark_gets_one_request_at_a_time_and_then_what_a_cold_one_bears() {
     let mut fleet = fleet(vec![line("one", "a1", 6)]);
     fleet.sent(1_000, "one");
-    fleet.ended(1_150, "one", Showed::Dead);
-    assert!(fleet.list(3_000, 2_990, vec![line("one", "a1", 6)]));
+    fleet.ended(1_150, "one", Observation::Dead);
+    assert!(fleet.replace_list(3_000, 2_990, vec![line("one", "a1", 6)]));
     // Long after, when nothing is known of it: the first to try it is alone there until it has an answer.
     assert_eq!(fill(&mut fleet, 9_000, 5), HashMap::from([("one".to_owned(), 1)]));
-    fleet.ended(9_050, "one", Showed::Answer { took: 50, load: None });
+    fleet.ended(9_050, "one", Observation::Answer { took: 50, load: None });
     assert_eq!(
         sent_in_a_second(&mut fleet, 9_051),
         cold_part(&fleet) - 1,
--- a/crates/proxy/src/attempts.rs
+++ b/crates/proxy/src/attempts.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 use violetyoke_api::verdict::{Ending, Verdict};
-use violetyoke_balancing::again::{Bounds, COME_BACK, LEAST};
-use violetyoke_balancing::backend::Showed;
+use violetyoke_balancing::backend::Observation;
+use violetyoke_balancing::retry::{Bounds, COME_BACK, LEAST};
 use violetyoke_balancing::{Choice, Millis, Wanted};
 
 /// A request with all that its attempts need.
@@ -66,10 +66,10 @@
         let Some(one) = prepare(proxy, job, &id) else { continue };
         tried.push(id.clone());
         let mut guard =
-            Open { proxy: proxy.clone(), id, service: job.service.clone(), showed: Showed::Nothing };
+            Open { proxy: proxy.clone(), id, service: job.service.clone(), observed: Observation::Nothing };
         proxy.fleet.borrow_mut().sent(proxy.now(), &guard.id);
         let end = attempt(proxy, &one, &|| elsewhere(proxy, job, &tried)).await;
-        guard.showed = end.showed;
+        guard.observed = end.observed;
         verdict = verdict.and(end.verdict);
         let again =
             verdict.may_repeat(job.bounds.repeatable) && job.bounds.another(tried.len()) && !job.body.spent();
@@ -183,13 +183,13 @@
     proxy: Rc<Proxy>,
     id: String,
     service: String,
-    showed: Showed,
+    observed: Observation,
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
         let now = self.proxy.now();
-        self.proxy.fleet.borrow_mut().ended(now, &self.id, self.showed);
+        self.proxy.fleet.borrow_mut().ended(now, &self.id, self.observed);
         self.proxy.waiting.borrow_mut().room(&self.service, now);
     }
 }
--- a/crates/proxy/src/backend/exchange.rs
+++ b/crates/proxy/src/backend/exchange.rs
@@ -13,7 +13,7 @@
 use tokio::io::{split, AsyncRead, AsyncWriteExt};
 use tokio::time::{timeout_at, Instant};
 use violetyoke_api::Verdict;
-use violetyoke_balancing::backend::Showed;
+use violetyoke_balancing::backend::Observation;
 use violetyoke_transport::net::{self, Stream};
 
 /// A connection comes up within this, or the backend is taken for dead: in the same region, and from another.
@@ -49,12 +49,12 @@
     pub answer: Option<Answer>,
     /// The connection on which the rest of the answer is due.
     pub flow: Option<Box<Flow>>,
-    pub showed: Showed,
+    pub observed: Observation,
 }
 
 impl Ended {
-    fn without(verdict: Verdict, showed: Showed) -> Ended {
-        Ended { verdict, answer: None, flow: None, showed }
+    fn without(verdict: Verdict, observed: Observation) -> Ended {
+        Ended { verdict, answer: None, flow: None, observed }
     }
 }
 
@@ -78,7 +78,7 @@
         Some(idle) => (idle.stream, idle.buffer),
         None => match connect(proxy, one).await {
             Ok(stream) => (stream, BytesMut::new()),
-            Err(_) => return Ended::without(Verdict::NeverRan, Showed::Dead),
+            Err(_) => return Ended::without(Verdict::NeverRan, Observation::Dead),
         },
     };
     let begun = Instant::now();
@@ -91,17 +91,17 @@
             buffer.clear();
             stream = match connect(proxy, one).await {
                 Ok(stream) => stream,
-                Err(_) => return Ended::without(Verdict::MayHaveRun, Showed::Dead),
+                Err(_) => return Ended::without(Verdict::MayHaveRun, Observation::Dead),
             };
             due = wait(exchange(&mut stream, &mut buffer, one, false), one, elsewhere).await;
         }
     }
     let answer = match due {
-        None => return Ended::without(Verdict::MayHaveRun, Showed::Silent),
+        None => return Ended::without(Verdict::MayHaveRun, Observation::Silent),
         Some(Err(broken)) if broken.client || (reused && !one.repeatable) => {
-            return Ended::without(Verdict::MayHaveRun, Showed::Nothing)
+            return Ended::without(Verdict::MayHaveRun, Observation::Nothing)
         }
-        Some(Err(_)) => return Ended::without(Verdict::MayHaveRun, Showed::Broke),
+        Some(Err(_)) => return Ended::without(Verdict::MayHaveRun, Observation::Broke),
         Some(Ok(answer)) => answer,
     };
     let took = begun.elapsed();
@@ -197,21 +197,21 @@
 /// What an answer says of the request and of the backend.
 fn judge(answer: Answer, took: Duration) -> Ended {
     if answer.status == 421 {
-        return Ended::without(Verdict::NeverRan, Showed::NotThere);
+        return Ended::without(Verdict::NeverRan, Observation::NotThere);
     }
     if answer.not_executed {
-        return Ended::without(Verdict::NeverRan, Showed::TurnedAway);
+        return Ended::without(Verdict::NeverRan, Observation::TurnedAway);
     }
     // These would promise a client that nothing ran, which the backend has not said.
     if matches!(answer.status, 408 | 429 | 503) {
-        return Ended::without(Verdict::MayHaveRun, Showed::Broke);
+        return Ended::without(Verdict::MayHaveRun, Observation::Broke);
     }
     let good = (200..300).contains(&answer.status);
     if good && !answer.sealed {
-        return Ended::without(Verdict::MayHaveRun, Showed::Broke);
+        return Ended::without(Verdict::MayHaveRun, Observation::Broke);
     }
-    let showed = Showed::Answer { took: took.as_millis() as u64, load: answer.load };
-    Ended { verdict: Verdict::MayHaveRun, answer: Some(answer), flow: None, showed }
+    let observed = Observation::Answer { took: took.as_millis() as u64, load: answer.load };
+    Ended { verdict: Verdict::MayHaveRun, answer: Some(answer), flow: None, observed }
 }
 
 async fn connect(proxy: &Rc<Proxy>, one: &Try) -> io::Result<Stream> {
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -11,7 +11,7 @@
 use violetyoke_api::change::Change;
 use violetyoke_api::settings::Process;
 use violetyoke_api::Configuration;
-use violetyoke_balancing::fleet::{Fleet, Line};
+use violetyoke_balancing::fleet::{Fleet, ListedBackend};
 use violetyoke_balancing::Millis;
 use violetyoke_transport::frame::{decode, encode};
 use violetyoke_transport::link;
@@ -114,24 +114,24 @@
                 }
                 Ok(ProxyReply::Whole { stamp, evacuated, packed }) => {
                     let configuration = packed.open::<Configuration>();
-                    self.told(stamp, evacuated, configuration.map(Some));
+                    self.state_received(stamp, evacuated, configuration.map(Some));
                 }
                 Ok(ProxyReply::Change { from, stamp, evacuated, packed }) => {
                     let old = self.snapshot().filter(|snapshot| snapshot.stamp == from);
                     let change = packed.open::<Change>();
                     let next = change.map(|change| old.and_then(|old| change.apply(&old.configuration)));
-                    self.told(stamp, evacuated, next);
+                    self.state_received(stamp, evacuated, next);
                 }
                 Ok(ProxyReply::List(list)) => {
                     let (digest, age) = (list.digest, list.age_ms);
-                    let lines = list.backends.into_iter().map(|it| self.line(it)).collect();
-                    self.listed(digest, age, |fleet, now, at| fleet.list(now, at, lines));
+                    let lines = list.backends.into_iter().map(|it| self.listed_backend(it)).collect();
+                    self.list_received(digest, age, |fleet, now, at| fleet.replace_list(now, at, lines));
                 }
                 Ok(ProxyReply::ListChange(list)) if list.from == self.list.get() => {
-                    let lines = list.set.into_iter().map(|it| self.line(it)).collect();
+                    let lines = list.set.into_iter().map(|it| self.listed_backend(it)).collect();
                     let gone = list.gone;
-                    self.listed(list.digest, list.age_ms, |fleet, now, at| {
-                        fleet.list_change(now, at, lines, &gone)
+                    self.list_received(list.digest, list.age_ms, |fleet, now, at| {
+                        fleet.apply_list_change(now, at, lines, &gone)
                     });
                 }
                 // Made for another list than the one that is known here by now.
@@ -155,9 +155,14 @@
     }
 
     /// A state of control was told; where it can't be made of what is known here, the whole is asked for.
-    fn told(&self, stamp: Stamp, evacuated: BTreeSet<String>, next: std::io::Result<Option<Configuration>>) {
+    fn state_received(
+        &self,
+        stamp: Stamp,
+        evacuated: BTreeSet<String>,
+        next: std::io::Result<Option<Configuration>>,
+    ) {
         match next {
-            Ok(Some(configuration)) => self.take(stamp, evacuated, configuration),
+            Ok(Some(configuration)) => self.install(stamp, evacuated, configuration),
             Ok(None) if stamp > self.stamp() => self.lacking.set(true),
             Ok(None) => {}
             Err(error) => slog::error!(self.log, "configuration not taken"; "why" => error.to_string()),
@@ -166,8 +171,8 @@
         self.lacking.set(false);
     }
 
-    fn line(&self, backend: Backend) -> Line {
-        Line {
+    fn listed_backend(&self, backend: Backend) -> ListedBackend {
+        ListedBackend {
             region: self.settings.region_of(&backend.zone).to_owned(),
             id: backend.id,
             service: backend.service,
@@ -180,7 +185,7 @@
     }
 
     /// A list was told that was asked for so long ago.
-    fn listed(&self, digest: u64, age_ms: u64, take: impl FnOnce(&mut Fleet, Millis, Millis) -> bool) {
+    fn list_received(&self, digest: u64, age_ms: u64, take: impl FnOnce(&mut Fleet, Millis, Millis) -> bool) {
         let now = self.now();
         if !take(&mut self.fleet.borrow_mut(), now, now.saturating_sub(age_ms)) {
             return;
--- a/crates/proxy/src/ready.rs
+++ b/crates/proxy/src/ready.rs
@@ -9,7 +9,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use violetyoke_api::calls::{find, Call, Taker};
-use violetyoke_balancing::shown::Shown;
+use violetyoke_balancing::report::BackendReport;
 use violetyoke_transport::net::Listener;
 
 pub async fn serve(listener: Listener, proxy: Rc<Proxy>) {
@@ -45,7 +45,7 @@
 /// What each backend was given and has shown, as JSON.
 fn backends(proxy: &Proxy) -> String {
     let shown = proxy.fleet.borrow().shown(proxy.now());
-    let line = |one: &Shown| {
+    let line = |one: &BackendReport| {
         serde_json::json!({
             "id": one.id, "service": one.service, "zone": one.zone, "slots": one.slots, "open": one.open,
             "load": one.load, "pace-ms": one.pace_ms, "given": one.counts.given, "answered": one.counts.answered,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -21,7 +21,7 @@
 use violetyoke_api::configuration::Tenant;
 use violetyoke_api::routing::{Caller, Entry, Table};
 use violetyoke_api::verdict::{Ending, Verdict};
-use violetyoke_balancing::again::Bounds;
+use violetyoke_balancing::retry::Bounds;
 use violetyoke_balancing::Millis;
 
 pub type Reply = Response<Either<Full<Bytes>, Channel<Bytes, std::io::Error>>>;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -121,7 +121,7 @@
     }
 
     /// A newer state of control; an older one changes nothing.
-    pub fn take(&self, stamp: Stamp, evacuated: BTreeSet<String>, configuration: Configuration) {
+    pub fn install(&self, stamp: Stamp, evacuated: BTreeSet<String>, configuration: Configuration) {
         if stamp <= self.stamp() {
             return;
         }
