Encode news of members once for all proxies

Cause: `publish` encoded the same `Members` for each proxy, and messages above 4 KiB are deflated (above some 800 members), so that each change of members cost a deflation for each proxy.

--- a/crates/registry/src/daemon/telling.rs
+++ b/crates/registry/src/daemon/telling.rs
@@ -130,6 +130,8 @@
         let newest = self.telling.stamp();
         // Ages in messages that were made before are too young by now.
         self.telling.list_made.clear();
+        // The same for all proxies: encoded, and deflated where there are many members, once.
+        let mut members_frame: Option<Bytes> = None;
         for proxy in self.proxies.by_connection.values_mut().filter(|proxy| proxy.hello) {
             let news = newest.filter(|stamp| *stamp > proxy.have);
             let other_list = digest != 0 && proxy.list != digest;
@@ -160,8 +162,12 @@
                 proxy.members = self.telling.members.digest;
                 proxy.deal = deal;
                 proxy.waits.members = None;
-                let members = Members { newest: newest.unwrap_or_default(), ..self.telling.members.clone() };
-                proxy.sender.send(encode(&ProxyReply::Members(members)));
+                let frame = members_frame.get_or_insert_with(|| {
+                    let members =
+                        Members { newest: newest.unwrap_or_default(), ..self.telling.members.clone() };
+                    encode(&ProxyReply::Members(members))
+                });
+                proxy.sender.send(frame.clone());
             }
         }
     }
