--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -62,8 +62,8 @@
 }
 
 fn grouped(value: f64) -> String {
-    let digits = format!("{value:.0}");
-    let mut out = String::new();
+    let digits = format!("{:.0}", value.abs());
+    let mut out = if value < 0.0 { String::from("-") } else { String::new() };
     for (index, digit) in digits.chars().enumerate() {
         if index > 0 && (digits.len() - index).is_multiple_of(3) {
             out.push(',');
--- a/crates/scale/src/reckon.rs
+++ b/crates/scale/src/reckon.rs
@@ -4,6 +4,7 @@
 use crate::fit::Power;
 use crate::page::{number, FITTED};
 use crate::record::Record;
+use crate::state::slope;
 use std::fmt::Write;
 use std::io;
 
@@ -208,8 +209,21 @@
     record.fit(figure, FITTED.0, most)
 }
 
+/// Sums of a constant and something for each ingress: a power would tell too little of them.
+const STRAIGHT: [&str; 3] = ["sockets", "resident_mb", "_bytes"];
+
+/// A figure at any size: on the straight line through the smallest and the largest measured size, or by the fit.
+fn figure_at(record: &Record, figure: &str, size: f64) -> Option<f64> {
+    if !STRAIGHT.iter().any(|end| figure.ends_with(end)) {
+        return Some(fit(record, figure)?.at(size));
+    }
+    let first = *record.sizes().first()?;
+    let line = slope(record, figure)?;
+    Some(record.median(figure, first)? + line * (size - first as f64))
+}
+
 fn value(line: &Line, record: &Record, size: f64) -> Option<f64> {
-    line.parts.iter().map(|(figure, times)| Some(fit(record, figure)?.at(size) * times(size))).sum()
+    line.parts.iter().map(|(figure, times)| Some(figure_at(record, figure, size)? * times(size))).sum()
 }
 
 /// The size at which a line reaches its bound, among those up to the target.
--- a/crates/scale/tests/figures.rs
+++ b/crates/scale/tests/figures.rs
@@ -107,6 +107,6 @@
 
 #[test]
 fn numbers_have_three_digits_that_count() {
-    let shown = [0.0, 0.004, 0.5, 12.34, 99.96, 1234.5, 1_234_567.0].map(number);
-    assert_eq!(shown, ["0", "0.0040", "0.50", "12.3", "100", "1,234", "1,234,567"]);
+    let shown = [0.0, 0.004, 0.5, 12.34, 99.96, 1234.5, 1_234_567.0, -124.0, -1_234.0].map(number);
+    assert_eq!(shown, ["0", "0.0040", "0.50", "12.3", "100", "1,234", "1,234,567", "-124", "-1,234"]);
 }
