Change voters while orders are under way, leave candidates their time, know voters at a restart

A primary changed places only while no order was pending, which beside a slow disk is never; a voter that had promised asked for promises itself after 60 ms, so that candidates overtook each other beside a slow disk; a restarted store knew the seeds alone, and three stores with a majority never met when the seeds were cut off or gone. Change: places change while an order is pending, which is answered under the next epoch; whoever promises or accepts leaves the candidate the time of a phase; a store begins with the addresses of the voters on its disk.

--- a/crates/store/src/register/membership.rs
+++ b/crates/store/src/register/membership.rs
@@ -110,7 +110,8 @@
             return;
         }
         let record = &self.durable.record;
-        let voters = if self.pending.is_none() && self.now > self.settled_at + CHANGE_INTERVAL {
+        // An order under way is no reason to wait: under a steady load one always is, and it is answered under the next epoch.
+        let voters = if self.now > self.settled_at + CHANGE_INTERVAL {
             self.next_voters()
         } else {
             record.voters.clone()
--- a/crates/store/src/register/mod.rs
+++ b/crates/store/src/register/mod.rs
@@ -120,7 +120,10 @@
             durable.fresh = bootstrap;
         }
         let me = Member { id: durable.id, ip: start.ip, zone: start.zone };
-        let known = start.seeds.iter().copied().filter(|ip| *ip != me.ip).collect();
+        // The seeds may be gone, or be cut off, when all stores begin anew: those that voted are known from the disk.
+        let voters = durable.record.prior_voters.iter().flatten().chain(&durable.record.voters);
+        let addresses = start.seeds.iter().copied().chain(voters.map(|voter| voter.ip));
+        let known = addresses.filter(|ip| *ip != me.ip).collect();
         let mut register = Register {
             me,
             seeds: start.seeds,
--- a/crates/store/src/register/takeover.rs
+++ b/crates/store/src/register/takeover.rs
@@ -6,7 +6,7 @@
 use violetyoke_transport::messages::{ControlState, HolderState, Member, PeerMessage, Record, Stamp};
 
 /// How long promises, and acceptances, are waited for.
-const PHASE_TIMEOUT: Millis = 600;
+pub(super) const PHASE_TIMEOUT: Millis = 600;
 /// After a majority has promised, so long for the others.
 const PROMISE_GRACE: Millis = 30;
 /// Each backup leaves the first try to those before it.
--- a/crates/store/src/register/voter.rs
+++ b/crates/store/src/register/voter.rs
@@ -1,5 +1,6 @@
 //! The voter's side: what is promised, accepted and written here. Each answer waits for the disk.
 
+use super::takeover::PHASE_TIMEOUT;
 use super::{Register, Role};
 use violetyoke_transport::messages::{ControlState, HolderState, Member, PeerMessage, Record, Stamp};
 
@@ -18,6 +19,13 @@
         }
     }
 
+    /// Whoever asks gets the time that a phase takes: with a slow disk among the voters, stores that ask at every chance
+    /// would overtake each other for as long as it is slow.
+    fn leave_time_to_candidate(&mut self) {
+        self.unled = Some(self.now);
+        self.rest_until = self.rest_until.max(self.now + PHASE_TIMEOUT);
+    }
+
     pub(super) fn prepare(&mut self, from: Member, epoch: u64, has: Stamp) {
         if epoch <= self.durable.promised {
             return self.refuse(&from, epoch);
@@ -27,8 +35,7 @@
         let (record, stamp) = (self.durable.record.clone(), self.durable.held.stamp);
         let state = (stamp > has).then(|| self.durable.held.clone());
         self.send(from.ip, PeerMessage::Promise { epoch, record, stamp, state });
-        // Whoever asks gets the time that an epoch takes.
-        self.unled = Some(self.now);
+        self.leave_time_to_candidate();
     }
 
     pub(super) fn accept(&mut self, from: Member, record: Record, state: Option<HolderState>) {
@@ -52,9 +59,9 @@
         }
         self.durable.record = record;
         self.durable.fresh = false;
-        self.unled = None;
         self.keep();
         self.send(from.ip, PeerMessage::Accepted { epoch });
+        self.leave_time_to_candidate();
     }
 
     /// A primary says in its heartbeats which record is installed. A voter that accepted it drops the lists of voters
--- a/crates/store/tests/model/change.rs
+++ b/crates/store/tests/model/change.rs
@@ -40,7 +40,7 @@
 pub struct Change {
     pub guards: Guards,
     pub start: Start,
-    /// Nothing but deliveries: what a guard is for is found by them alone.
+    /// Nothing but deliveries (and, from the offer on, one store that takes over): what a guard is for is found by them.
     pub deliveries: bool,
 }
 
@@ -148,6 +148,10 @@
     fn actions(&self, moment: &Moment, actions: &mut Vec<Step>) {
         actions.extend((0..moment.envelopes.len().min(8)).map(Step::Deliver));
         if self.deliveries {
+            // Voters leave a candidate the time of a phase: without this step nobody else asks amid its messages.
+            if self.start == Start::Offered {
+                actions.push(Step::Elect(OTHER, LEARNER));
+            }
             return;
         }
         actions.extend([
--- a/crates/store/tests/model/voters.rs
+++ b/crates/store/tests/model/voters.rs
@@ -39,7 +39,7 @@
     let change = Change { guards: Guards::default(), start: Start::Offered, deliveries: true };
     let (found, states) = found(change, 9);
     assert_eq!(found, [ACKNOWLEDGED]);
-    assert!(states > 1_000, "{states}");
+    assert!(states > 2_000, "{states}");
 }
 
 #[test]
--- a/crates/store/tests/schedules/main.rs
+++ b/crates/store/tests/schedules/main.rs
@@ -108,6 +108,27 @@
     none_broken(&figures, found);
 }
 
+/// Schedules that broke a rule once, by what caused it.
+const BROKE_ONCE: [(&str, &[u64]); 7] = [
+    ("a returned voter led without a vote", &[353, 969, 1695]),
+    ("a leaver ended before another had its place", &[49, 137, 821]),
+    ("a silent voter's place was given up too late", &[242, 248, 865, 1172, 1354, 1529, 1834]),
+    ("a cut-off primary confirmed what it had not committed", &[2931]),
+    ("places never changed while orders were under way", &[10103, 12478, 18068, 22822, 23345]),
+    ("candidates overtook each other beside a slow disk", &[19040, 23300]),
+    ("a restarted store knew the seeds alone", &[10024]),
+];
+
+#[test]
+fn schedules_that_broke_a_rule_once_break_none() {
+    for (cause, seeds) in BROKE_ONCE {
+        for seed in seeds {
+            let broken = play(&numbered(*seed).1).broken;
+            assert_eq!(broken, [], "seed {seed}: {cause}");
+        }
+    }
+}
+
 /// The trouble that each generator is for, and the act that it has to land in.
 const MEANT: [(&str, &str, Act); 8] = [
     ("cut-off", "Cut", Act::OrderPending),
