Test that a route is asked for right after a newer state has come

Ruled out: a test of the question alone: what is denied shows at the proxy's answer. Change: a proxy in virtual time learns four routes in a row as it is asked for each.

--- a/crates/proxy/tests/cut.rs
+++ b/crates/proxy/tests/cut.rs
@@ -187,3 +187,17 @@
         assert!(ready().await);
     });
 }
+
+#[test]
+fn a_route_acknowledged_right_after_a_newer_state_is_asked_for_too() {
+    play(|| async {
+        let finder = finder();
+        let (_proxy, registry) = stage(&[&finder]).await;
+        // Known to the registry alone: the proxy learns each as it asks.
+        for version in 2..6 {
+            let prefix = format!("/new-{version}/");
+            registry.knows(version, with_route(version, &prefix), &[&finder]);
+            assert_eq!(send(&format!("{prefix}1"), "key-1", &prefix, b"").await.status, 200, "{prefix}");
+        }
+    });
+}
