--- a/xtask/src/draw_days/mod.rs
+++ b/xtask/src/draw_days/mod.rs
@@ -2,8 +2,10 @@
 //! show. The same seed draws the same day.
 
 mod kinds;
+mod more;
 
-use kinds::{Kind, Range, CLOSINGS, GROWN, KINDS};
+use kinds::{Kind, Range, KINDS};
+use more::{CLOSINGS, GROWN};
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 
