--- a/crates/store/tests/days.rs
+++ b/crates/store/tests/days.rs
@@ -94,22 +94,23 @@
 #[test]
 fn days_of_drawn_faults_lose_nothing_with_three_machines() {
     let (mut acks, mut reads) = (0, 0);
-    for seed in 0..300 {
+    // A kill of all comes a sixth as often as in 150 days in which it counted as no loss: as many fall into these.
+    for seed in 0..900 {
         let cluster = day(seed, 3, 1);
         assert!(cluster.broken.is_empty(), "seed {seed}: {:?}", cluster.broken);
         (acks, reads) = (acks + cluster.acks, reads + cluster.reads);
     }
     // The faults left room for something to be lost.
-    assert!(acks > 10_000 && reads > 3_000, "{acks} acknowledged, {reads} read");
+    assert!(acks > 60_000 && reads > 18_000, "{acks} acknowledged, {reads} read");
 }
 
 #[test]
 fn days_of_drawn_faults_lose_nothing_with_five_machines() {
     let mut acks = 0;
-    for seed in 0..300 {
+    for seed in 0..360 {
         let cluster = day(1_000 + seed, 5, 2);
         assert!(cluster.broken.is_empty(), "seed {seed}: {:?}", cluster.broken);
         acks += cluster.acks;
     }
-    assert!(acks > 3_000, "{acks} acknowledged");
+    assert!(acks > 18_000, "{acks} acknowledged");
 }
