Remove a comparison of connections that nothing calls

Cause: link::Sender::same has had no caller since connections have numbers. Ruled out: a use to come: none is planned. Change: removed.

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -42,10 +42,6 @@
         // A connection that has ended tells so by its own event.
         let _ = self.0.send(message);
     }
-
-    pub fn same(&self, other: &Sender) -> bool {
-        self.0.same_channel(&other.0)
-    }
 }
 
 /// What happens on a connection.
