Remove requests that leave the proxy's queue, and log disks that refuse writes

Cause: a request whose client left while it waited for capacity was never removed from the queue; after 512 of them the service was answered 503 until a restart. The same shape stood in the quota client's outstanding increments. A client that broke off its body on a reused connection was taken for a reset by the backend. A store's failed disk writes were repeated without a line in the log. Ruled out: longer phases of candidates (the two asked under one epoch in each attempt). Change: guards that remove queue entries and increments when dropped; wakers kept with their entries; metrics by prometheus-client with the queue's length and bound (published names stay; help texts end with a period); shares of a split by a low-discrepancy sequence; nearest registry first; one line when a disk begins to refuse writes and one when it stops.

--- a/crates/balancing/src/queue.rs
+++ b/crates/balancing/src/queue.rs
@@ -1,59 +1,101 @@
 //! Requests that wait in the proxy until a backend has capacity, instead of in a backend's queue: ordered by priority,
 //! then by arrival.
+//!
+//! Each entry holds what wakes its request, so that a request that leaves takes all of it along.
 
 use crate::Millis;
 use std::collections::{BTreeMap, HashMap};
 
 /// Requests that may wait for one service; those behind them would not be answered in time.
-const MAX_PENDING: usize = 512;
+pub const MAX_PENDING: usize = 512;
 
 /// The position of a pending request; unique within a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(u64);
 
-/// The pending requests of all services.
-#[derive(Debug, Default)]
-pub struct PendingQueue {
-    /// By service: the time at which each request stops waiting, by priority (0 is the highest) and arrival.
-    pending: HashMap<String, BTreeMap<(i64, Ticket), Millis>>,
+/// Requests of one service, by priority (0 is the highest) and arrival.
+type ServiceQueue<W> = BTreeMap<(i64, Ticket), Pending<W>>;
+
+/// The pending requests of all services. `W` wakes one of them.
+#[derive(Debug)]
+pub struct PendingQueue<W> {
+    by_service: HashMap<String, ServiceQueue<W>>,
     last_ticket: u64,
 }
 
-impl PendingQueue {
+#[derive(Debug)]
+struct Pending<W> {
+    /// When the request stops waiting.
+    expires_at: Millis,
+    /// `None` while the request is awake: it has been woken, and has not looked for capacity yet.
+    waker: Option<W>,
+}
+
+impl<W> Default for PendingQueue<W> {
+    fn default() -> PendingQueue<W> {
+        PendingQueue { by_service: HashMap::new(), last_ticket: 0 }
+    }
+}
+
+impl<W> PendingQueue<W> {
     /// Adds a request that waits until `expires_at`. Returns `None` when the service's queue is full.
     #[must_use]
-    pub fn enqueue(&mut self, service: &str, priority: i64, expires_at: Millis) -> Option<Ticket> {
-        if !self.pending.contains_key(service) {
-            self.pending.insert(service.to_owned(), BTreeMap::new());
+    pub fn enqueue(&mut self, service: &str, priority: i64, expires_at: Millis, waker: W) -> Option<Ticket> {
+        if !self.by_service.contains_key(service) {
+            self.by_service.insert(service.to_owned(), BTreeMap::new());
         }
-        let pending = self.pending.get_mut(service)?;
-        if pending.len() >= MAX_PENDING {
+        let queue = self.by_service.get_mut(service)?;
+        if queue.len() >= MAX_PENDING {
             return None;
         }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        pending.insert((priority, ticket), expires_at);
+        queue.insert((priority, ticket), Pending { expires_at, waker: Some(waker) });
         Some(ticket)
     }
 
-    /// Removes a request that got a backend or stopped waiting.
-    pub fn remove(&mut self, service: &str, priority: i64, ticket: Ticket) {
-        if let Some(pending) = self.pending.get_mut(service) {
-            pending.remove(&(priority, ticket));
+    /// The request was woken and found no capacity: it waits on, at its position.
+    pub fn rearm(&mut self, service: &str, priority: i64, ticket: Ticket, waker: W) {
+        let queue = self.by_service.get_mut(service);
+        if let Some(pending) = queue.and_then(|queue| queue.get_mut(&(priority, ticket))) {
+            pending.waker = Some(waker);
+        }
+    }
+
+    /// Removes a request that got a backend or stopped waiting. Returns whether it was awake: what woke it is then for
+    /// another request to use.
+    pub fn remove(&mut self, service: &str, priority: i64, ticket: Ticket) -> bool {
+        let Some(queue) = self.by_service.get_mut(service) else { return false };
+        let removed = queue.remove(&(priority, ticket));
+        if queue.is_empty() {
+            self.by_service.remove(service);
         }
+        removed.is_some_and(|pending| pending.waker.is_none())
     }
 
-    /// The request that is to try next when a backend of the service may have capacity. It stays in the queue until it
-    /// is removed.
+    /// A backend of the service may have capacity: takes the waker of the first request that sleeps. The request stays
+    /// in the queue until it is removed.
     #[must_use]
-    pub fn first_unexpired(&self, service: &str, now: Millis) -> Option<Ticket> {
-        let pending = self.pending.get(service)?;
-        pending.iter().find(|(_, expires_at)| now < **expires_at).map(|((_, ticket), _)| *ticket)
+    pub fn take_first_waker(&mut self, service: &str, now: Millis) -> Option<W> {
+        let queue = self.by_service.get_mut(service)?;
+        queue.values_mut().filter(|pending| now < pending.expires_at).find_map(|pending| pending.waker.take())
+    }
+
+    /// Takes the wakers of all requests that sleep.
+    pub fn take_all_wakers(&mut self) -> Vec<W> {
+        let queues = self.by_service.values_mut();
+        queues.flat_map(|queue| queue.values_mut()).filter_map(|pending| pending.waker.take()).collect()
     }
 
     /// Whether no request waits for the service.
     #[must_use]
     pub fn is_empty(&self, service: &str) -> bool {
-        self.pending.get(service).is_none_or(BTreeMap::is_empty)
+        !self.by_service.contains_key(service)
+    }
+
+    /// The number of requests that wait for the service that has the most.
+    #[must_use]
+    pub fn longest(&self) -> usize {
+        self.by_service.values().map(BTreeMap::len).max().unwrap_or(0)
     }
 }
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -14,8 +14,8 @@
 
 /// How far the platform's list lags behind where the settings don't say (ms).
 const DEFAULT_PLATFORM_LAG_MS: f64 = 1_000.0;
-/// How much later than the platform's answer a list may get here: registries ask every 500 ms, and pass it on (ms).
-const LIST_DELIVERY_MS: Millis = 700;
+/// How much later than the platform's answer a list may get here, beside the time until a registry asks for it (ms).
+const LIST_DELIVERY_MS: Millis = 200;
 
 /// What an attempt needs to know of the backend that it goes to.
 #[derive(Clone, Copy, Debug)]
@@ -49,7 +49,7 @@
             directory: RefCell::new(directory),
             list_digest: Cell::new(ListDigest::NONE),
             regions: settings.network.zones.clone(),
-            list_lag_ms: platform_lag_ms + LIST_DELIVERY_MS,
+            list_lag_ms: platform_lag_ms + settings.terms.bounds.max_list_interval_ms() + LIST_DELIVERY_MS,
         }
     }
 
--- a/crates/proxy/src/control_client/mod.rs
+++ b/crates/proxy/src/control_client/mod.rs
@@ -18,6 +18,7 @@
 use slog::{info, warn};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
+use tokio::time::Instant;
 use violetyoke_api::Settings;
 use violetyoke_balancing::Millis;
 use violetyoke_quota::Admission;
@@ -40,12 +41,14 @@
     incarnation: u64,
     /// The registry that is asked to send updates first.
     primary_registry: Option<Ipv4Addr>,
+    /// When the first registry was asked for the first state.
+    first_poll_at: Option<Instant>,
 }
 
 impl ControlClient {
     /// A client without connections; [`ControlClient::connect_to_known_registries`] opens them.
     pub(crate) fn new(proxy: Rc<Proxy>, settings: Settings, incarnation: u64) -> ControlClient {
-        ControlClient { proxy, settings, incarnation, primary_registry: None }
+        ControlClient { proxy, settings, incarnation, primary_registry: None, first_poll_at: None }
     }
 
     /// Takes new settings: of these, the seeds alone can change while the process runs.
--- a/crates/proxy/src/control_client/polling.rs
+++ b/crates/proxy/src/control_client/polling.rs
@@ -3,9 +3,15 @@
 
 use super::ControlClient;
 use std::net::Ipv4Addr;
+use std::time::Duration;
+use tokio::time::Instant;
 use violetyoke_transport::codec::encode;
 use violetyoke_transport::messages::{ProxyRequest, RegistryRequest, Revision};
 
+/// The first registry that is connected has this time to send the first state: that is three round trips between
+/// regions, and less than after what another one sends it unasked.
+const FIRST_STATE_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl ControlClient {
     /// Asks all registries for what is newer than what is known here.
     pub(super) fn poll(&mut self) {
@@ -27,6 +33,7 @@
     fn poll_since(&mut self, revision: Revision) {
         let primary = self.select_primary();
         self.primary_registry = primary;
+        self.first_poll_at = self.first_poll_at.or(primary.map(|_| Instant::now()));
         let backend_list = self.proxy.backends.list_digest();
         self.proxy.registries.send_to_each(|registry, membership| {
             encode(&RegistryRequest::Proxy(ProxyRequest::Poll {
@@ -38,9 +45,21 @@
         });
     }
 
+    /// Whether the first state and list were asked for a moment ago. Meanwhile the primary stays: each further one, as
+    /// registries connect one after the other, would send all of both again.
+    fn awaits_first_state(&self) -> bool {
+        let lacks_state = self.proxy.configuration.revision() == Revision::default();
+        lacks_state && self.first_poll_at.is_some_and(|at| at.elapsed() < FIRST_STATE_TIMEOUT)
+    }
+
     /// The registry that is to send updates first: one that is in contact with the others, if there is any. The rank
     /// depends on the incarnation, so that proxies spread over the registries.
     fn select_primary(&self) -> Option<Ipv4Addr> {
+        if let Some(primary) = self.primary_registry.filter(|_| self.awaits_first_state()) {
+            if self.proxy.registries.is_connected(primary) {
+                return Some(primary);
+            }
+        }
         let incarnation = self.incarnation as u32;
         self.proxy.registries.preferred_registry(|ip| u32::from(ip).wrapping_mul(0x9e37_79b9) ^ incarnation)
     }
--- a/crates/proxy/src/control_client/updates.rs
+++ b/crates/proxy/src/control_client/updates.rs
@@ -67,6 +67,7 @@
         proxy.backends.configure(&configuration.services, evacuated);
         let active = proxy.configuration.install(revision, configuration);
         proxy.quota.retain_tenants(&active.routing().tenants);
+        proxy.splits.retain(|route| active.configuration().routes.iter().any(|known| known.name == route));
         proxy.pending.wake_all();
         proxy.freshness.on_updated();
     }
--- a/crates/proxy/src/forward/attempts.rs
+++ b/crates/proxy/src/forward/attempts.rs
@@ -49,7 +49,7 @@
         let is_allowed = proxy.retry_budgets.try_acquire(&self.request.service);
         let metrics = &proxy.metrics;
         let counter = if is_allowed { &metrics.retries } else { &metrics.retry_budget_exhausted };
-        counter.increment();
+        counter.inc();
         is_allowed
     }
 
--- a/crates/proxy/src/forward/guard.rs
+++ b/crates/proxy/src/forward/guard.rs
@@ -31,6 +31,6 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.proxy.backends.record_attempt_finished(&self.backend_id, self.observation);
-        self.proxy.pending.wake_first(&self.service, self.proxy.now());
+        self.proxy.pending.wake_first(&self.service);
     }
 }
--- a/crates/proxy/src/forward/select.rs
+++ b/crates/proxy/src/forward/select.rs
@@ -31,9 +31,9 @@
     let wait_ms = wait_until.saturating_duration_since(Instant::now()).as_millis() as Millis;
     let expires_at = proxy.now() + wait_ms;
     let mut pending = proxy.pending.enqueue(&request.service, request.priority, expires_at)?;
-    let selected = wait_for_capacity(proxy, request, attempted, &mut pending, wait_until).await;
-    proxy.pending.remove(&request.service, request.priority, &pending);
-    selected
+    let backend_id = wait_for_capacity(proxy, request, attempted, &mut pending, wait_until).await?;
+    pending.finish();
+    Some(backend_id)
 }
 
 fn select_now(proxy: &Proxy, request: &ForwardRequest, attempted: &[String]) -> Selection {
@@ -44,7 +44,7 @@
     proxy: &Proxy,
     request: &ForwardRequest,
     attempted: &[String],
-    pending: &mut PendingRequest,
+    pending: &mut PendingRequest<'_>,
     wait_until: Instant,
 ) -> Option<String> {
     loop {
@@ -54,12 +54,12 @@
             Selection::AtCapacity => {}
         }
         let recheck_at = wait_until.min(Instant::now() + RECHECK_INTERVAL);
-        let is_woken = timeout_at(recheck_at, &mut pending.woken).await.is_ok();
+        let is_woken = timeout_at(recheck_at, pending.woken()).await.is_ok();
         if Instant::now() >= wait_until {
             return None;
         }
         if is_woken {
-            proxy.pending.rearm(pending);
+            pending.rearm();
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,5 +31,6 @@
 mod request_body;
 mod retry_budgets;
 mod serving;
+mod split;
 mod state;
 mod upstream;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,38 +1,31 @@
-//! Counters of one process, published at `/api/figures` and logged in one line when the process ends.
+//! Metrics of one process, published at `/api/figures` and logged in one line when the process ends.
 
-use std::cell::Cell;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
 use std::fmt::{self, Display};
+use violetyoke_balancing::queue::MAX_PENDING;
 
-/// A number that only grows, from the start of the process on.
-#[derive(Debug, Default)]
-pub(crate) struct Counter(Cell<u64>);
-
-impl Counter {
-    /// Adds one.
-    pub(crate) fn increment(&self) {
-        self.0.set(self.0.get() + 1);
-    }
-}
-
-/// A counter as it is published.
-struct PublishedCounter {
-    name: &'static str,
-    help: &'static str,
-    value: u64,
-}
+/// Comes before the name of each metric.
+const PREFIX: &str = "violetyoke_proxy";
 
 macro_rules! metrics {
     ($($field:ident = $name:literal: $help:literal,)*) => {
-        /// All counters of a proxy. Their published names and help texts are part of the interface to operators, and stay
-        /// as they are where a field is renamed.
+        /// All counters of a proxy, from the start of the process on. Their published names and help texts are part of the
+        /// interface to operators, and stay as they are where a field is renamed.
         #[derive(Debug, Default)]
         pub(crate) struct Metrics {
             $(#[doc = $help] pub(crate) $field: Counter,)*
         }
 
         impl Metrics {
-            fn published(&self) -> Vec<PublishedCounter> {
-                vec![$(PublishedCounter { name: $name, help: $help, value: self.$field.0.get() },)*]
+            fn register(&self, registry: &mut Registry) {
+                $(registry.register($name, $help, self.$field.clone());)*
+            }
+
+            fn values(&self) -> Vec<(&'static str, u64)> {
+                vec![$(($name, self.$field.get()),)*]
             }
         }
     };
@@ -52,28 +45,41 @@
     backend_connections = "connections": "connections opened to backends",
 }
 
-impl PublishedCounter {
-    fn to_prometheus(&self) -> String {
-        let PublishedCounter { name, help, value } = self;
-        format!(
-            "# HELP violetyoke_proxy_{name}_total {help}\n\
-             # TYPE violetyoke_proxy_{name}_total counter\n\
-             violetyoke_proxy_{name}_total {value}\n"
-        )
+/// What is measured when the metrics are asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Gauges {
+    /// Requests that wait for the service that has the most.
+    pub(crate) longest_queue: usize,
+}
+
+impl Gauges {
+    fn register(self, registry: &mut Registry) {
+        let longest = Gauge::<i64>::default();
+        longest.set(self.longest_queue as i64);
+        registry.register("longest_queue", "requests that wait for the service that has the most", longest);
+        let limit = Gauge::<i64>::default();
+        limit.set(MAX_PENDING as i64);
+        registry.register("queue_limit", "requests that may wait for one service", limit);
     }
 }
 
 impl Metrics {
-    /// All counters in the Prometheus text format.
-    pub(crate) fn to_prometheus(&self) -> String {
-        self.published().iter().map(PublishedCounter::to_prometheus).collect()
+    /// All metrics in the Prometheus text format.
+    pub(crate) fn to_prometheus(&self, gauges: Gauges) -> String {
+        let mut registry = Registry::with_prefix(PREFIX);
+        self.register(&mut registry);
+        gauges.register(&mut registry);
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        encode(&mut text, &registry).ok();
+        text
     }
 }
 
 /// All counters in one line, for the log.
 impl Display for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, PublishedCounter { name, value, .. }) in self.published().iter().enumerate() {
+        for (index, (name, value)) in self.values().into_iter().enumerate() {
             let separator = if index == 0 { "" } else { ", " };
             write!(f, "{separator}{name} {value}")?;
         }
--- a/crates/proxy/src/quota_client/mod.rs
+++ b/crates/proxy/src/quota_client/mod.rs
@@ -46,11 +46,24 @@
 }
 
 /// An increment that was sent to a tenant's owner.
-struct SentIncrement {
+struct SentIncrement<'a> {
     owner: Ipv4Addr,
-    request_id: u32,
     reply: oneshot::Receiver<OwnerReply>,
     timeout: Duration,
+    _registration: Registration<'a>,
+}
+
+/// The place of an outstanding increment. Dropping it gives the place up, also where the client leaves and the request's
+/// task is dropped midway.
+struct Registration<'a> {
+    state: &'a RefCell<QuotaState>,
+    request_id: u32,
+}
+
+impl Drop for Registration<'_> {
+    fn drop(&mut self) {
+        self.state.borrow_mut().pending.cancel(self.request_id);
+    }
 }
 
 impl QuotaClient {
@@ -116,12 +129,11 @@
         }
         // An increment whose reply is lost may have been counted. It stays counted, and the request counts here as well:
         // the tenant may get a little less than its limit, not more.
-        state.pending.cancel(sent.request_id);
         round_trip.record_loss();
         None
     }
 
-    fn send_increment(&self, tenant: &str, limit: Limit, now: Millis) -> Option<SentIncrement> {
+    fn send_increment(&self, tenant: &str, limit: Limit, now: Millis) -> Option<SentIncrement<'_>> {
         let state = &mut *self.state.borrow_mut();
         let owner = state.assignment.owner(tenant)?;
         let (connection, sender) = self.registries.connection(owner)?;
@@ -131,11 +143,12 @@
         let increment = ProxyRequest::Increment { request_id, tenant: tenant.to_owned(), fencing_token };
         sender.send(encode(&RegistryRequest::Proxy(increment)));
         let timeout = state.round_trips.get(&owner).copied().unwrap_or_default().timeout();
-        Some(SentIncrement { owner, request_id, reply, timeout })
+        let registration = Registration { state: &self.state, request_id };
+        Some(SentIncrement { owner, reply, timeout, _registration: registration })
     }
 
     fn admit_locally(&self, tenant: &str, limit: Limit) -> Admission {
-        self.metrics.local_quota_decisions.increment();
+        self.metrics.local_quota_decisions.inc();
         let (now, proxy_count) = (self.clock.now(), self.registries.proxy_count());
         self.state.borrow_mut().local_usage.try_admit_locally(now, tenant, limit, proxy_count)
     }
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for the platform and for operators: readiness, metrics, and what is known of the backends.
 
+use crate::metrics::Gauges;
 use crate::state::Proxy;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -44,7 +45,7 @@
     let call = Call::find(CallTarget::Edge, request.method().as_str(), uri.path(), uri.query());
     let (status, body) = match call {
         Some(Call::Readiness) if proxy.serving.accepts_new_clients() => (StatusCode::OK, String::new()),
-        Some(Call::Figures) => (StatusCode::OK, proxy.metrics.to_prometheus()),
+        Some(Call::Figures) => (StatusCode::OK, proxy.metrics.to_prometheus(gauges(proxy))),
         Some(Call::Backends) => (StatusCode::OK, backends_as_json(proxy)),
         Some(_) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         None => (StatusCode::NOT_FOUND, String::new()),
@@ -54,6 +55,10 @@
     response
 }
 
+fn gauges(proxy: &Proxy) -> Gauges {
+    Gauges { longest_queue: proxy.pending.longest() }
+}
+
 /// What each backend was sent and has shown.
 fn backends_as_json(proxy: &Proxy) -> String {
     let entry = |backend: &BackendReport| {
--- a/crates/proxy/src/registries.rs
+++ b/crates/proxy/src/registries.rs
@@ -4,10 +4,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
+use std::time::Duration;
 use violetyoke_transport::connection::{Event, Sender};
 use violetyoke_transport::messages::{Membership, MembershipDigest, Revision, ShardOwners};
 use violetyoke_transport::peers::PeerConnections;
 
+/// A registry is near if its connection took no longer to open than the fastest one and this: the round trip within a
+/// region is a few milliseconds, and that to another region 70 or more.
+const NEAR_MARGIN: Duration = Duration::from_millis(25);
+
 /// One connection to a registry: after a reconnect, the same registry has another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RegistryConnectionId {
@@ -28,6 +33,8 @@
     peers: PeerConnections,
     /// What each registry last reported on its present connection; the default until then.
     reports: BTreeMap<Ipv4Addr, Membership>,
+    /// The least time that a connection to each registry took to open: longer ones were held up here or there.
+    connect_times: BTreeMap<Ipv4Addr, Duration>,
 }
 
 impl State {
@@ -36,12 +43,22 @@
         let connected = |(registry, _): &(&Ipv4Addr, _)| self.peers.sender(**registry).is_some();
         self.reports.iter().filter(connected).map(|(registry, report)| (*registry, report))
     }
+
+    /// Whether a registry is in this region, as far as the times tell.
+    fn is_near(&self, registry: Ipv4Addr) -> bool {
+        let least = self.connect_times.values().min().copied().unwrap_or_default();
+        self.connect_times.get(&registry).is_some_and(|time| *time <= least + NEAR_MARGIN)
+    }
 }
 
 impl RegistryConnections {
     /// No connections yet. All registries listen at `port`; `on_event` gets the events of each.
     pub(crate) fn new(port: u16, on_event: impl Fn(Ipv4Addr, Event) + 'static) -> RegistryConnections {
-        let state = State { peers: PeerConnections::new(port, on_event), reports: BTreeMap::new() };
+        let state = State {
+            peers: PeerConnections::new(port, on_event),
+            reports: BTreeMap::new(),
+            connect_times: BTreeMap::new(),
+        };
         RegistryConnections { state: RefCell::new(state), proxy_count: Cell::new(0) }
     }
 
@@ -56,7 +73,10 @@
 
     /// A connection to a registry is up.
     pub(crate) fn on_connected(&self, registry: Ipv4Addr, sender: Sender) {
-        self.state.borrow_mut().peers.connected(registry, sender);
+        let state = &mut *self.state.borrow_mut();
+        let least = state.connect_times.entry(registry).or_insert(sender.connect_time());
+        *least = sender.connect_time().min(*least);
+        state.peers.connected(registry, sender);
     }
 
     /// The connection to a registry is down: what it reported no longer counts.
@@ -110,12 +130,19 @@
         state.reports.values().flat_map(|report| report.registries.iter().copied()).collect()
     }
 
+    /// Whether the connection to a registry is up.
+    pub(crate) fn is_connected(&self, registry: Ipv4Addr) -> bool {
+        self.state.borrow().peers.sender(registry).is_some()
+    }
+
     /// The connected registry that ranks first: one that is in contact with a majority of the registries before any that
-    /// is not, and among equals the one with the lowest `rank`.
+    /// is not, then one that is near, as what it sends does not cross regions, and among equals the one with the lowest
+    /// `rank`.
     pub(crate) fn preferred_registry(&self, rank: impl Fn(Ipv4Addr) -> u32) -> Option<Ipv4Addr> {
         let state = self.state.borrow();
-        let preferred =
-            state.connected().min_by_key(|(registry, report)| (!report.in_contact, rank(*registry)));
+        let preferred = state.connected().min_by_key(|(registry, report)| {
+            (!report.in_contact, !state.is_near(*registry), rank(*registry))
+        });
         preferred.map(|(registry, _)| registry)
     }
 
--- a/crates/proxy/src/request/error.rs
+++ b/crates/proxy/src/request/error.rs
@@ -48,18 +48,19 @@
 
     /// Counts the request among those that ended so.
     pub(super) fn record(&self, metrics: &Metrics) {
-        match self {
-            RequestError::Denied(Denial::NoRoute) => metrics.unknown_routes.increment(),
-            RequestError::Denied(Denial::UnknownCredential) => metrics.unknown_credentials.increment(),
-            RequestError::OverLimit { .. } => metrics.over_limit.increment(),
+        let counter = match self {
+            RequestError::Denied(Denial::NoRoute) => &metrics.unknown_routes,
+            RequestError::Denied(Denial::UnknownCredential) => &metrics.unknown_credentials,
+            RequestError::OverLimit { .. } => &metrics.over_limit,
             RequestError::Forward(error) => match error.execution {
-                Execution::NotExecuted => metrics.rejected.increment(),
-                Execution::Unknown => metrics.failed.increment(),
+                Execution::NotExecuted => &metrics.rejected,
+                Execution::Unknown => &metrics.failed,
             },
             RequestError::NotReady
             | RequestError::Unconfirmed
             | RequestError::Body(_)
-            | RequestError::NoService => {}
-        }
+            | RequestError::NoService => return,
+        };
+        counter.inc();
     }
 }
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -30,7 +30,7 @@
 
 /// Answers one request.
 pub(crate) async fn handle(proxy: &Rc<Proxy>, request: Request<Incoming>) -> ClientResponse {
-    proxy.metrics.requests.increment();
+    proxy.metrics.requests.inc();
     match serve(proxy, request).await {
         Ok(response) => response,
         Err(error) => {
@@ -52,7 +52,7 @@
     let request = forward_request(&parts, body, route, tenant, service, arrived_at);
     let response =
         forward(proxy, &request).await.map_err(|error| RequestError::from_forward(&request, error))?;
-    proxy.metrics.answered.increment();
+    proxy.metrics.answered.inc();
     Ok(forward_response(proxy, response))
 }
 
@@ -86,7 +86,7 @@
     table: &'a RoutingTable,
     route: &RouteEntry,
 ) -> Result<&'a Service, RequestError> {
-    let sample = proxy.backends.sample_uniform();
+    let sample = proxy.splits.next(&route.name, || proxy.backends.sample_uniform());
     let service = route.service(sample).and_then(|index| table.services.get(index));
     service.ok_or(RequestError::NoService)
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -10,6 +10,7 @@
 use crate::registries::RegistryConnections;
 use crate::retry_budgets::RetryBudgets;
 use crate::serving::ServingState;
+use crate::split::SplitSequences;
 use crate::upstream::ConnectionPool;
 use slog::Logger;
 use std::rc::Rc;
@@ -27,6 +28,8 @@
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) quota: QuotaClient,
     pub(crate) freshness: FreshnessCheck,
+    /// Draws for routes that split their requests.
+    pub(crate) splits: SplitSequences,
     /// Requests that wait for a backend with capacity.
     pub(crate) pending: PendingRequests,
     /// Idle connections to backends.
@@ -47,7 +50,8 @@
             retry_budgets: RetryBudgets::new(&settings.terms.bounds, clock, registries.clone()),
             quota: QuotaClient::new(registries.clone(), metrics.clone(), clock),
             freshness: FreshnessCheck::new(registries.clone(), configuration.clone()),
-            pending: PendingRequests::default(),
+            splits: SplitSequences::default(),
+            pending: PendingRequests::new(clock),
             connection_pool: ConnectionPool::default(),
             metrics,
             registries,
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -55,7 +55,7 @@
 }
 
 async fn connect(proxy: &Proxy, request: &AttemptRequest<'_>) -> io::Result<Connection> {
-    proxy.metrics.backend_connections.increment();
+    proxy.metrics.backend_connections.inc();
     let limit = if request.is_same_region { CONNECT_TIMEOUT } else { CONNECT_TIMEOUT_OTHER_REGION };
     let until = (Instant::now() + limit).min(request.deadline);
     let stream = timeout_at(until, net::connect(request.address.into())).await??;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -37,9 +37,9 @@
 }
 
 impl ExchangeError {
-    /// Nothing came back on the connection before it ended.
+    /// The connection ended before anything came back on it.
     pub(super) fn is_before_response(&self) -> bool {
-        matches!(self, ExchangeError::Client(_) | ExchangeError::Connection { has_responded: false, .. })
+        matches!(self, ExchangeError::Connection { has_responded: false, .. })
     }
 }
 
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 #![cfg(test)]
 
 mod control_updates;
+mod leaving_clients;
 mod metrics;
 mod partitions;
 mod quota;
--- a/crates/proxy/tests/proxy/metrics.rs
+++ b/crates/proxy/tests/proxy/metrics.rs
@@ -6,39 +6,46 @@
 
 /// Names and help texts are part of the interface to operators.
 const PUBLISHED: &str = "\
-# HELP violetyoke_proxy_requests_total requests of clients
-# TYPE violetyoke_proxy_requests_total counter
+# HELP violetyoke_proxy_requests requests of clients.
+# TYPE violetyoke_proxy_requests counter
 violetyoke_proxy_requests_total 2
-# HELP violetyoke_proxy_answered_total answered with what a backend said
-# TYPE violetyoke_proxy_answered_total counter
+# HELP violetyoke_proxy_answered answered with what a backend said.
+# TYPE violetyoke_proxy_answered counter
 violetyoke_proxy_answered_total 1
-# HELP violetyoke_proxy_past_limit_total refused past a tenant's limit
-# TYPE violetyoke_proxy_past_limit_total counter
+# HELP violetyoke_proxy_past_limit refused past a tenant's limit.
+# TYPE violetyoke_proxy_past_limit counter
 violetyoke_proxy_past_limit_total 0
-# HELP violetyoke_proxy_refused_total refused, never having run
-# TYPE violetyoke_proxy_refused_total counter
+# HELP violetyoke_proxy_refused refused, never having run.
+# TYPE violetyoke_proxy_refused counter
 violetyoke_proxy_refused_total 0
-# HELP violetyoke_proxy_failed_total given up on, having run perhaps
-# TYPE violetyoke_proxy_failed_total counter
+# HELP violetyoke_proxy_failed given up on, having run perhaps.
+# TYPE violetyoke_proxy_failed counter
 violetyoke_proxy_failed_total 0
-# HELP violetyoke_proxy_further_total further attempts
-# TYPE violetyoke_proxy_further_total counter
+# HELP violetyoke_proxy_further further attempts.
+# TYPE violetyoke_proxy_further counter
 violetyoke_proxy_further_total 0
-# HELP violetyoke_proxy_no_budget_total further attempts that the budget did not allow
-# TYPE violetyoke_proxy_no_budget_total counter
+# HELP violetyoke_proxy_no_budget further attempts that the budget did not allow.
+# TYPE violetyoke_proxy_no_budget counter
 violetyoke_proxy_no_budget_total 0
-# HELP violetyoke_proxy_unasked_total counted here, as their holder could not be asked
-# TYPE violetyoke_proxy_unasked_total counter
+# HELP violetyoke_proxy_unasked counted here, as their holder could not be asked.
+# TYPE violetyoke_proxy_unasked counter
 violetyoke_proxy_unasked_total 0
-# HELP violetyoke_proxy_no_route_total denied: no such route
-# TYPE violetyoke_proxy_no_route_total counter
+# HELP violetyoke_proxy_no_route denied: no such route.
+# TYPE violetyoke_proxy_no_route counter
 violetyoke_proxy_no_route_total 1
-# HELP violetyoke_proxy_no_key_total denied: no such key
-# TYPE violetyoke_proxy_no_key_total counter
+# HELP violetyoke_proxy_no_key denied: no such key.
+# TYPE violetyoke_proxy_no_key counter
 violetyoke_proxy_no_key_total 0
-# HELP violetyoke_proxy_connections_total connections opened to backends
-# TYPE violetyoke_proxy_connections_total counter
+# HELP violetyoke_proxy_connections connections opened to backends.
+# TYPE violetyoke_proxy_connections counter
 violetyoke_proxy_connections_total 1
+# HELP violetyoke_proxy_longest_queue requests that wait for the service that has the most.
+# TYPE violetyoke_proxy_longest_queue gauge
+violetyoke_proxy_longest_queue 0
+# HELP violetyoke_proxy_queue_limit requests that may wait for one service.
+# TYPE violetyoke_proxy_queue_limit gauge
+violetyoke_proxy_queue_limit 512
+# EOF
 ";
 
 #[test]
--- a/crates/store/src/consensus/replica/candidate.rs
+++ b/crates/store/src/consensus/replica/candidate.rs
@@ -29,7 +29,9 @@
             state: None,
         };
         let promises = BTreeMap::from([(own.from.id, own)]);
-        self.role = Role::Preparing(Preparing { epoch, since: self.now, new_voters, promises });
+        let is_reconfiguration = self.is_leader();
+        self.role =
+            Role::Preparing(Preparing { epoch, since: self.now, is_reconfiguration, new_voters, promises });
         self.outbox.notify_watchers_now();
         let configs = [&self.durable.config, self.newest_config()];
         let mut voters: BTreeSet<StoreNode> = configs.into_iter().flat_map(all_voters).cloned().collect();
--- a/crates/store/src/consensus/replica/heartbeat.rs
+++ b/crates/store/src/consensus/replica/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Heartbeats: who can be reached, who leads, which replica set is the newest, and what is committed.
 
-use super::Replica;
+use super::{Replica, Role};
 use crate::consensus::event::Millis;
 use std::net::Ipv4Addr;
 use violetyoke_transport::messages::{Heartbeat, PeerMessage, ReplicaConfig, StoreNode};
@@ -22,7 +22,7 @@
         self.timers.on_heartbeat_sent(self.now);
         let heartbeat = Heartbeat {
             config: self.durable.config.clone(),
-            is_leader: self.is_leader(),
+            is_leader: self.has_installed_config(),
             committed: self.committed,
             persisted: self.status.persisted,
             disk_healthy: self.status.is_disk_healthy,
@@ -35,6 +35,17 @@
         }
     }
 
+    /// Whether this store leads, or prepares the epoch after the one that it leads. It says so beside a slow disk, where
+    /// its request for promises waits for its own: a backup that stood meanwhile, under the same epoch, would get no
+    /// promise and leave none for the leader.
+    fn has_installed_config(&self) -> bool {
+        match &self.role {
+            Role::Leader => true,
+            Role::Preparing(preparing) => preparing.is_reconfiguration,
+            Role::Proposing(_) | Role::Follower => false,
+        }
+    }
+
     pub(super) fn on_heartbeat(&mut self, from: StoreNode, heartbeat: Heartbeat) {
         self.highest_epoch = self.highest_epoch.max(heartbeat.config.epoch);
         self.peers.add_addresses(heartbeat.known_stores.iter().copied());
--- a/crates/store/src/consensus/role.rs
+++ b/crates/store/src/consensus/role.rs
@@ -28,6 +28,8 @@
 pub(super) struct Preparing {
     pub(super) epoch: Epoch,
     pub(super) since: Millis,
+    /// It began as the leader of the replica set that it still has, which stays installed until the proposal.
+    pub(super) is_reconfiguration: bool,
     /// The voters that a leader wants to have; `None` where the voters are to stay as they are.
     pub(super) new_voters: Option<Vec<StoreNode>>,
     /// By the id of the voter that gave it.
--- a/crates/store/src/daemon/disk_writer.rs
+++ b/crates/store/src/daemon/disk_writer.rs
@@ -4,7 +4,7 @@
 use super::input::{Input, InputSender};
 use super::storage::Storage;
 use crate::consensus::{DurableState, WriteNumber};
-use crate::disk::{SlotCursor, SlotFolder, SlotStorage};
+use crate::disk::{SlotCursor, SlotFolder, SlotStorage, WriteError};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -42,6 +42,8 @@
 pub(super) struct DiskWriter {
     requests: RequestSender,
     unfinished: VecDeque<Unfinished>,
+    /// The disk has refused the newest attempt at a write.
+    is_failing: bool,
     _worker: JoinSet<()>,
 }
 
@@ -61,7 +63,7 @@
                 RequestSender::Task(sender)
             }
         };
-        DiskWriter { requests, unfinished: VecDeque::new(), _worker: worker }
+        DiskWriter { requests, unfinished: VecDeque::new(), is_failing: false, _worker: worker }
     }
 
     /// Requests a write. It replaces an earlier one that has not begun.
@@ -76,9 +78,15 @@
         }
     }
 
-    /// All writes up to this one are on the disk.
-    pub(super) fn on_persisted(&mut self, number: WriteNumber) {
+    /// All writes up to this one are on the disk. Returns whether it is the first one after a failure.
+    pub(super) fn on_persisted(&mut self, number: WriteNumber) -> bool {
         self.unfinished.retain(|unfinished| unfinished.number > number);
+        std::mem::replace(&mut self.is_failing, false)
+    }
+
+    /// The disk has refused a write. Returns whether it is the first failure after a success.
+    pub(super) fn on_write_failed(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_failing, true)
     }
 
     /// Whether the disk completes its writes in time.
@@ -98,8 +106,9 @@
 fn write_to_folder(mut storage: SlotStorage<SlotFolder>, requests: &Receiver<Request>, inputs: &InputSender) {
     while let Ok(request) = requests.recv() {
         let Request { number, state } = newest(request, || requests.try_recv().ok());
-        // Why a write fails makes no difference: meanwhile the disk counts as unhealthy.
-        while storage.write(&state).is_err() {
+        // Why a write fails makes no difference to the replica: meanwhile the disk counts as unhealthy.
+        while let Err(error) = storage.write(&state) {
+            inputs.send(Input::WriteFailed(error));
             std::thread::sleep(RETRY_DELAY);
         }
         inputs.send(Input::Persisted(number));
@@ -117,7 +126,8 @@
 ) {
     while let Some(request) = requests.recv().await {
         let Request { number, state } = newest(request, || requests.try_recv().ok());
-        while !write_slot(&*disk, cursor, &state).await {
+        while let Err(error) = write_slot(&*disk, cursor, &state).await {
+            inputs.send(Input::WriteFailed(error));
             tokio::time::sleep(RETRY_DELAY).await;
         }
         cursor.advance();
@@ -128,10 +138,7 @@
     }
 }
 
-/// Writes a state to the emulated disk; whether it is there.
-async fn write_slot(disk: &dyn Disk, cursor: SlotCursor, state: &DurableState) -> bool {
-    match cursor.encode(state) {
-        Ok(bytes) => disk.write_slot(cursor.slot(), bytes).await.is_ok(),
-        Err(_) => false,
-    }
+/// Writes a state to the emulated disk.
+async fn write_slot(disk: &dyn Disk, cursor: SlotCursor, state: &DurableState) -> Result<(), WriteError> {
+    Ok(disk.write_slot(cursor.slot(), cursor.encode(state)?).await?)
 }
--- a/crates/store/src/daemon/event_loop.rs
+++ b/crates/store/src/daemon/event_loop.rs
@@ -112,9 +112,16 @@
     fn on_input(&mut self, input: Input) {
         match input {
             Input::Persisted(number) => {
-                self.disk_writer.on_persisted(number);
+                if self.disk_writer.on_persisted(number) {
+                    info!(self.log, "disk writes succeed again");
+                }
                 self.step(Event::Persisted(number));
             }
+            Input::WriteFailed(error) => {
+                if self.disk_writer.on_write_failed() {
+                    warn!(self.log, "disk writes fail"; "error" => #&error);
+                }
+            }
             Input::Peer(ip, event) => self.on_peer_event(ip, event),
             Input::Accepted(id, event) => self.on_accepted_event(id, event),
         }
--- a/crates/store/src/daemon/input.rs
+++ b/crates/store/src/daemon/input.rs
@@ -1,6 +1,7 @@
 //! The inputs of the event loop, and the sender that passes them on.
 
 use crate::consensus::WriteNumber;
+use crate::disk::WriteError;
 use std::net::Ipv4Addr;
 use tokio::sync::mpsc::UnboundedSender;
 use violetyoke_transport::connection::{self, ConnectionId};
@@ -13,6 +14,8 @@
     Peer(Ipv4Addr, connection::Event),
     /// All writes up to this one are on the disk.
     Persisted(WriteNumber),
+    /// The disk has refused a write, which is made again.
+    WriteFailed(WriteError),
 }
 
 /// Passes inputs to the event loop.
