Send updates and reports of sessions once for each batch of inputs

The list is asked for every quarter of drain-ms (500 to 1,250 ms) while it stays the same, every 500 ms for 4 s after a change; the assumed lag of lists follows.

--- a/crates/registry/src/backend_list/mod.rs
+++ b/crates/registry/src/backend_list/mod.rs
@@ -12,10 +12,13 @@
 use std::net::Ipv4Addr;
 use violetyoke_transport::messages::{Backend, BackendList, ListDigest};
 
-/// The time between two polls of the platform (ms).
+/// The time between two polls of the platform while the list changes (ms).
 const POLL_INTERVAL: Millis = 500;
-/// A list of another registry that is older than this (ms) is polled for here as well.
-const STALE_AFTER: Millis = 1_700;
+/// The list counts as changing for so long after a change (ms): changes mostly come one after the other.
+const CHANGING_FOR: Millis = 4_000;
+/// A list of another registry that is older than the longest time between two polls by this (ms) is polled for here as
+/// well: the poll may take 900 ms, and its report is 700 ms apart from the one before it.
+const STALE_MARGIN: Millis = 1_200;
 /// The backoff after a failed poll (ms): doubled with each failure in a row, up to the maximum.
 const INITIAL_BACKOFF: Millis = 400;
 const MAX_BACKOFF: Millis = 3_000;
@@ -30,20 +33,47 @@
 }
 
 /// The newest list, and when the platform is to be polled for the next.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct BackendListCache {
+    /// The time between two polls while the list stays the same (ms).
+    max_interval: Millis,
     newest: Option<PolledList>,
+    /// When the newest list came that differs from the one before.
+    changed_at: Millis,
     next_poll_at: Millis,
     consecutive_failures: u32,
     is_polling: bool,
 }
 
 impl BackendListCache {
+    /// No list yet. While the list stays the same, polls are `max_interval` (ms) apart, and closer while it changes.
+    pub fn new(max_interval: Millis) -> BackendListCache {
+        BackendListCache {
+            max_interval: max_interval.max(POLL_INTERVAL),
+            newest: None,
+            changed_at: 0,
+            next_poll_at: 0,
+            consecutive_failures: 0,
+            is_polling: false,
+        }
+    }
+
+    fn poll_interval(&self, now: Millis) -> Millis {
+        if now < self.changed_at + CHANGING_FOR {
+            POLL_INTERVAL
+        } else {
+            self.max_interval
+        }
+    }
+
     /// Whether `local`, one of the connected `registries`, is to poll now. The one with the lowest address polls for all;
     /// another one does so while it receives no fresh list. There is one poll at a time.
     pub fn is_poll_due(&self, now: Millis, local: Ipv4Addr, registries: &[Ipv4Addr]) -> bool {
         let is_poller = registries.iter().min().is_none_or(|lowest| *lowest == local);
-        let is_fresh = self.newest.as_ref().is_some_and(|newest| now < newest.polled_at + STALE_AFTER);
+        let is_fresh = self
+            .newest
+            .as_ref()
+            .is_some_and(|newest| now < newest.polled_at + self.max_interval + STALE_MARGIN);
         !self.is_polling && now >= self.next_poll_at && (is_poller || !is_fresh)
     }
 
@@ -56,7 +86,6 @@
     pub fn poll_succeeded(&mut self, now: Millis, started_at: Millis, mut backends: Vec<Backend>) -> bool {
         self.is_polling = false;
         self.consecutive_failures = 0;
-        self.next_poll_at = now.max(started_at + POLL_INTERVAL);
         // The time left of a slow start runs from when its page was written, which is after the poll was sent: long
         // after, for the last of many pages from a distant platform. Counted from the answer it ends late, never early.
         let elapsed = now.saturating_sub(started_at);
@@ -65,7 +94,9 @@
         }
         backends.sort_by(|a, b| a.id.cmp(&b.id));
         let digest = digest_of(&backends, started_at);
-        self.replace_if_newer(started_at, BackendList { digest, age_ms: 0, backends })
+        let is_changed = self.replace_if_newer(now, started_at, BackendList { digest, age_ms: 0, backends });
+        self.next_poll_at = now.max(started_at + self.poll_interval(now));
+        is_changed
     }
 
     /// The poll was refused or not answered. Returns whether it is the first one to fail after one that succeeded.
@@ -88,7 +119,7 @@
                 }
                 false
             }
-            _ => self.replace_if_newer(polled_at, list),
+            _ => self.replace_if_newer(now, polled_at, list),
         }
     }
 
@@ -110,7 +141,7 @@
         self.newest.as_ref().map_or(ListDigest::NONE, |newest| newest.list.digest)
     }
 
-    fn replace_if_newer(&mut self, polled_at: Millis, list: BackendList) -> bool {
+    fn replace_if_newer(&mut self, now: Millis, polled_at: Millis, list: BackendList) -> bool {
         match &mut self.newest {
             Some(newest) if polled_at < newest.polled_at => false,
             // The same backends in the same states: only the time is new.
@@ -120,6 +151,7 @@
             }
             newest => {
                 *newest = Some(PolledList { polled_at, list });
+                self.changed_at = now;
                 true
             }
         }
--- a/crates/registry/src/daemon/backend_polling.rs
+++ b/crates/registry/src/daemon/backend_polling.rs
@@ -39,7 +39,7 @@
         if self.backend_lists.poll_succeeded(now, started_at, backends) {
             self.peers.list_reported_at = now;
             self.report_to_peers(self.backend_lists.newest(now));
-            self.publish();
+            self.batch.request_publication();
         }
     }
 
--- a/crates/registry/src/daemon/gossip.rs
+++ b/crates/registry/src/daemon/gossip.rs
@@ -2,6 +2,7 @@
 
 use super::registry::Registry;
 use crate::Millis;
+use bytes::Bytes;
 use std::net::Ipv4Addr;
 use violetyoke_transport::codec::encode;
 use violetyoke_transport::connection::{ConnectionId, Event};
@@ -11,8 +12,8 @@
     pub(super) fn on_peer_event(&mut self, peer: Ipv4Addr, event: Event) {
         match event {
             Event::Connected(sender) => {
+                sender.send(self.report(self.backend_lists.newest(self.now())));
                 self.peers.connected(peer, sender);
-                self.report_to_peers(self.backend_lists.newest(self.now()));
             }
             Event::Disconnected => self.peers.disconnected(peer),
             // Peers send on the connections that they open themselves.
@@ -29,20 +30,25 @@
         if let Some(list) = backends {
             self.backend_lists.merge_peer_list(now, list);
         }
-        self.publish();
+        self.batch.request_publication();
     }
 
     /// Reports this registry's sessions to all others, with a backend list if there is something new about it.
     pub(super) fn report_to_peers(&self, backends: Option<BackendList>) {
+        let message = self.report(backends);
+        for sender in self.peers.senders() {
+            sender.send(message.clone());
+        }
+    }
+
+    /// The encoded report of this registry's sessions.
+    fn report(&self, backends: Option<BackendList>) -> Bytes {
         let gossip = Gossip {
             from: self.settings.local.ip,
             sessions: self.sessions.local(),
             partitioned: self.quota.partitioned(),
             backends,
         };
-        let message = encode(&RegistryRequest::Registry(gossip));
-        for sender in self.peers.senders() {
-            sender.send(message.clone());
-        }
+        encode(&RegistryRequest::Registry(gossip))
     }
 }
--- a/crates/registry/src/daemon/inbound.rs
+++ b/crates/registry/src/daemon/inbound.rs
@@ -26,8 +26,8 @@
             self.sessions.remove_peer(peer);
         }
         if self.sessions.remove(connection) {
-            self.report_to_peers(None);
+            self.batch.sessions_changed();
         }
-        self.publish();
+        self.batch.request_publication();
     }
 }
--- a/crates/registry/src/daemon/mod.rs
+++ b/crates/registry/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The registry as a process: its listeners, its event loop and its end.
 
 mod backend_polling;
+mod batch;
 mod command_client;
 mod gossip;
 mod http;
@@ -38,6 +39,8 @@
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// After a SIGTERM, the least time before the end, in which responses are written.
 const MIN_SHUTDOWN_DELAY: Duration = Duration::from_millis(200);
+/// Inputs that are taken in at once: in a wave of sessions, proxies are sent updates after so many at the latest.
+const MAX_BATCH: usize = 64;
 /// How often timers are looked at.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -104,14 +107,17 @@
     mut lifecycle: Lifecycle,
 ) {
     let mut shutdown_requested_at: Option<Instant> = None;
+    let mut inputs = Vec::with_capacity(MAX_BATCH);
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            input = queue.recv() => match input {
-                Some(input) => registry.borrow_mut().on_input(input),
-                None => return,
-            },
+            taken = queue.recv_many(&mut inputs, MAX_BATCH) => {
+                if taken == 0 {
+                    return;
+                }
+                registry.borrow_mut().on_inputs(inputs.drain(..));
+            }
             Some(settings) = lifecycle.settings.recv() => registry.borrow_mut().settings = settings,
             Some(()) = lifecycle.shutdown.recv(), if shutdown_requested_at.is_none() => {
                 info!(registry.borrow().log, "shutting down");
--- a/crates/registry/src/daemon/proxy_requests.rs
+++ b/crates/registry/src/daemon/proxy_requests.rs
@@ -35,10 +35,11 @@
     /// A proxy says who it is, and whether it is ready.
     fn on_hello(&mut self, connection: ConnectionId, session: Session) {
         info!(self.log, "session"; "proxy" => &session.node, "ready" => session.is_ready);
-        self.sessions.register(connection, session);
+        if self.sessions.register(connection, session) {
+            self.batch.sessions_changed();
+        }
         self.proxies.session_begun(connection);
-        self.report_to_peers(None);
-        self.publish();
+        self.batch.request_publication();
     }
 
     /// A proxy reports what it has, and asks for what is newer.
@@ -47,7 +48,7 @@
             proxy.progress.on_poll(versions, is_primary);
         }
         self.proxy_reported.notify_waiters();
-        self.publish();
+        self.batch.request_publication();
     }
 
     /// A proxy waits to learn whether there is a newer state than the one it knows: it is answered in any case, by that
@@ -61,7 +62,7 @@
                 proxy.reply(&ProxyReply::Freshness { request_id, newest });
             }
         }
-        self.publish();
+        self.batch.request_publication();
     }
 
     /// A proxy asks to count a request of a tenant.
--- a/crates/registry/src/daemon/registry.rs
+++ b/crates/registry/src/daemon/registry.rs
@@ -1,5 +1,6 @@
 //! The registry's state, and the dispatch of inputs and ticks.
 
+use super::batch::Batch;
 use super::command_client::CommandClient;
 use super::input::{Input, InputSender};
 use super::peers::RegistryPeers;
@@ -37,6 +38,7 @@
     pub(super) stores: StoreConnections,
     pub(super) commands: CommandClient,
     pub(super) publisher: Publisher,
+    pub(super) batch: Batch,
     /// Notified whenever a proxy reports the versions that it has.
     pub(super) proxy_reported: Rc<Notify>,
 }
@@ -49,7 +51,7 @@
             started_at: Instant::now(),
             state: ControlState::default(),
             sessions: Sessions::default(),
-            backend_lists: BackendListCache::default(),
+            backend_lists: BackendListCache::new(settings.terms.bounds.max_list_interval_ms()),
             contact: CoreContact::default(),
             quota: QuotaShards::new(local),
             proxies: ProxyConnections::default(),
@@ -57,6 +59,7 @@
             stores: StoreConnections::new(local, settings.internal_port(Process::Store), &inputs),
             commands: CommandClient::new(incarnation),
             publisher: Publisher::default(),
+            batch: Batch::default(),
             proxy_reported: Rc::default(),
             settings,
             inputs,
@@ -69,8 +72,15 @@
         self.started_at.elapsed().as_millis() as Millis + 1
     }
 
-    /// Takes in what has happened outside.
-    pub(super) fn on_input(&mut self, input: Input) {
+    /// Takes in what has happened outside, and sends what follows from all of it.
+    pub(super) fn on_inputs(&mut self, inputs: impl Iterator<Item = Input>) {
+        for input in inputs {
+            self.on_input(input);
+        }
+        self.finish_batch();
+    }
+
+    fn on_input(&mut self, input: Input) {
         match input {
             Input::Inbound { connection, event } => self.on_inbound_event(connection, event),
             Input::Peer { registry, event } => self.on_peer_event(registry, event),
@@ -86,7 +96,8 @@
         self.dispatch_commands(now);
         self.poll_platform(now);
         self.report_backend_list(now);
-        self.publish();
+        self.batch.request_publication();
+        self.finish_batch();
     }
 
     /// Opens connections to the store and the registry on each core machine that has become known.
--- a/crates/registry/src/daemon/store_replies.rs
+++ b/crates/registry/src/daemon/store_replies.rs
@@ -54,7 +54,7 @@
         if owners.fencing_token > self.stores.shard_owners.fencing_token {
             self.quota.advance_fence(owners.fencing_token);
             self.stores.shard_owners = owners;
-            self.publish();
+            self.batch.request_publication();
         }
     }
 
@@ -75,6 +75,6 @@
             self.publisher.install_state(&state, configuration, has_other_text);
         }
         self.state = state;
-        self.publish();
+        self.batch.request_publication();
     }
 }
--- a/crates/registry/src/sessions.rs
+++ b/crates/registry/src/sessions.rs
@@ -26,13 +26,14 @@
 }
 
 impl Sessions {
-    /// Begins or updates the session of the proxy on `connection`.
-    pub fn register(&mut self, connection: ConnectionId, session: Session) {
+    /// Begins or updates the session of the proxy on `connection`. Returns whether anything is new about it.
+    pub fn register(&mut self, connection: ConnectionId, session: Session) -> bool {
         let has_changed = self.local.get(&connection) != Some(&session);
         self.local.insert(connection, session);
         if has_changed {
             self.update_proxy_ids();
         }
+        has_changed
     }
 
     /// Ends the session on `connection`. Returns whether there was one.
--- a/crates/registry/tests/backend_list.rs
+++ b/crates/registry/tests/backend_list.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn slow_start_ends_late_however_long_the_pages_took() {
-    let mut lists = BackendListCache::default();
+    let mut lists = BackendListCache::new(500);
     lists.poll_started();
     // Polled at 1,000, answered 600 ms later: the last page was written just then, with a second to go.
     let backends = vec![backend("i-1", false, 1_000), backend("i-2", false, 0)];
@@ -26,7 +26,7 @@
 
 #[test]
 fn one_registry_polls_for_all_until_it_falls_silent() {
-    let (mut first, mut second) = (BackendListCache::default(), BackendListCache::default());
+    let (mut first, mut second) = (BackendListCache::new(500), BackendListCache::new(500));
     assert!(first.is_poll_due(1, FIRST, &[FIRST, SECOND]));
     first.poll_started();
     assert!(!first.is_poll_due(2, FIRST, &[FIRST, SECOND]), "one poll at a time");
@@ -43,9 +43,45 @@
     assert!(second.is_poll_due(3_900, SECOND, &[SECOND]));
 }
 
+/// When a registry that polls for all does so, from its first poll until `until`; the list changes at `changes_at`.
+fn poll_times(max_interval: u64, changes_at: u64, until: u64) -> Vec<u64> {
+    let mut lists = BackendListCache::new(max_interval);
+    let mut times = Vec::new();
+    for now in 1..until {
+        if lists.is_poll_due(now, FIRST, &[FIRST]) {
+            lists.poll_started();
+            lists.poll_succeeded(now, now, vec![backend("i-1", now >= changes_at, 0)]);
+            times.push(now);
+        }
+    }
+    times
+}
+
+#[test]
+fn list_that_stays_the_same_is_polled_for_more_rarely_until_it_changes() {
+    let times = poll_times(1_250, 9_000, 16_000);
+    let gaps: Vec<u64> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps.iter().all(|gap| [500, 1_250].contains(gap)), "{gaps:?}");
+    let busy = |from: u64, to: u64| times.iter().filter(|at| (from..to).contains(*at)).count();
+    assert_eq!((busy(1, 4_001), busy(5_000, 9_000)), (8, 3), "{times:?}");
+    let seen_at = times.iter().find(|at| **at >= 9_000).copied().expect("a poll");
+    assert!(seen_at <= 9_000 + 1_250 && busy(seen_at, seen_at + 4_000) == 8, "{times:?}");
+    // Never faster than the platform's calls are meant for.
+    assert!(poll_times(100, 0, 4_000).windows(2).all(|pair| pair[1] - pair[0] == 500));
+}
+
+#[test]
+fn another_registry_takes_over_later_where_polls_are_rarer() {
+    let (mut first, mut second) = (BackendListCache::new(1_250), BackendListCache::new(1_250));
+    assert!(first.poll_succeeded(20, 1, vec![backend("i-1", false, 0)]));
+    assert!(second.merge_peer_list(30, first.newest(30).expect("a list")));
+    assert!(!second.is_poll_due(2_400, SECOND, &[FIRST, SECOND]));
+    assert!(second.is_poll_due(2_500, SECOND, &[FIRST, SECOND]));
+}
+
 #[test]
 fn list_that_was_polled_earlier_never_replaces_a_later_one() {
-    let mut lists = BackendListCache::default();
+    let mut lists = BackendListCache::new(500);
     assert!(lists.poll_succeeded(500, 480, vec![backend("i-1", true, 0)]));
     let old = BackendList { digest: ListDigest(7), age_ms: 300, backends: vec![backend("i-1", false, 0)] };
     assert!(!lists.merge_peer_list(600, old));
@@ -54,7 +90,7 @@
 
 #[test]
 fn failed_polls_are_repeated_ever_more_rarely() {
-    let mut lists = BackendListCache::default();
+    let mut lists = BackendListCache::new(500);
     let mut polls = 0;
     for now in 1..20_000 {
         if lists.is_poll_due(now, FIRST, &[FIRST]) {
@@ -68,7 +104,7 @@
 
 #[test]
 fn slow_start_that_runs_down_is_no_change_and_one_that_begins_is() {
-    let mut lists = BackendListCache::default();
+    let mut lists = BackendListCache::new(500);
     assert!(lists.poll_succeeded(10, 0, vec![backend("i-1", false, 3_000)]));
     assert!(!lists.poll_succeeded(600, 500, vec![backend("i-1", false, 2_500)]));
     assert!(lists.poll_succeeded(4_000, 3_600, vec![backend("i-1", false, 0)]));
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -12,7 +12,7 @@
 use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use tokio_util::codec::Decoder;
 
 /// An empty frame is sent after this time without another one.
@@ -29,9 +29,17 @@
 
 /// Sends on one connection. What is sent after it has ended is lost: the receiver of its events learns of the end.
 #[derive(Clone, Debug)]
-pub struct Sender(UnboundedSender<OutgoingMessage>);
+pub struct Sender {
+    queue: UnboundedSender<OutgoingMessage>,
+    connect_time: Duration,
+}
 
 impl Sender {
+    /// How long the connection took to open: about the round trip to the peer. Zero where the peer has opened it.
+    pub fn connect_time(&self) -> Duration {
+        self.connect_time
+    }
+
     /// Sends a message after those that were sent before it.
     pub fn send(&self, payload: Bytes) {
         self.enqueue(OutgoingMessage { payload, is_urgent: false });
@@ -44,7 +52,7 @@
 
     fn enqueue(&self, message: OutgoingMessage) {
         // The message is lost if the connection has ended, which `Event::Disconnected` reports.
-        drop(self.0.send(message));
+        drop(self.queue.send(message));
     }
 }
 
@@ -69,10 +77,11 @@
     let on_event: Rc<dyn Fn(Event)> = Rc::new(on_event);
     let mut backoff = MIN_BACKOFF;
     loop {
+        let started_at = Instant::now();
         if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect(address.into())).await {
             if stream.set_user_timeout(IDLE_TIMEOUT).is_ok() {
                 backoff = MIN_BACKOFF;
-                run(stream, &on_event).await;
+                run(stream, started_at.elapsed(), &on_event).await;
             }
         }
         sleep(backoff).await;
@@ -94,17 +103,17 @@
         if is_v4 && stream.set_user_timeout(IDLE_TIMEOUT).is_ok() {
             accepted += 1;
             let on_event: Rc<dyn Fn(Event)> = Rc::new(open(ConnectionId(accepted)));
-            connections.spawn_local(async move { run(stream, &on_event).await });
+            connections.spawn_local(async move { run(stream, Duration::ZERO, &on_event).await });
         }
         // Those that have ended are removed from the set.
         while connections.try_join_next().is_some() {}
     }
 }
 
-async fn run(stream: Stream, on_event: &Rc<dyn Fn(Event)>) {
+async fn run(stream: Stream, connect_time: Duration, on_event: &Rc<dyn Fn(Event)>) {
     let (reader, writer) = split(stream);
     let (sender, queue) = unbounded_channel();
-    on_event(Event::Connected(Sender(sender)));
+    on_event(Event::Connected(Sender { queue: sender, connect_time }));
     tokio::select! {
         _ = read(reader, on_event) => {}
         _ = write(writer, queue) => {}
