Draw latency estimates to the service's mean, and compare samples where loads are unknown

Cause: at 295 proxies a proxy sees few responses of each backend. Ruled out: wider random factors of the costs (of 40 backends four got a third of all requests in the test). Change: estimates start from the service's mean in that region, worth five samples; where the load of few backends is known, the cheapest of a sample of each locality gets the request (power of two choices); a connection to a distant home region is opened while the tenant's limit is checked.

--- a/crates/balancing/src/backend.rs
+++ b/crates/balancing/src/backend.rs
@@ -99,6 +99,11 @@
         f64::from(self.in_flight) + self.foreign_load.estimate(now)
     }
 
+    /// Whether this proxy knows its present load: a response came lately, or one is awaited.
+    pub(crate) fn is_load_known(&self, now: Millis) -> bool {
+        self.in_flight > 0 || self.foreign_load.is_fresh(now)
+    }
+
     /// It responded to nothing since it was ejected, and one attempt is probing it.
     pub(crate) fn is_being_probed(&self) -> bool {
         self.outlier.is_on_probation() && self.in_flight > 0
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`queue::PendingQueue`] orders the requests that wait until a backend has capacity.
 
 mod backend;
+mod candidates;
 mod concurrency;
 mod directory;
 mod load;
--- a/crates/balancing/src/load.rs
+++ b/crates/balancing/src/load.rs
@@ -6,26 +6,77 @@
 /// Reported load of other proxies decays with this time constant (ms): it is as old as the last response, and their
 /// requests end.
 const DECAY_MS: f64 = 600.0;
+/// A report older than this says little (ms): three quarters of what it counted have ended.
+const FRESH_MS: Millis = 900;
 /// Assumed latency of a backend that has not responded yet (ms).
 pub(crate) const DEFAULT_LATENCY_MS: f64 = 100.0;
-/// Weight of the newest sample in the moving average of the latency.
-const LATENCY_WEIGHT: f64 = 0.1;
+/// Samples that the moving average of a backend's latency remembers.
+const BACKEND_SAMPLES: f64 = 10.0;
+/// Samples that the moving average of a service's latency remembers: few enough to follow a zone that is lost within
+/// seconds, where a proxy sends the service a few requests a second.
+const SERVICE_SAMPLES: f64 = 30.0;
+/// The service's mean counts as so many samples of each of its backends. Where there are many backends, each proxy sees few
+/// responses of each, and how long one takes depends more on the request than on the backend.
+const PRIOR_SAMPLES: f64 = 5.0;
 
-/// Exponentially weighted moving average of a backend's response times.
+/// Moving average of response times: of the first samples the plain mean, then exponentially weighted.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct LatencyEstimate {
-    mean_ms: Option<f64>,
+    mean_ms: f64,
+    /// How many samples it rests on, as far as they are remembered.
+    samples: f64,
 }
 
 impl LatencyEstimate {
+    /// Adds a sample of one backend.
     pub(crate) fn record(&mut self, latency_ms: Millis) {
-        let sample = latency_ms as f64;
-        self.mean_ms = Some(self.mean_ms.map_or(sample, |mean| mean + LATENCY_WEIGHT * (sample - mean)));
+        self.add(latency_ms, BACKEND_SAMPLES);
+    }
+
+    /// Adds a sample of any backend of a service.
+    pub(crate) fn record_of_service(&mut self, latency_ms: Millis) {
+        self.add(latency_ms, SERVICE_SAMPLES);
+    }
+
+    fn add(&mut self, latency_ms: Millis, remembered: f64) {
+        self.samples = (self.samples + 1.0).min(remembered);
+        self.mean_ms += (latency_ms as f64 - self.mean_ms) / self.samples;
     }
 
     /// The mean (ms); `None` before the first response.
     pub(crate) fn mean_ms(self) -> Option<f64> {
-        self.mean_ms
+        (self.samples > 0.0).then_some(self.mean_ms)
+    }
+
+    /// The expected latency of a backend with these samples (ms): their mean, drawn towards the usual one, `prior_ms`,
+    /// while they are few.
+    pub(crate) fn expected_ms(self, prior_ms: f64) -> f64 {
+        (PRIOR_SAMPLES * prior_ms + self.samples * self.mean_ms) / (PRIOR_SAMPLES + self.samples)
+    }
+}
+
+/// Response times of all backends of a service, those of the proxy's own region apart: a region whose backends are
+/// overloaded is to lose requests to the other, however few of its backends a proxy has tried.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ServiceLatency {
+    same_region: LatencyEstimate,
+    other_region: LatencyEstimate,
+}
+
+impl ServiceLatency {
+    pub(crate) fn record(&mut self, latency_ms: Millis, is_same_region: bool) {
+        let estimate = if is_same_region { &mut self.same_region } else { &mut self.other_region };
+        estimate.record_of_service(latency_ms);
+    }
+
+    /// The usual latency (ms); `None` before the first response of the service.
+    pub(crate) fn mean_ms(self, is_same_region: bool) -> Option<f64> {
+        let (own, other) = if is_same_region {
+            (self.same_region, self.other_region)
+        } else {
+            (self.other_region, self.same_region)
+        };
+        own.mean_ms().or(other.mean_ms())
     }
 }
 
@@ -49,6 +100,11 @@
         self.reported_at = now;
     }
 
+    /// Whether the report still says something of the present load.
+    pub(crate) fn is_fresh(&self, now: Millis) -> bool {
+        self.reported_at > 0 && now < self.reported_at + FRESH_MS
+    }
+
     /// What is left of the reported load at `now`.
     pub(crate) fn estimate(&self, now: Millis) -> f64 {
         let age_ms = now.saturating_sub(self.reported_at) as f64;
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,9 +1,10 @@
-//! The choice of a backend for one attempt: the cheapest by estimated response time and network distance.
+//! The choice of a backend for one attempt: by estimated response time and network distance.
 
 use crate::backend::Backend;
+use crate::candidates::{Candidates, Distance};
 use crate::concurrency::{has_capacity, load_factor};
 use crate::directory::BackendDirectory;
-use crate::load::DEFAULT_LATENCY_MS;
+use crate::load::{ServiceLatency, DEFAULT_LATENCY_MS};
 use crate::Millis;
 
 /// What a network path costs, as milliseconds of waiting: traffic between zones and between regions is paid for.
@@ -37,40 +38,6 @@
     NoBackend,
 }
 
-/// The best of the backends looked at so far.
-#[derive(Default)]
-struct Candidates<'a> {
-    any_eligible: bool,
-    cheapest: Option<(f64, &'a Backend)>,
-    /// Of the idle ones among the ejected, the one whose ejection ends first.
-    first_to_return: Option<&'a Backend>,
-}
-
-impl<'a> Candidates<'a> {
-    fn offer(&mut self, cost: f64, backend: &'a Backend) {
-        if self.cheapest.is_none_or(|(least, _)| cost < least) {
-            self.cheapest = Some((cost, backend));
-        }
-    }
-
-    fn offer_ejected(&mut self, backend: &'a Backend) {
-        let returns_earlier =
-            |other: &Backend| backend.outlier.ejected_until() < other.outlier.ejected_until();
-        if backend.in_flight == 0 && self.first_to_return.is_none_or(returns_earlier) {
-            self.first_to_return = Some(backend);
-        }
-    }
-
-    /// Where all backends are ejected, one of them is probed rather than the request refused.
-    fn into_selection(self) -> Selection {
-        match self.cheapest.map(|(_, backend)| backend).or(self.first_to_return) {
-            Some(backend) => Selection::Backend(backend.id.clone()),
-            None if self.any_eligible => Selection::AtCapacity,
-            None => Selection::NoBackend,
-        }
-    }
-}
-
 impl BackendDirectory {
     /// Selects a backend for one attempt. Nothing is recorded: the caller sends the attempt and calls
     /// [`BackendDirectory::record_attempt_started`].
@@ -78,6 +45,7 @@
     pub fn select(&self, now: Millis, criteria: SelectionCriteria<'_>) -> Selection {
         let Some(ids) = self.by_service.get(criteria.service) else { return Selection::NoBackend };
         let max_connections = self.max_connections(criteria.service);
+        let service_latency = self.service_latency(criteria.service);
         let mut candidates = Candidates::default();
         for backend in ids.iter().filter_map(|id| self.backends.get(id)) {
             if !self.is_eligible(backend, criteria) {
@@ -91,15 +59,25 @@
                 candidates.offer_ejected(backend);
                 continue;
             }
-            if backend.in_flight >= max_connections || backend.is_being_probed() {
-                continue;
-            }
-            if has_capacity(backend.slots, backend.load(now)) {
+            if has_room(now, backend, max_connections) {
                 let jitter = 1.0 + COST_JITTER * self.rng.sample_uniform();
-                candidates.offer(self.cost_ms(now, backend) * jitter, backend);
+                let cost = self.cost_ms(now, backend, service_latency) * jitter;
+                candidates.offer(cost, backend, self.distance(backend), backend.is_load_known(now));
             }
         }
-        candidates.into_selection()
+        candidates.into_selection(&self.rng)
+    }
+
+    /// Whether a backend that was selected a moment ago would still get the attempt.
+    #[must_use]
+    pub fn can_take(&self, now: Millis, id: &str, criteria: SelectionCriteria<'_>) -> bool {
+        let Some(backend) = self.backends.get(id) else { return false };
+        !backend.is_draining
+            && backend.service == criteria.service
+            && self.is_eligible(backend, criteria)
+            && self.has_slow_start_capacity(now, backend)
+            && !backend.outlier.is_ejected(now)
+            && has_room(now, backend, self.max_connections(criteria.service))
     }
 
     /// The next random number, uniform in `0.0..1.0`.
@@ -120,19 +98,35 @@
     }
 
     /// The expected response time with the price of the network path (ms).
-    fn cost_ms(&self, now: Millis, backend: &Backend) -> f64 {
+    fn cost_ms(&self, now: Millis, backend: &Backend, service_latency: ServiceLatency) -> f64 {
         let slow_start = if backend.slow_start.is_active(now) { SLOW_START_FACTOR } else { 1.0 };
-        let latency_ms = backend.latency_estimate_ms().unwrap_or(DEFAULT_LATENCY_MS) * slow_start;
+        let usual_ms = service_latency.mean_ms(self.is_same_region(backend)).unwrap_or(DEFAULT_LATENCY_MS);
+        let latency_ms = backend.latency.expected_ms(usual_ms) * slow_start;
         latency_ms * load_factor(backend.slots, backend.load(now)) + self.network_cost_ms(backend)
     }
 
     fn network_cost_ms(&self, backend: &Backend) -> f64 {
+        match self.distance(backend) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => OTHER_ZONE_COST_MS,
+            Distance::OtherRegion => OTHER_REGION_COST_MS,
+        }
+    }
+
+    fn distance(&self, backend: &Backend) -> Distance {
         if backend.zone == self.locality.zone {
-            0.0
+            Distance::SameZone
         } else if self.is_same_region(backend) {
-            OTHER_ZONE_COST_MS
+            Distance::SameRegion
         } else {
-            OTHER_REGION_COST_MS
+            Distance::OtherRegion
         }
     }
 }
+
+/// Whether a backend that is well takes one more request, and this proxy may open one more connection to it.
+fn has_room(now: Millis, backend: &Backend, max_connections: u32) -> bool {
+    backend.in_flight < max_connections
+        && !backend.is_being_probed()
+        && has_capacity(backend.slots, backend.load(now))
+}
--- a/crates/balancing/tests/selection.rs
+++ b/crates/balancing/tests/selection.rs
@@ -138,3 +138,53 @@
     let samples = [(); 3].map(|()| directory.sample_uniform());
     assert_eq!(samples, [0.737_705_618_204_509_3, 0.372_527_779_262_982_97, 0.017_255_399_359_289_214]);
 }
+
+#[test]
+fn few_slow_responses_do_not_take_a_backend_out_of_use() {
+    let ids: Vec<String> = (0..40).map(|n| format!("i-{n}")).collect();
+    let mut directory = directory(ids.iter().map(|id| listed(id, "a1", 6)).collect());
+    // Requests take 400 ms or 1,600 ms, whichever backend executes them.
+    let mut now = 100;
+    for round in 0..400 {
+        let id = selected(&directory, now, ANY).expect("a backend");
+        directory.record_attempt_started(now, &id);
+        let latency_ms = if round % 4 == 0 { 1_600 } else { 400 };
+        let response = Observation::Response { latency_ms, load: None };
+        directory.record_attempt_finished(now + 1, &id, response);
+        now += 10;
+    }
+    let sent: Vec<u64> = directory.report(now).iter().map(|report| report.counts.sent).collect();
+    assert!(sent.iter().all(|sent| (1..=30).contains(sent)), "{sent:?}");
+}
+
+#[test]
+fn backends_of_another_region_are_not_tried_for_want_of_an_estimate() {
+    let mut all: Vec<ListedBackend> = (0..10).map(|n| listed(&format!("near-{n}"), "a1", 6)).collect();
+    all.extend((0..10).map(|n| listed(&format!("far-{n}"), "b1", 6)));
+    let mut directory = directory(all);
+    let mut far = 0;
+    for now in (100..20_100).step_by(100) {
+        let id = selected(&directory, now, ANY).expect("a backend");
+        far += usize::from(id.starts_with("far"));
+        directory.record_attempt_started(now, &id);
+        // Far more than the estimate of a service that has not responded yet.
+        let response = Observation::Response { latency_ms: 900, load: None };
+        directory.record_attempt_finished(now + 50, &id, response);
+    }
+    assert_eq!(far, 0, "the backends of this region have room");
+}
+
+#[test]
+fn backend_that_was_selected_is_taken_only_while_it_is_well() {
+    let mut directory = directory(vec![listed("one", "a1", 1)]);
+    assert!(directory.can_take(100, "one", ANY));
+    assert!(!directory.can_take(100, "none", ANY));
+    let attempted = ["one".to_owned()];
+    assert!(!directory.can_take(100, "one", SelectionCriteria { attempted: &attempted, ..ANY }));
+    for _ in 0..2 {
+        directory.record_attempt_started(100, "one");
+    }
+    assert!(!directory.can_take(100, "one", ANY), "it is full");
+    directory.record_attempt_finished(110, "one", Observation::WrongInstance);
+    assert!(!directory.can_take(120, "one", ANY), "it is gone");
+}
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -22,7 +22,7 @@
 pub(crate) struct BackendTarget {
     pub(crate) address: SocketAddrV4,
     pub(crate) is_same_region: bool,
-    /// How long its answers usually take (ms); `None` until it has answered.
+    /// How long its answers are expected to take (ms); `None` until one of its service has answered.
     pub(crate) latency_estimate_ms: Option<f64>,
 }
 
@@ -34,6 +34,7 @@
     list_digest: Cell<ListDigest>,
     /// The region of each zone.
     regions: BTreeMap<String, String>,
+    local_region: String,
     list_lag_ms: Millis,
 }
 
@@ -49,6 +50,7 @@
             directory: RefCell::new(directory),
             list_digest: Cell::new(ListDigest::NONE),
             regions: settings.network.zones.clone(),
+            local_region: local.region.clone(),
             list_lag_ms: platform_lag_ms + settings.terms.bounds.max_list_interval_ms() + LIST_DELIVERY_MS,
         }
     }
@@ -58,6 +60,16 @@
         self.directory.borrow().select(self.clock.now(), criteria)
     }
 
+    /// Whether these home regions leave only backends of other regions.
+    pub(crate) fn excludes_local_region(&self, home_regions: &[Vec<String>]) -> bool {
+        home_regions.iter().any(|homes| !homes.is_empty() && !homes.contains(&self.local_region))
+    }
+
+    /// Whether a backend can take an attempt now.
+    pub(crate) fn can_take(&self, id: &str, criteria: SelectionCriteria<'_>) -> bool {
+        self.directory.borrow().can_take(self.clock.now(), id, criteria)
+    }
+
     /// A number drawn uniformly from 0 to 1.
     pub(crate) fn sample_uniform(&self) -> f64 {
         self.directory.borrow().sample_uniform()
@@ -70,7 +82,7 @@
         Some(BackendTarget {
             address: backend.address(),
             is_same_region: directory.is_same_region(backend),
-            latency_estimate_ms: backend.latency_estimate_ms(),
+            latency_estimate_ms: directory.expected_latency_ms(backend),
         })
     }
 
--- a/crates/proxy/src/forward/mod.rs
+++ b/crates/proxy/src/forward/mod.rs
@@ -11,6 +11,7 @@
 use attempts::Attempts;
 use bytes::Bytes;
 pub(crate) use guard::AttemptGuard;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -39,6 +40,8 @@
     pub(crate) arrived_at: Instant,
     /// When the client, or the operator, waits no longer.
     pub(crate) deadline: Instant,
+    /// The backend to which a connection was opened for this request.
+    pub(crate) preconnected: Cell<Option<String>>,
 }
 
 impl ForwardRequest {
@@ -47,7 +50,7 @@
     }
 
     /// What a backend has to meet, those in `attempted` left out.
-    fn criteria<'a>(&'a self, attempted: &'a [String]) -> SelectionCriteria<'a> {
+    pub(crate) fn criteria<'a>(&'a self, attempted: &'a [String]) -> SelectionCriteria<'a> {
         let home_regions = [self.home_regions[0].as_slice(), self.home_regions[1].as_slice()];
         SelectionCriteria { service: &self.service, attempted, home_regions }
     }
--- a/crates/proxy/src/forward/select.rs
+++ b/crates/proxy/src/forward/select.rs
@@ -20,6 +20,9 @@
 ) -> Option<String> {
     // Requests that wait already go first.
     if proxy.pending.is_empty(&request.service) {
+        if let Some(id) = take_preconnected(proxy, request, attempted) {
+            return Some(id);
+        }
         match select_now(proxy, request, attempted) {
             Selection::Backend(id) => return Some(id),
             Selection::NoBackend => return None,
@@ -36,6 +39,12 @@
     Some(backend_id)
 }
 
+/// The backend to which a connection was opened for this request, if it can still take it.
+fn take_preconnected(proxy: &Proxy, request: &ForwardRequest, attempted: &[String]) -> Option<String> {
+    let id = request.preconnected.take()?;
+    proxy.backends.can_take(&id, request.criteria(attempted)).then_some(id)
+}
+
 fn select_now(proxy: &Proxy, request: &ForwardRequest, attempted: &[String]) -> Selection {
     proxy.backends.select(request.criteria(attempted))
 }
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -10,6 +10,7 @@
 use crate::freshness::Freshness;
 use crate::request_body::RequestBody;
 use crate::state::Proxy;
+use crate::upstream::preconnect;
 use error::RequestError;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -17,6 +18,8 @@
 use lookup::{header_text, lookup, Match};
 pub(crate) use response::ClientResponse;
 use response::{error_response, forward_response};
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -47,9 +50,9 @@
     let table = configuration.routing();
     let Match { route, tenant } = lookup(table, &parts)?;
     let body = RequestBody::read(body, table.limits.max_body_bytes as u64).await?;
-    check_quota(proxy, tenant).await?;
     let service = select_service(proxy, table, route)?;
     let request = forward_request(&parts, body, route, tenant, service, arrived_at);
+    check_quota_and_connect(proxy, tenant, &request).await?;
     let response =
         forward(proxy, &request).await.map_err(|error| RequestError::from_forward(&request, error))?;
     proxy.metrics.answered.inc();
@@ -80,6 +83,24 @@
     }
 }
 
+/// Checks the tenant's limit, and meanwhile connects to a distant backend. A request past the limit is refused at once.
+async fn check_quota_and_connect(
+    proxy: &Proxy,
+    tenant: Option<&Tenant>,
+    request: &ForwardRequest,
+) -> Result<(), RequestError> {
+    let mut connected = pin!(preconnect(proxy, request));
+    let mut admitted = pin!(check_quota(proxy, tenant));
+    tokio::select! {
+        result = admitted.as_mut() => {
+            result?;
+            connected.await;
+            Ok(())
+        }
+        () = connected.as_mut() => admitted.await,
+    }
+}
+
 /// The service that gets the request, drawn by the weights of the route's split.
 fn select_service<'a>(
     proxy: &Proxy,
@@ -123,5 +144,6 @@
         body,
         arrived_at,
         deadline: arrived_at + Duration::from_secs_f64(timeout_ms / 1000.0),
+        preconnected: Cell::new(None),
     }
 }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -6,6 +6,7 @@
 use crate::state::Proxy;
 use bytes::BytesMut;
 use std::io;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 use violetyoke_balancing::Observation;
@@ -38,7 +39,7 @@
     let is_reused = idle.is_some();
     let mut connection = match idle {
         Some(connection) => connection,
-        None => connect(proxy, request).await.map_err(AttemptError::Connect)?,
+        None => open_connection(proxy, request).await.map_err(AttemptError::Connect)?,
     };
     let started_at = Instant::now();
     let mut result = exchange(&mut connection, request, is_reused, can_retry_elsewhere).await;
@@ -46,7 +47,7 @@
         proxy.connection_pool.record_reset();
         // The replay counts as a retry: the backend may have executed the request before it closed the connection.
         if request.is_replayable && proxy.retry_budgets.try_acquire(request.service) {
-            connection = connect(proxy, request).await.map_err(AttemptError::Reconnect)?;
+            connection = open_connection(proxy, request).await.map_err(AttemptError::Reconnect)?;
             result = exchange(&mut connection, request, false, can_retry_elsewhere).await;
         }
     }
@@ -54,11 +55,21 @@
     finish(proxy, request, connection, response, started_at.elapsed())
 }
 
-async fn connect(proxy: &Proxy, request: &AttemptRequest<'_>) -> io::Result<Connection> {
+async fn open_connection(proxy: &Proxy, request: &AttemptRequest<'_>) -> io::Result<Connection> {
+    connect(proxy, request.address, request.is_same_region, request.deadline).await
+}
+
+/// Opens a connection to a backend.
+pub(super) async fn connect(
+    proxy: &Proxy,
+    address: SocketAddrV4,
+    is_same_region: bool,
+    deadline: Instant,
+) -> io::Result<Connection> {
     proxy.metrics.backend_connections.inc();
-    let limit = if request.is_same_region { CONNECT_TIMEOUT } else { CONNECT_TIMEOUT_OTHER_REGION };
-    let until = (Instant::now() + limit).min(request.deadline);
-    let stream = timeout_at(until, net::connect(request.address.into())).await??;
+    let limit = if is_same_region { CONNECT_TIMEOUT } else { CONNECT_TIMEOUT_OTHER_REGION };
+    let until = (Instant::now() + limit).min(deadline);
+    let stream = timeout_at(until, net::connect(address.into())).await??;
     Ok(Connection { stream, buffer: BytesMut::new() })
 }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -64,6 +64,15 @@
         None
     }
 
+    /// Whether an idle connection to a backend can be expected to be usable.
+    pub(super) fn has_usable(&self, backend_id: &str, is_idempotent: bool) -> bool {
+        let now = Instant::now();
+        let max_idle = self.max_idle(now, is_idempotent);
+        let by_backend = self.idle.borrow();
+        let newest = by_backend.get(backend_id).and_then(|idle| idle.last());
+        newest.is_some_and(|kept| now < kept.expires_at && now - kept.idle_since < max_idle)
+    }
+
     fn max_idle(&self, now: Instant, is_idempotent: bool) -> Duration {
         let expects_resets = self.resets_expected_until.get().is_some_and(|until| now < until);
         match (is_idempotent, expects_resets) {
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod leaving_clients;
 mod metrics;
 mod partitions;
+mod preconnect;
 mod quota;
 mod response_matching;
 mod retry_safety;
--- a/crates/proxy/tests/proxy/support/backends.rs
+++ b/crates/proxy/tests/proxy/support/backends.rs
@@ -1,6 +1,6 @@
 //! Backends that behave as a test scripts them, byte for byte.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -43,15 +43,25 @@
 pub(crate) struct Backend {
     id: &'static str,
     service: &'static str,
+    zone: &'static str,
     address: SocketAddrV4,
     received: Rc<RefCell<Vec<ReceivedRequest>>>,
+    /// Connections that were opened to it, with requests or without.
+    connections_opened: Rc<Cell<usize>>,
 }
 
 impl Backend {
     /// A backend that is listed, and at whose address nothing listens.
     pub(crate) fn unreachable(id: &'static str, service: &'static str, number: u8) -> Backend {
         let address = SocketAddrV4::new([10, 8, 0, number].into(), 8080);
-        Backend { id, service, address, received: Rc::default() }
+        Backend {
+            id,
+            service,
+            zone: "a",
+            address,
+            received: Rc::default(),
+            connections_opened: Rc::default(),
+        }
     }
 
     /// Starts a backend; `number` distinguishes its address.
@@ -64,10 +74,12 @@
         let backend = Backend::unreachable(id, service, number);
         let listener = listen(backend.address.into()).expect("a listener");
         let (received, script): (_, Script) = (backend.received.clone(), Rc::new(RefCell::new(script)));
+        let connections_opened = backend.connections_opened.clone();
         tokio::task::spawn_local(async move {
             let mut connection = 0;
             while let Ok((stream, _)) = listener.accept().await {
                 connection += 1;
+                connections_opened.set(connection);
                 tokio::task::spawn_local(serve(stream, connection, received.clone(), script.clone()));
             }
         });
@@ -85,13 +97,23 @@
         Backend::start(ids[usize::from(number)], "ledger", number, script)
     }
 
+    /// The same backend in another zone.
+    pub(crate) fn in_zone(self, zone: &'static str) -> Backend {
+        Backend { zone, ..self }
+    }
+
+    /// The number of connections that were opened to it so far.
+    pub(crate) fn connections_opened(&self) -> usize {
+        self.connections_opened.get()
+    }
+
     /// Its entry in the platform's list.
     pub(crate) fn list_entry(&self) -> messages::Backend {
         messages::Backend {
             id: self.id.into(),
             service: self.service.into(),
             address: self.address,
-            zone: "a".into(),
+            zone: self.zone.into(),
             slots: 4,
             draining: false,
             slow_start_left_ms: 0,
--- a/crates/proxy/tests/proxy/support/client.rs
+++ b/crates/proxy/tests/proxy/support/client.rs
@@ -70,11 +70,22 @@
     attempt_id: &str,
     length: usize,
     sent: usize,
+) -> StartedRequest {
+    start_with_body_as(path, "key-1", attempt_id, length, sent).await
+}
+
+/// The same with a credential.
+pub(crate) async fn start_with_body_as(
+    path: &str,
+    credential: &str,
+    attempt_id: &str,
+    length: usize,
+    sent: usize,
 ) -> StartedRequest {
     let mut stream = net::connect(FRONT_ADDRESS.parse().expect("an address")).await.expect("a connection");
     let head = format!(
         "{} {path} HTTP/1.1\r\nhost: rooms.example\r\nx-attempt-id: {attempt_id}\r\nx-deadline-ms: 1500\r\n\
-         x-credential: key-1\r\ncontent-length: {length}\r\n\r\n",
+         x-credential: {credential}\r\ncontent-length: {length}\r\n\r\n",
         method_of(path)
     );
     stream.write_all(head.as_bytes()).await.expect("a head");
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -45,6 +45,17 @@
     })
 }
 
+/// The same, with bookings bound to the region `east`; the proxy is in `west`.
+pub(crate) fn configuration_with_distant_home(version: u64) -> Value {
+    let mut configuration = configuration(version);
+    let routes = &mut configuration["routes"];
+    routes["columns"].as_array_mut().expect("columns").push(json!("home-regions"));
+    for (row, homes) in routes["rows"].as_array_mut().expect("rows").iter_mut().zip([vec![], vec!["east"]]) {
+        row.as_array_mut().expect("a row").push(json!(homes));
+    }
+    configuration
+}
+
 /// The same with one more route.
 pub(crate) fn configuration_with_route(version: u64, prefix: &str) -> Value {
     let mut configuration = configuration(version);
@@ -65,7 +76,7 @@
     let text = json!({
         "self": {"node": "edge-1", "ip": "10.1.0.9", "zone": "a", "region": "west", "data-dir": null},
         "network": {"listen": {"front": FRONT_ADDRESS, "ready": READINESS_ADDRESS}, "internal-ports": [7460, 7475],
-                    "seeds": seeds, "zones": {"a": "west"}},
+                    "seeds": seeds, "zones": {"a": "west", "b": "east"}},
         "platform": {},
         "terms": {"bounds": {"retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 58, "quota-overshoot": 0.1}}
     });
