Send requests to backends that have just reported a free slot

Cause: a proxy of 295 sends a backend a request every minute; what a backend reports had decayed to nothing by then, so that unknown backends looked idle, and those that had just reported a free slot looked busier than they. At 93 in 100 slots in use bookings waited at some backends while others were free. Change: an old report decays to the usual load of the service's backends in that region; the cheapest of the backends that reported a free slot within 900 ms is compared beside the sample (compare join-idle-queue).

--- a/crates/balancing/src/backend.rs
+++ b/crates/balancing/src/backend.rs
@@ -28,6 +28,17 @@
     pub slow_start_left_ms: Millis,
 }
 
+/// What is known of a backend's present load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LoadKnowledge {
+    /// It has reported lately that a slot is free.
+    Free,
+    /// It has reported lately, or has a request of this proxy.
+    Known,
+    /// Nothing that still holds.
+    Unknown,
+}
+
 /// A backend of the directory.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -99,9 +110,22 @@
         f64::from(self.in_flight) + self.foreign_load.estimate(now)
     }
 
-    /// Whether this proxy knows its present load: a response came lately, or one is awaited.
-    pub(crate) fn is_load_known(&self, now: Millis) -> bool {
-        self.in_flight > 0 || self.foreign_load.is_fresh(now)
+    /// Requests of all proxies that are to be expected there now, where the usual load of its service is known.
+    pub(crate) fn expected_load(&self, now: Millis, usual_per_slot: f64) -> f64 {
+        let usual = usual_per_slot * f64::from(self.slots);
+        f64::from(self.in_flight) + self.foreign_load.expected(now, usual)
+    }
+
+    /// What this proxy knows of its present load: a response came lately, or one is awaited.
+    pub(crate) fn load_knowledge(&self, now: Millis) -> LoadKnowledge {
+        let is_fresh = self.foreign_load.is_fresh(now);
+        if is_fresh && self.load(now) + 1.0 <= f64::from(self.slots) {
+            LoadKnowledge::Free
+        } else if is_fresh || self.in_flight > 0 {
+            LoadKnowledge::Known
+        } else {
+            LoadKnowledge::Unknown
+        }
     }
 
     /// It responded to nothing since it was ejected, and one attempt is probing it.
--- a/crates/balancing/src/candidates.rs
+++ b/crates/balancing/src/candidates.rs
@@ -5,7 +5,7 @@
 //! cheapest of a random sample gets it (the power of two choices; Mitzenmacher 2001), drawn in each locality, so that no
 //! sample consists of distant backends alone.
 
-use crate::backend::Backend;
+use crate::backend::{Backend, LoadKnowledge};
 use crate::rng::SplitMix64;
 use crate::selection::Selection;
 
@@ -31,14 +31,27 @@
     by_distance: [Vec<Candidate<'a>>; 3],
     /// How many of them have a known load.
     known: usize,
+    /// The cheapest of those that have reported lately that a slot is free. What a backend reports, one proxy learns: no
+    /// other is sent there by the same report (compare join-idle-queue; Lu et al. 2011).
+    cheapest_free: Option<Candidate<'a>>,
     /// Of the idle ones among the ejected, the one whose ejection ends first.
     first_to_return: Option<&'a Backend>,
 }
 
 impl<'a> Candidates<'a> {
-    pub(crate) fn offer(&mut self, cost: f64, backend: &'a Backend, distance: Distance, is_load_known: bool) {
+    pub(crate) fn offer(
+        &mut self,
+        cost: f64,
+        backend: &'a Backend,
+        distance: Distance,
+        knowledge: LoadKnowledge,
+    ) {
         self.by_distance[distance as usize].push((cost, backend));
-        self.known += usize::from(is_load_known);
+        self.known += usize::from(knowledge != LoadKnowledge::Unknown);
+        let is_cheaper = self.cheapest_free.is_none_or(|(least, _)| cost < least);
+        if knowledge == LoadKnowledge::Free && is_cheaper {
+            self.cheapest_free = Some((cost, backend));
+        }
     }
 
     pub(crate) fn offer_ejected(&mut self, backend: &'a Backend) {
@@ -65,7 +78,8 @@
             let size = sample_size(candidates.len(), known_part);
             sample(candidates, size, rng)
         });
-        samples.min_by(|(cost, _), (other, _)| cost.total_cmp(other)).map(|(_, backend)| *backend)
+        let compared = samples.chain(self.cheapest_free.iter());
+        compared.min_by(|(cost, _), (other, _)| cost.total_cmp(other)).map(|(_, backend)| *backend)
     }
 }
 
--- a/crates/balancing/src/directory.rs
+++ b/crates/balancing/src/directory.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{Backend, ListedBackend};
 use crate::concurrency::ServiceLimits;
-use crate::load::ServiceLatency;
+use crate::load::ServiceEstimate;
 use crate::membership::{Locality, Membership};
 use crate::observation::Observation;
 use crate::rng::SplitMix64;
@@ -23,8 +23,8 @@
     pub(crate) rng: SplitMix64,
     membership: Membership,
     limits: HashMap<String, ServiceLimits>,
-    /// Response times of all backends of each service.
-    latencies: HashMap<String, ServiceLatency>,
+    /// What the backends of each service have shown together.
+    estimates: HashMap<String, ServiceEstimate>,
     /// When the newest applied list was requested from the platform.
     list_requested_at: Option<Millis>,
     /// By how much a list that arrives now may lag behind (ms).
@@ -135,7 +135,7 @@
         list_lag_ms: Millis,
     ) {
         (self.limits, self.list_lag_ms) = (limits, list_lag_ms);
-        self.latencies.retain(|service, _| self.limits.contains_key(service));
+        self.estimates.retain(|service, _| self.limits.contains_key(service));
         for zone in self.evacuated_zones.difference(&evacuated_zones) {
             // Its backends may have restarted during the evacuation, and a list that says so comes later.
             for backend in self.backends.values_mut().filter(|backend| backend.zone == *zone) {
@@ -165,14 +165,14 @@
         self.membership.rate_share(backend.rank_seed, rate_per_s)
     }
 
-    pub(crate) fn service_latency(&self, service: &str) -> ServiceLatency {
-        self.latencies.get(service).copied().unwrap_or_default()
+    pub(crate) fn service_estimate(&self, service: &str) -> ServiceEstimate {
+        self.estimates.get(service).copied().unwrap_or_default()
     }
 
     /// The response time that is to be expected of a backend (ms); `None` while none of its service has responded.
     #[must_use]
     pub fn expected_latency_ms(&self, backend: &Backend) -> Option<f64> {
-        let prior_ms = self.service_latency(&backend.service).mean_ms(self.is_same_region(backend))?;
+        let prior_ms = self.service_estimate(&backend.service).latency_ms(self.is_same_region(backend))?;
         Some(backend.latency.expected_ms(prior_ms))
     }
 
@@ -198,14 +198,15 @@
     /// Records how an attempt ended.
     pub fn record_attempt_finished(&mut self, now: Millis, id: &str, observation: Observation) {
         let Some(backend) = self.backends.get_mut(id) else { return };
-        if let Observation::Response { latency_ms, .. } = observation {
+        if let Observation::Response { latency_ms, load } = observation {
+            let load = load.map(|load| load.per_slot(backend.slots));
             let is_same_region = backend.region == self.locality.region;
             // The name is copied for a new entry only.
-            if let Some(latency) = self.latencies.get_mut(&backend.service) {
-                latency.record(latency_ms, is_same_region);
+            if let Some(estimate) = self.estimates.get_mut(&backend.service) {
+                estimate.record(latency_ms, load, is_same_region);
             } else {
-                let latency = self.latencies.entry(backend.service.clone()).or_default();
-                latency.record(latency_ms, is_same_region);
+                let estimate = self.estimates.entry(backend.service.clone()).or_default();
+                estimate.record(latency_ms, load, is_same_region);
             }
         }
         let (was_draining, was_unreachable) = (backend.is_draining, backend.outlier.is_unreachable());
--- a/crates/balancing/src/load.rs
+++ b/crates/balancing/src/load.rs
@@ -55,28 +55,46 @@
     }
 }
 
-/// Response times of all backends of a service, those of the proxy's own region apart: a region whose backends are
+/// Response times and loads of all backends of a service, those of the proxy's own region apart: a region whose backends are
 /// overloaded is to lose requests to the other, however few of its backends a proxy has tried.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ServiceLatency {
-    same_region: LatencyEstimate,
-    other_region: LatencyEstimate,
+pub(crate) struct ServiceEstimate {
+    same_region: RegionEstimate,
+    other_region: RegionEstimate,
 }
 
-impl ServiceLatency {
-    pub(crate) fn record(&mut self, latency_ms: Millis, is_same_region: bool) {
-        let estimate = if is_same_region { &mut self.same_region } else { &mut self.other_region };
-        estimate.record_of_service(latency_ms);
+/// What the backends of a service in one region have shown together.
+#[derive(Clone, Copy, Debug, Default)]
+struct RegionEstimate {
+    latency: LatencyEstimate,
+    /// Moving average of the reported loads, in requests for each slot.
+    load_per_slot: f64,
+}
+
+impl ServiceEstimate {
+    /// Records a response.
+    pub(crate) fn record(&mut self, latency_ms: Millis, load_per_slot: Option<f64>, is_same_region: bool) {
+        let region = if is_same_region { &mut self.same_region } else { &mut self.other_region };
+        region.latency.record_of_service(latency_ms);
+        if let Some(load) = load_per_slot {
+            region.load_per_slot += (load - region.load_per_slot) / region.latency.samples;
+        }
     }
 
     /// The usual latency (ms); `None` before the first response of the service.
-    pub(crate) fn mean_ms(self, is_same_region: bool) -> Option<f64> {
+    pub(crate) fn latency_ms(&self, is_same_region: bool) -> Option<f64> {
         let (own, other) = if is_same_region {
             (self.same_region, self.other_region)
         } else {
             (self.other_region, self.same_region)
         };
-        own.mean_ms().or(other.mean_ms())
+        own.latency.mean_ms().or(other.latency.mean_ms())
+    }
+
+    /// The usual load of a backend, in requests for each of its slots.
+    pub(crate) fn load_per_slot(&self, is_same_region: bool) -> f64 {
+        let region = if is_same_region { self.same_region } else { self.other_region };
+        region.load_per_slot
     }
 }
 
@@ -107,7 +125,20 @@
 
     /// What is left of the reported load at `now`.
     pub(crate) fn estimate(&self, now: Millis) -> f64 {
+        self.requests * self.remainder(now)
+    }
+
+    /// What is to be expected at `now`: the older the report, the nearer to `usual`, the load of other backends.
+    pub(crate) fn expected(&self, now: Millis, usual: f64) -> f64 {
+        usual + (self.requests - usual) * self.remainder(now)
+    }
+
+    /// The part of a report that still holds.
+    fn remainder(&self, now: Millis) -> f64 {
+        if self.reported_at == 0 {
+            return 0.0;
+        }
         let age_ms = now.saturating_sub(self.reported_at) as f64;
-        self.requests * (-age_ms / DECAY_MS).exp()
+        (-age_ms / DECAY_MS).exp()
     }
 }
--- a/crates/balancing/src/observation.rs
+++ b/crates/balancing/src/observation.rs
@@ -11,6 +11,13 @@
     pub waiting: u32,
 }
 
+impl ReportedLoad {
+    /// The requests beside the one that was finished, for each of the backend's slots.
+    pub(crate) fn per_slot(self, slots: u32) -> f64 {
+        f64::from((self.running + self.waiting).saturating_sub(1)) / f64::from(slots)
+    }
+}
+
 /// How one attempt ended, as far as it says something about the backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Observation {
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -4,7 +4,7 @@
 use crate::candidates::{Candidates, Distance};
 use crate::concurrency::{has_capacity, load_factor};
 use crate::directory::BackendDirectory;
-use crate::load::{ServiceLatency, DEFAULT_LATENCY_MS};
+use crate::load::{ServiceEstimate, DEFAULT_LATENCY_MS};
 use crate::Millis;
 
 /// What a network path costs, as milliseconds of waiting: traffic between zones and between regions is paid for.
@@ -45,7 +45,7 @@
     pub fn select(&self, now: Millis, criteria: SelectionCriteria<'_>) -> Selection {
         let Some(ids) = self.by_service.get(criteria.service) else { return Selection::NoBackend };
         let max_connections = self.max_connections(criteria.service);
-        let service_latency = self.service_latency(criteria.service);
+        let service = self.service_estimate(criteria.service);
         let mut candidates = Candidates::default();
         for backend in ids.iter().filter_map(|id| self.backends.get(id)) {
             if !self.is_eligible(backend, criteria) {
@@ -61,8 +61,8 @@
             }
             if has_room(now, backend, max_connections) {
                 let jitter = 1.0 + COST_JITTER * self.rng.sample_uniform();
-                let cost = self.cost_ms(now, backend, service_latency) * jitter;
-                candidates.offer(cost, backend, self.distance(backend), backend.is_load_known(now));
+                let cost = self.cost_ms(now, backend, &service) * jitter;
+                candidates.offer(cost, backend, self.distance(backend), backend.load_knowledge(now));
             }
         }
         candidates.into_selection(&self.rng)
@@ -98,11 +98,13 @@
     }
 
     /// The expected response time with the price of the network path (ms).
-    fn cost_ms(&self, now: Millis, backend: &Backend, service_latency: ServiceLatency) -> f64 {
+    fn cost_ms(&self, now: Millis, backend: &Backend, service: &ServiceEstimate) -> f64 {
         let slow_start = if backend.slow_start.is_active(now) { SLOW_START_FACTOR } else { 1.0 };
-        let usual_ms = service_latency.mean_ms(self.is_same_region(backend)).unwrap_or(DEFAULT_LATENCY_MS);
+        let is_same_region = self.is_same_region(backend);
+        let usual_ms = service.latency_ms(is_same_region).unwrap_or(DEFAULT_LATENCY_MS);
         let latency_ms = backend.latency.expected_ms(usual_ms) * slow_start;
-        latency_ms * load_factor(backend.slots, backend.load(now)) + self.network_cost_ms(backend)
+        let load = backend.expected_load(now, service.load_per_slot(is_same_region));
+        latency_ms * load_factor(backend.slots, load) + self.network_cost_ms(backend)
     }
 
     fn network_cost_ms(&self, backend: &Backend) -> f64 {
