Emulate a core cut in halves, all cores without power, and lost disks beside a loss of all power

Cause: the operators say that all other machines may lose power in the moment in which disks are lost, also those that don't count; the emulator had no such closing fault, none that cuts the core in two halves, and none that takes power from all core machines at once. Ruled out: nothing.

--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -72,7 +72,7 @@
     let (cores, edges) = (site.core_count(), site.edge_count());
     let core = rng.random_range(0..cores);
     let edge = cores + rng.random_range(0..edges);
-    match rng.random_range(0..22) {
+    match rng.random_range(0..24) {
         0 if may_lose => EventKind::Kill { machines: vec![core], is_power_lost: rng.random(), down: span },
         1 if may_lose => EventKind::Wipe { machine: core, down: span },
         2 if may_lose => EventKind::KillAcknowledger { is_wiped: rng.random(), down: span },
@@ -95,17 +95,26 @@
         17 => EventKind::Evacuate { zone: rng.random_range(0..site.zones.len()), span: span + 3_000 },
         18 => EventKind::TenantBurst { tenant: rng.random_range(0..site.tenants), factor: 8.0, span },
         19 => EventKind::CrashBackends { service: rng.random_range(0..site.services.len()), count: 1 },
-        20 => EventKind::ReplaceBackends { service: rng.random_range(0..site.services.len()), count: 4 },
+        20 if may_lose => EventKind::SplitCore { half: (0..cores / 2).collect(), span },
+        21 if may_lose => {
+            EventKind::Kill { machines: (0..cores).collect(), is_power_lost: rng.random(), down: span / 4 }
+        }
+        22 => EventKind::ReplaceBackends { service: rng.random_range(0..site.services.len()), count: 4 },
         _ => EventKind::LoseResponses { part: 0.02, span },
     }
 }
 
 fn draw_closing(rng: &mut Pcg64Mcg, site: &Site, lost_until: Millis) -> Option<EventKind> {
     let machines = (0..site.core_count() + site.edge_count()).collect();
-    match rng.random_range(0..5) {
+    match rng.random_range(0..7) {
         0 => Some(EventKind::Kill { machines, is_power_lost: false, down: 800 }),
         1 => Some(EventKind::Kill { machines, is_power_lost: true, down: 1_200 }),
         2 if lost_until < CLOSING => Some(EventKind::KillAcknowledger { is_wiped: true, down: 1_400 }),
+        3 | 4 if lost_until < CLOSING => {
+            let first = rng.random_range(0..site.core_count());
+            let wiped = (0..site.tolerance as usize).map(|n| (first + n) % site.core_count()).collect();
+            Some(EventKind::LoseDisksAndPower { wiped, down: 1_200 })
+        }
         _ => None,
     }
 }
--- a/crates/emulator/src/event.rs
+++ b/crates/emulator/src/event.rs
@@ -29,6 +29,21 @@
         /// How long it is down.
         down: Millis,
     },
+    /// A configuration is sent; once it is acknowledged, some machines lose their disks, and all others, also those that
+    /// have none, lose their power in the same moment.
+    LoseDisksAndPower {
+        /// The machines that lose their disks: no more than may be lost at once.
+        wiped: Vec<usize>,
+        /// How long all are down.
+        down: Millis,
+    },
+    /// The core machines are cut into two halves, whatever may be lost at once; all others reach both.
+    SplitCore {
+        /// The machines of one half.
+        half: Vec<usize>,
+        /// For how long.
+        span: Millis,
+    },
     /// A machine's processes stand still.
     Freeze {
         /// The machine.
@@ -151,6 +166,8 @@
             }
             EventKind::Freeze { machine, .. } => *machine < cores,
             EventKind::Wipe { .. }
+            | EventKind::LoseDisksAndPower { .. }
+            | EventKind::SplitCore { .. }
             | EventKind::KillAcknowledger { .. }
             | EventKind::StallDisk { .. }
             | EventKind::LoseZone { .. } => true,
@@ -164,7 +181,9 @@
             EventKind::Kill { down, .. }
             | EventKind::Wipe { down, .. }
             | EventKind::KillAcknowledger { down, .. } => Some(*down + 1_000),
+            EventKind::LoseDisksAndPower { down, .. } => Some(*down + 2_000),
             EventKind::Freeze { span, .. }
+            | EventKind::SplitCore { span, .. }
             | EventKind::Partition { span, .. }
             | EventKind::StallDisk { span, .. }
             | EventKind::LoseZone { span, .. } => Some(*span + 500),
--- a/crates/emulator/src/fault_injection.rs
+++ b/crates/emulator/src/fault_injection.rs
@@ -36,6 +36,12 @@
                 self.take_down(&[machine], Loss { is_power_lost: true, is_wiped: true, down }).await;
             }
             EventKind::KillAcknowledger { is_wiped, down } => self.kill_acknowledger(is_wiped, down).await,
+            EventKind::LoseDisksAndPower { wiped, down } => self.lose_disks_and_power(&wiped, down).await,
+            EventKind::SplitCore { half, span } => {
+                self.set_core_split(&half, true);
+                pause(span).await;
+                self.set_core_split(&half, false);
+            }
             EventKind::Freeze { machine, span } => {
                 self.fleet.borrow().set_frozen(machine, true);
                 pause(span).await;
@@ -124,6 +130,31 @@
         }
     }
 
+    async fn lose_disks_and_power(&self, wiped: &[usize], down: Millis) {
+        self.send_configuration(&[]).await;
+        let others: Vec<usize> = {
+            let machines = 0..self.fleet.borrow().machines.len();
+            machines.filter(|machine| !wiped.contains(machine)).collect()
+        };
+        // Recorded as a fault by then, and lasts from here on.
+        self.record_fault(down + 2_000);
+        tokio::join!(
+            self.take_down(wiped, Loss { is_power_lost: true, is_wiped: true, down }),
+            self.take_down(&others, Loss { is_power_lost: true, is_wiped: false, down }),
+        );
+    }
+
+    /// Cuts the core machines of `half` from the other core machines, or joins them again.
+    fn set_core_split(&self, half: &[usize], is_partitioned: bool) {
+        let fleet = self.fleet.borrow();
+        for one in half.iter().filter_map(|index| fleet.machines.get(*index)) {
+            for other in fleet.cores().filter(|core| half.iter().all(|n| fleet.machines[*n].ip != core.ip)) {
+                self.net.set_partitioned(one.ip, other.ip, is_partitioned);
+                self.net.set_partitioned(other.ip, one.ip, is_partitioned);
+            }
+        }
+    }
+
     async fn lose_zone(&self, zone: usize, span: Millis) {
         self.backends.set_zone_power_lost(zone, true);
         let machines = self.fleet.borrow().in_zone(zone);
--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -1,6 +1,6 @@
 //! What a day was worth to clients.
 
-use crate::records::{Millis, Records};
+use crate::records::{Command, Millis, Records};
 use crate::site::Site;
 use std::fmt;
 
@@ -35,6 +35,8 @@
     pub p50: Millis,
     /// The time within which 99 in 100 served requests were (ms).
     pub p99: Millis,
+    /// The longest time that an evacuation waited for its acknowledgement outside of spans with faults (ms).
+    pub slowest_evacuation: Millis,
 }
 
 impl Figures {
@@ -62,10 +64,24 @@
                 .map(|status| StatusCount { status, attempts: attempts(&|other| other == status) }),
             p50: percentile(0.5),
             p99: percentile(0.99),
+            slowest_evacuation: calm_evacuations(site, records).into_iter().max().unwrap_or(0),
         }
     }
 }
 
+/// How long each evacuation waited for its acknowledgement, where no machine or link was faulty meanwhile, nor for so long
+/// before as contact takes.
+#[must_use]
+pub fn calm_evacuations(site: &Site, records: &Records) -> Vec<Millis> {
+    let contact = site.bounds.contact_ms as Millis;
+    let is_calm = |from: Millis, until: Millis| {
+        !records.fault_spans.iter().any(|(start, end)| from <= end + contact && until >= *start)
+    };
+    let evacuations = records.commands.iter().filter(|it| matches!(it.command, Command::Evacuate { .. }));
+    let waits = evacuations.filter_map(|it| Some((it.sent, it.acknowledged_at?)));
+    waits.filter(|(from, until)| is_calm(*from, *until)).map(|(from, until)| until - from).collect()
+}
+
 impl fmt::Display for Figures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -74,6 +90,10 @@
             self.requests, self.served, self.in_time, self.rejected, self.failed, self.p50, self.p99
         )?;
         let mut counts = self.statuses.iter().filter(|count| count.attempts > 0);
-        counts.try_for_each(|StatusCount { status, attempts }| write!(f, ", {status}: {attempts}"))
+        counts.try_for_each(|StatusCount { status, attempts }| write!(f, ", {status}: {attempts}"))?;
+        if self.slowest_evacuation > 0 {
+            write!(f, "; evacuations acknowledged within {} ms", self.slowest_evacuation)?;
+        }
+        Ok(())
     }
 }
