Test kept connections, leaving clients, shutdown and deadlines at the proxy

Ruled out: that the tests can't fail: with bodies' connections kept after an early answer, with the client's whole time as each deadline, and with a process that ends 3.4 s before SIGKILL, one of them fails each. Change: eight tests; the proxy's tasks end with the daemon in tests, as a process's do; backends of tests note when a connection was closed under them, and what deadline they were told.

--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 #![cfg(test)]
 
+mod connections;
 mod control_updates;
 mod leaving_clients;
 mod metrics;
--- a/crates/proxy/tests/proxy/support/backends.rs
+++ b/crates/proxy/tests/proxy/support/backends.rs
@@ -3,7 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{timeout, Instant};
 use violetyoke_transport::messages;
 use violetyoke_transport::net::{listen, Stream};
 
@@ -18,6 +20,8 @@
     HalfClose,
     /// Never responds.
     Hang,
+    /// Responds after this time, unless the connection is closed before.
+    RespondAfter(Duration, String),
 }
 
 impl Behavior {
@@ -35,6 +39,8 @@
     /// Which of the backend's connections it came on, from 1.
     pub(crate) connection: usize,
     pub(crate) attempt_id: String,
+    /// `X-Deadline-Ms`.
+    pub(crate) deadline_ms: u64,
 }
 
 type Script = Rc<RefCell<dyn FnMut(&ReceivedRequest) -> Behavior>>;
@@ -48,6 +54,8 @@
     received: Rc<RefCell<Vec<ReceivedRequest>>>,
     /// Connections that were opened to it, with requests or without.
     connections_opened: Rc<Cell<usize>>,
+    /// The ids of requests whose connection was closed before their response, and when.
+    broken_off: Rc<RefCell<Vec<(String, Instant)>>>,
 }
 
 impl Backend {
@@ -61,6 +69,7 @@
             address,
             received: Rc::default(),
             connections_opened: Rc::default(),
+            broken_off: Rc::default(),
         }
     }
 
@@ -74,13 +83,15 @@
         let backend = Backend::unreachable(id, service, number);
         let listener = listen(backend.address.into()).expect("a listener");
         let (received, script): (_, Script) = (backend.received.clone(), Rc::new(RefCell::new(script)));
-        let connections_opened = backend.connections_opened.clone();
+        let (connections_opened, broken_off) =
+            (backend.connections_opened.clone(), backend.broken_off.clone());
         tokio::task::spawn_local(async move {
             let mut connection = 0;
             while let Ok((stream, _)) = listener.accept().await {
                 connection += 1;
                 connections_opened.set(connection);
-                tokio::task::spawn_local(serve(stream, connection, received.clone(), script.clone()));
+                let observers = Observers { received: received.clone(), broken_off: broken_off.clone() };
+                tokio::task::spawn_local(serve(stream, connection, observers, script.clone()));
             }
         });
         backend
@@ -91,6 +102,28 @@
         Backend::start("finder-1", "finder", 1, script)
     }
 
+    /// Starts the backend `ledger-1`, which responds as soon as it has a request's head, keeps the connection, and takes
+    /// what follows for the rest of the body.
+    pub(crate) fn early_ledger(mut response: impl FnMut(&str) -> String + 'static) -> Backend {
+        let backend = Backend::unreachable("ledger-1", "ledger", 1);
+        let listener = listen(backend.address.into()).expect("a listener");
+        let received = backend.received.clone();
+        tokio::task::spawn_local(async move {
+            let mut connection = 0;
+            let mut kept = Vec::new();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                connection += 1;
+                let mut buffer = Vec::new();
+                let Some(mut request) = read_head(&mut stream, &mut buffer).await else { continue };
+                request.connection = connection;
+                received.borrow_mut().push(request.clone());
+                drop(stream.write_all(response(&request.attempt_id).as_bytes()).await);
+                kept.push(tokio::task::spawn_local(drain(stream)));
+            }
+        });
+        backend
+    }
+
     /// Starts one of two backends of the service `ledger`, whose requests may run only once.
     pub(crate) fn ledger(number: u8, script: impl FnMut(&ReceivedRequest) -> Behavior + 'static) -> Backend {
         let ids = ["", "ledger-1", "ledger-2"];
@@ -107,6 +140,17 @@
         self.connections_opened.get()
     }
 
+    /// When the connection of a request was closed before its response.
+    pub(crate) fn broken_off_at(&self, attempt_id: &str) -> Option<Instant> {
+        self.broken_off.borrow().iter().find(|(id, _)| id == attempt_id).map(|(_, at)| *at)
+    }
+
+    /// What a request's `X-Deadline-Ms` said, each time that it came.
+    pub(crate) fn deadlines_ms(&self, attempt_id: &str) -> Vec<u64> {
+        let received = self.received.borrow();
+        received.iter().filter(|it| it.attempt_id == attempt_id).map(|it| it.deadline_ms).collect()
+    }
+
     /// Its entry in the platform's list.
     pub(crate) fn list_entry(&self) -> messages::Backend {
         messages::Backend {
@@ -136,16 +180,17 @@
     }
 }
 
-async fn serve(
-    mut stream: Stream,
-    connection: usize,
+/// What a backend notes of its requests.
+struct Observers {
     received: Rc<RefCell<Vec<ReceivedRequest>>>,
-    script: Script,
-) {
+    broken_off: Rc<RefCell<Vec<(String, Instant)>>>,
+}
+
+async fn serve(mut stream: Stream, connection: usize, observers: Observers, script: Script) {
     let mut buffer = Vec::new();
-    while let Some(attempt_id) = read_request(&mut stream, &mut buffer).await {
-        let request = ReceivedRequest { connection, attempt_id };
-        received.borrow_mut().push(request.clone());
+    while let Some(mut request) = read_request(&mut stream, &mut buffer).await {
+        request.connection = connection;
+        observers.received.borrow_mut().push(request.clone());
         let behavior = (script.borrow_mut())(&request);
         // Writes fail where the proxy has closed first, which the next read finds.
         match behavior {
@@ -156,24 +201,66 @@
             }
             Behavior::HalfClose => drop(stream.shutdown().await),
             Behavior::Hang => std::future::pending().await,
+            Behavior::RespondAfter(time, text) => {
+                // The proxy sends nothing until it has the response: what is read is the end of the connection.
+                if timeout(time, stream.read_buf(&mut buffer)).await.is_ok() {
+                    let mut broken_off = observers.broken_off.borrow_mut();
+                    return broken_off.push((request.attempt_id, Instant::now()));
+                }
+                drop(stream.write_all(text.as_bytes()).await);
+            }
+        }
+    }
+}
+
+/// Reads until the connection ends.
+async fn drain(mut stream: Stream) {
+    let mut buffer = Vec::new();
+    while stream.read_buf(&mut buffer).await.is_ok_and(|count| count > 0) {
+        buffer.clear();
+    }
+}
+
+/// Reads the head of a request, and as much of the body as comes along; `None` once the connection has ended.
+async fn read_head(stream: &mut Stream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
+    loop {
+        let text = String::from_utf8_lossy(buffer).into_owned();
+        if let Some((head, _)) = text.split_once("\r\n\r\n") {
+            return Some(request_of(head));
         }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+fn field_of(head: &str, name: &str) -> Option<String> {
+    let line = head.lines().find(|line| line.to_ascii_lowercase().starts_with(name));
+    line.and_then(|line| line.split_once(": ")).map(|(_, value)| value.to_owned())
+}
+
+/// What a head says of its request.
+fn request_of(head: &str) -> ReceivedRequest {
+    let deadline_ms = field_of(head, "x-deadline-ms").and_then(|text| text.parse().ok());
+    ReceivedRequest {
+        connection: 0,
+        attempt_id: field_of(head, "x-attempt-id").unwrap_or_default(),
+        deadline_ms: deadline_ms.unwrap_or_default(),
     }
 }
 
-/// Reads one request with its body, and returns its attempt id; `None` once the connection has ended.
-async fn read_request(stream: &mut Stream, buffer: &mut Vec<u8>) -> Option<String> {
+/// Reads one request with its body; `None` once the connection has ended.
+async fn read_request(stream: &mut Stream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
     loop {
         let text = String::from_utf8_lossy(buffer).into_owned();
         if let Some((head, _)) = text.split_once("\r\n\r\n") {
-            let field = |name: &str| {
-                let line = head.lines().find(|line| line.to_ascii_lowercase().starts_with(name));
-                line.and_then(|line| line.split_once(": ")).map(|(_, value)| value.to_owned())
-            };
-            let body_bytes = field("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+            let body_bytes =
+                field_of(head, "content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
             let request_bytes = head.len() + 4 + body_bytes;
             if buffer.len() >= request_bytes {
+                let request = request_of(head);
                 buffer.drain(..request_bytes);
-                return Some(field("x-attempt-id").unwrap_or_default());
+                return Some(request);
             }
         }
         if stream.read_buf(buffer).await.ok()? == 0 {
--- a/crates/proxy/tests/proxy/support/client.rs
+++ b/crates/proxy/tests/proxy/support/client.rs
@@ -120,3 +120,60 @@
     let status = head.split(' ').nth(1)?.parse().ok()?;
     Some(Response { status, head: head.to_ascii_lowercase(), body: body.to_owned() })
 }
+
+/// A connection on which requests are sent one after the other.
+pub(crate) struct KeptConnection {
+    stream: net::Stream,
+    received: Vec<u8>,
+}
+
+impl KeptConnection {
+    pub(crate) async fn open() -> KeptConnection {
+        let stream = net::connect(FRONT_ADDRESS.parse().expect("an address")).await.expect("a connection");
+        KeptConnection { stream, received: Vec::new() }
+    }
+
+    /// Sends a request without a body, of a client that waits for five seconds.
+    pub(crate) async fn send(&mut self, path: &str, attempt_id: &str) {
+        self.send_with_deadline(path, attempt_id, 5_000).await;
+    }
+
+    pub(crate) async fn send_with_deadline(&mut self, path: &str, attempt_id: &str, deadline_ms: u64) {
+        self.write(path, attempt_id, deadline_ms, b"").await;
+    }
+
+    pub(crate) async fn send_body(&mut self, path: &str, attempt_id: &str, body: &[u8]) {
+        self.write(path, attempt_id, 5_000, body).await;
+    }
+
+    async fn write(&mut self, path: &str, attempt_id: &str, deadline_ms: u64, body: &[u8]) {
+        let head = format!(
+            "{} {path} HTTP/1.1\r\nhost: rooms.example\r\nx-attempt-id: {attempt_id}\r\n\
+             x-deadline-ms: {deadline_ms}\r\nx-credential: key-1\r\ncontent-length: {}\r\n\r\n",
+            method_of(path),
+            body.len()
+        );
+        // Fails where the proxy has closed: that is seen by reading.
+        drop(self.stream.write_all(head.as_bytes()).await);
+        drop(self.stream.write_all(body).await);
+    }
+
+    /// The status of the next response, of which all is read; `None` once the connection has ended.
+    pub(crate) async fn read_status(&mut self) -> Option<u16> {
+        loop {
+            let text = String::from_utf8_lossy(&self.received).into_owned();
+            if let Some((head, _)) = text.split_once("\r\n\r\n") {
+                let lower = head.to_ascii_lowercase();
+                let length = lower.lines().find_map(|line| line.strip_prefix("content-length: "));
+                let end = head.len() + 4 + length.and_then(|length| length.parse().ok()).unwrap_or(0);
+                if self.received.len() >= end {
+                    self.received.drain(..end);
+                    return head.split(' ').nth(1)?.parse().ok();
+                }
+            }
+            if self.stream.read_buf(&mut self.received).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+}
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -67,7 +67,14 @@
 /// A running proxy; it would shut down if this were dropped.
 #[must_use]
 pub(crate) struct RunningProxy {
-    _lifecycle: LifecycleSender,
+    lifecycle: LifecycleSender,
+}
+
+impl RunningProxy {
+    /// Asks it to shut down gracefully, as SIGTERM does.
+    pub(crate) fn shut_down(&self) {
+        self.lifecycle.shutdown.send(()).expect("a running proxy");
+    }
 }
 
 /// Starts a proxy with these registries as its seeds.
@@ -83,14 +90,26 @@
     let settings = Settings::parse(&text.to_string()).expect("settings");
     let (lifecycle, sender) = Lifecycle::new(7);
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    tokio::task::spawn_local(async move { violetyoke_proxy::daemon::run(settings, lifecycle, log).await });
-    RunningProxy { _lifecycle: sender }
+    tokio::task::spawn_local(async move {
+        // Its tasks end with it, as those of a process do.
+        let tasks = tokio::task::LocalSet::new();
+        tasks.run_until(violetyoke_proxy::daemon::run(settings, lifecycle, log)).await
+    });
+    RunningProxy { lifecycle: sender }
 }
 
 /// Starts a proxy with one registry and these backends, and waits until it is ready.
 pub(crate) async fn start_ready_proxy(backends: &[&Backend]) -> (RunningProxy, Registry) {
+    start_ready_proxy_with(&configuration(1), backends).await
+}
+
+/// The same with another configuration.
+pub(crate) async fn start_ready_proxy_with(
+    configuration: &Value,
+    backends: &[&Backend],
+) -> (RunningProxy, Registry) {
     let registry = Registry::start(1);
-    registry.set_state(1, &configuration(1), backends);
+    registry.set_state(1, configuration, backends);
     registry.set_membership(1, &[&registry], true);
     let proxy = start_proxy(&[&registry]);
     assert!(client::is_ready_within(Duration::from_secs(5)).await);
