Send an update that is under way no second time when a poll crosses it

Cause: a poll reset what a registry had sent to what the proxy had by its last report; a proxy that starts polls once for each registry that it reaches, and each of these polls had the list of backends (some 100 KB at 3,000 backends) and the state sent again while the first copy was on the link. Ruled out: reports between registries (few since they are batched). Change: a poll that reports the same versions as the one before within 2 s of an update has crossed it; what is never reported is sent again after that.

--- a/crates/proxy/src/control_client/polling.rs
+++ b/crates/proxy/src/control_client/polling.rs
@@ -8,9 +8,9 @@
 use violetyoke_transport::codec::encode;
 use violetyoke_transport::messages::{ProxyRequest, RegistryRequest, Revision};
 
-/// The first registry that is connected has this time to send the first state: that is three round trips between
-/// regions, and less than after what another one sends it unasked.
-const FIRST_STATE_TIMEOUT: Duration = Duration::from_millis(300);
+/// The first registry that is connected has this time to send the first state and list: less than after what another one
+/// sends them unasked (`FALLBACK_DELAY`).
+const FIRST_STATE_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl ControlClient {
     /// Asks all registries for what is newer than what is known here.
--- a/crates/registry/src/daemon/proxy_requests.rs
+++ b/crates/registry/src/daemon/proxy_requests.rs
@@ -44,8 +44,9 @@
 
     /// A proxy reports what it has, and asks for what is newer.
     fn on_poll(&mut self, connection: ConnectionId, versions: ProxyVersions, is_primary: bool) {
+        let now = self.now();
         if let Some(proxy) = self.proxies.get_mut(connection) {
-            proxy.progress.on_poll(versions, is_primary);
+            proxy.progress.on_poll(now, versions, is_primary);
         }
         self.proxy_reported.notify_waiters();
         self.batch.request_publication();
--- a/crates/registry/src/daemon/publisher.rs
+++ b/crates/registry/src/daemon/publisher.rs
@@ -102,7 +102,7 @@
     fn send_state(&mut self, proxy: &mut ProxyConnection, known: Revision) {
         let Some(latest) = self.latest.state else { return };
         if let Some(message) = self.publisher.states.update_from(known) {
-            proxy.progress.state_sent(latest);
+            proxy.progress.state_sent(self.now, latest);
             proxy.send(message);
         }
     }
@@ -110,7 +110,7 @@
     fn send_backend_list(&mut self, proxy: &mut ProxyConnection, known: ListDigest) {
         if let Some(newest) = self.backend_lists.newest(self.now) {
             let message = self.publisher.backend_lists.update_from(known, newest);
-            proxy.progress.backend_list_sent(self.latest.backend_list);
+            proxy.progress.backend_list_sent(self.now, self.latest.backend_list);
             proxy.send(message);
         }
     }
@@ -119,7 +119,7 @@
         let newest_state = self.latest.state.unwrap_or_default();
         let membership = &self.publisher.membership;
         let message = self.membership_message.get_or_insert_with(|| membership.encode(newest_state));
-        proxy.progress.membership_sent(self.latest.membership, self.latest.ownership);
+        proxy.progress.membership_sent(self.now, self.latest.membership, self.latest.ownership);
         proxy.send(message.clone());
     }
 }
--- a/crates/registry/src/updates/progress.rs
+++ b/crates/registry/src/updates/progress.rs
@@ -28,6 +28,10 @@
     pub membership: MembershipDigest,
 }
 
+/// An update that was sent is taken for lost only after this time (ms): a connection delivers in order, and a large list takes
+/// its time on a slow link. Until then a poll that reports the same versions as the one before has crossed the update.
+pub const RESEND_AFTER: Millis = 2_000;
+
 /// What one proxy was sent, what it has reported, and since when it has been behind.
 ///
 /// ```
@@ -38,11 +42,11 @@
 /// let latest = LatestVersions { state: Some(revision), ..LatestVersions::default() };
 /// let mut proxy = ProxyProgress::default();
 /// // It has an older state, and another registry is its primary one: that one is left time to send the update.
-/// proxy.on_poll(ProxyVersions::default(), false);
+/// proxy.on_poll(900, ProxyVersions::default(), false);
 /// assert!(!proxy.due_updates(1_000, &latest).state);
 /// assert!(proxy.due_updates(1_000 + FALLBACK_DELAY, &latest).state);
 /// // Once it was sent, it is not due again.
-/// proxy.state_sent(revision);
+/// proxy.state_sent(1_600, revision);
 /// assert!(!proxy.due_updates(2_000 + FALLBACK_DELAY, &latest).state);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,22 +60,57 @@
     /// The ownership in the last membership that it was sent.
     sent_ownership: Ownership,
     timers: StalenessTimers,
+    /// When the last update of each kind was sent.
+    sent_at: SentTimes,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct SentTimes {
+    state: Option<Millis>,
+    backend_list: Option<Millis>,
+    membership: Option<Millis>,
+}
+
+/// Whether an update that was sent then may still be on its way.
+fn is_under_way(now: Millis, sent_at: Option<Millis>) -> bool {
+    sent_at.is_some_and(|at| now < at + RESEND_AFTER)
 }
 
 impl ProxyProgress {
     /// The proxy reports what it has. `is_primary`: it wants its updates from this registry first.
-    pub fn on_poll(&mut self, versions: ProxyVersions, is_primary: bool) {
+    pub fn on_poll(&mut self, now: Millis, versions: ProxyVersions, is_primary: bool) {
         let has_newer_state = versions.state > self.reported.state;
         let has_other_list = versions.backend_list != self.reported.backend_list;
         self.timers.on_poll(has_newer_state, has_other_list);
         self.is_primary = is_primary;
-        self.sent = versions;
+        if versions.state != self.reported.state || !is_under_way(now, self.sent_at.state) {
+            self.sent.state = versions.state;
+        }
+        if has_other_list || !is_under_way(now, self.sent_at.backend_list) {
+            self.sent.backend_list = versions.backend_list;
+        }
+        let has_other_membership = versions.membership != self.reported.membership;
+        if has_other_membership || !is_under_way(now, self.sent_at.membership) {
+            self.sent.membership = versions.membership;
+        }
         self.reported = versions;
     }
 
+    /// A state and a list that were sent long ago and never reported are sent again. Proxies report a membership only when
+    /// they poll for something else.
+    fn expire_sent(&mut self, now: Millis) {
+        if !is_under_way(now, self.sent_at.state) {
+            self.sent.state = self.reported.state;
+        }
+        if !is_under_way(now, self.sent_at.backend_list) {
+            self.sent.backend_list = self.reported.backend_list;
+        }
+    }
+
     /// The proxy waits for a newer state than `known`: what was sent since is sent again, and at once.
     pub fn request_state_since(&mut self, known: Revision) {
         self.sent.state = known;
+        self.sent_at.state = None;
         self.is_primary = true;
     }
 
@@ -89,6 +128,7 @@
     /// after [`super::FALLBACK_DELAY`] otherwise.
     #[must_use]
     pub fn due_updates(&mut self, now: Millis, latest: &LatestVersions) -> UpdateKinds {
+        self.expire_sent(now);
         let missing = self.missing(latest);
         self.timers.update(now, missing);
         let overdue = self.timers.overdue(now);
@@ -112,19 +152,22 @@
     }
 
     /// The state of that revision has been sent.
-    pub fn state_sent(&mut self, revision: Revision) {
+    pub fn state_sent(&mut self, now: Millis, revision: Revision) {
+        self.sent_at.state = Some(now);
         self.sent.state = revision;
         self.timers.reset_state();
     }
 
     /// The backend list of that digest has been sent.
-    pub fn backend_list_sent(&mut self, digest: ListDigest) {
+    pub fn backend_list_sent(&mut self, now: Millis, digest: ListDigest) {
+        self.sent_at.backend_list = Some(now);
         self.sent.backend_list = digest;
         self.timers.reset_backend_list();
     }
 
     /// The membership of that digest, with that ownership, has been sent.
-    pub fn membership_sent(&mut self, digest: MembershipDigest, ownership: Ownership) {
+    pub fn membership_sent(&mut self, now: Millis, digest: MembershipDigest, ownership: Ownership) {
+        self.sent_at.membership = Some(now);
         self.sent.membership = digest;
         self.sent_ownership = ownership;
         self.timers.reset_membership();
--- a/crates/registry/tests/proxy_progress.rs
+++ b/crates/registry/tests/proxy_progress.rs
@@ -4,7 +4,7 @@
 
 use violetyoke_registry::updates::{
     is_installed_by_all, LatestVersions, ProxyProgress, ProxyVersions, StalenessTimers, UpdateKinds,
-    FALLBACK_DELAY,
+    FALLBACK_DELAY, RESEND_AFTER,
 };
 use violetyoke_transport::messages::{Epoch, ListDigest, MembershipDigest, Ownership, Revision};
 
@@ -37,10 +37,10 @@
 /// A proxy that has some older version of everything, sent from here.
 fn outdated_proxy(is_primary: bool) -> ProxyProgress {
     let mut proxy = ProxyProgress::default();
-    proxy.membership_sent(MembershipDigest(400), latest().ownership);
+    proxy.membership_sent(0, MembershipDigest(400), latest().ownership);
     let versions =
         ProxyVersions { state: revision(4), backend_list: ListDigest(40), membership: MembershipDigest(400) };
-    proxy.on_poll(versions, is_primary);
+    proxy.on_poll(900, versions, is_primary);
     proxy
 }
 
@@ -86,9 +86,9 @@
 
     assert_eq!(proxy.due_updates(1_000, &latest()), ALL);
 
-    proxy.state_sent(revision(5));
-    proxy.backend_list_sent(ListDigest(50));
-    proxy.membership_sent(MembershipDigest(500), latest().ownership);
+    proxy.state_sent(1_000, revision(5));
+    proxy.backend_list_sent(1_000, ListDigest(50));
+    proxy.membership_sent(0, MembershipDigest(500), latest().ownership);
     assert_eq!(proxy.sent(), up_to_date());
     assert_eq!(proxy.due_updates(1_001, &latest()), NONE, "sent once");
 }
@@ -107,7 +107,7 @@
     let mut proxy = outdated_proxy(false);
     assert_eq!(proxy.due_updates(1_000, &latest()), NONE);
 
-    proxy.on_poll(up_to_date(), false);
+    proxy.on_poll(900, up_to_date(), false);
 
     assert_eq!(proxy.due_updates(1_000 + FALLBACK_DELAY, &latest()), NONE);
 }
@@ -116,12 +116,12 @@
 fn new_proxy_and_new_shard_owners_are_not_delayed() {
     let membership = UpdateKinds { membership: true, ..NONE };
     let mut started = ProxyProgress::default();
-    started.on_poll(ProxyVersions { membership: MembershipDigest::NONE, ..up_to_date() }, false);
+    started.on_poll(900, ProxyVersions { membership: MembershipDigest::NONE, ..up_to_date() }, false);
     assert_eq!(started.due_updates(1_000, &latest()), membership, "it has no membership from here");
 
     let mut known = ProxyProgress::default();
-    known.membership_sent(MembershipDigest(500), latest().ownership);
-    known.on_poll(up_to_date(), false);
+    known.membership_sent(0, MembershipDigest(500), latest().ownership);
+    known.on_poll(900, up_to_date(), false);
     let other_owners =
         LatestVersions { membership: MembershipDigest(501), ownership: ownership(2), ..latest() };
     assert_eq!(known.due_updates(1_000, &other_owners), membership);
@@ -132,7 +132,7 @@
 #[test]
 fn registry_that_knows_nothing_sends_nothing_of_it() {
     let mut proxy = ProxyProgress::default();
-    proxy.on_poll(up_to_date(), true);
+    proxy.on_poll(900, up_to_date(), true);
     let nothing = LatestVersions { state: None, backend_list: ListDigest::NONE, ..latest() };
     assert_eq!(proxy.due_updates(1_000, &nothing), NONE);
 }
@@ -140,7 +140,7 @@
 #[test]
 fn proxy_that_checks_freshness_is_sent_the_state_again_at_once() {
     let mut proxy = outdated_proxy(false);
-    proxy.state_sent(revision(5));
+    proxy.state_sent(1_000, revision(5));
 
     proxy.request_state_since(revision(4));
 
@@ -154,3 +154,49 @@
     assert!(is_installed_by_all(revision(5), [revision(5), revision(7)]));
     assert!(!is_installed_by_all(revision(5), [revision(5), revision(4)]));
 }
+
+/// A proxy that has just been sent everything by its primary registry.
+fn proxy_that_was_sent_all(now: u64) -> ProxyProgress {
+    let mut proxy = outdated_proxy(true);
+    assert_eq!(proxy.due_updates(now, &latest()), ALL);
+    proxy.state_sent(now, revision(5));
+    proxy.backend_list_sent(now, ListDigest(50));
+    proxy.membership_sent(now, MembershipDigest(500), latest().ownership);
+    proxy
+}
+
+/// What [`outdated_proxy`] has reported.
+fn outdated() -> ProxyVersions {
+    ProxyVersions { state: revision(4), backend_list: ListDigest(40), membership: MembershipDigest(400) }
+}
+
+#[test]
+fn poll_that_crosses_an_update_has_nothing_sent_twice() {
+    let mut proxy = proxy_that_was_sent_all(1_000);
+    for now in [1_001, 1_050, 1_300] {
+        // Another registry has connected, say: the proxy polls all, and has received nothing yet.
+        proxy.on_poll(now, outdated(), true);
+        assert_eq!(proxy.due_updates(now, &latest()), NONE, "at {now} ms");
+    }
+    proxy.on_poll(1_400, up_to_date(), true);
+    assert_eq!(proxy.due_updates(1_400 + RESEND_AFTER, &latest()), NONE);
+}
+
+#[test]
+fn update_that_is_never_reported_is_sent_again_in_the_end() {
+    let mut proxy = proxy_that_was_sent_all(1_000);
+    assert_eq!(proxy.due_updates(1_000 + RESEND_AFTER - 1, &latest()), NONE);
+    let again = proxy.due_updates(1_000 + RESEND_AFTER, &latest());
+    assert_eq!(again, UpdateKinds { membership: false, ..ALL });
+}
+
+#[test]
+fn proxy_that_reports_other_versions_than_before_is_sent_what_it_lacks_at_once() {
+    let mut proxy = proxy_that_was_sent_all(1_000);
+    // A change did not apply there: it asks for the full state.
+    proxy.on_poll(1_100, ProxyVersions { state: Revision::default(), ..outdated() }, true);
+    assert_eq!(proxy.due_updates(1_100, &latest()), UpdateKinds { state: true, ..NONE });
+    // And it has got another list from elsewhere.
+    proxy.on_poll(1_200, ProxyVersions { backend_list: ListDigest(45), ..outdated() }, true);
+    assert!(proxy.due_updates(1_200, &latest()).backend_list);
+}
--- a/crates/registry/tests/support/registry.rs
+++ b/crates/registry/tests/support/registry.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, AbortHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 use violetyoke_api::settings::{Process, Settings};
 use violetyoke_registry::daemon::run;
@@ -17,8 +17,8 @@
 use violetyoke_transport::environment::install;
 use violetyoke_transport::lifecycle::Lifecycle;
 use violetyoke_transport::messages::{
-    Command, ControlState, Epoch, Outcome, ProxyReply, ProxyRequest, RegistryRequest, Revision, Session,
-    ShardOwners, StoreReply, StoreRequest,
+    Backend, BackendList, Command, ControlState, Epoch, Gossip, ListDigest, Outcome, ProxyReply,
+    ProxyRequest, RegistryRequest, Revision, Session, ShardOwners, StoreReply, StoreRequest,
 };
 use violetyoke_transport::net::{connect, listen, Stream};
 
@@ -99,6 +99,16 @@
         self.send(&StoreReply::State(state));
     }
 
+    /// Names another core machine, to which the registry then connects.
+    pub(crate) fn announce_machine(&self, machine: Ipv4Addr) {
+        self.send(&StoreReply::Status {
+            epoch: Epoch(1),
+            is_leader: true,
+            shard_owners: ShardOwners::default(),
+            stores: vec![LOCAL, machine],
+        });
+    }
+
     /// Assigns all quota shards to the registry.
     pub(crate) fn assign_shards(&self, fencing_token: Revision) {
         let shard_owners = ShardOwners { fencing_token, registries: vec![LOCAL] };
@@ -142,14 +152,83 @@
     }
 }
 
+/// Another registry, which receives reports on the connection that the registry opens, and sends its own.
+pub(crate) struct FakePeer {
+    reports: Rc<RefCell<Vec<Gossip>>>,
+    connection: Rc<RefCell<Option<Sender>>>,
+}
+
+impl FakePeer {
+    pub(crate) const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+
+    /// Starts it; `store` names it to the registry.
+    pub(crate) async fn start(store: &FakeStore) -> FakePeer {
+        let reports = Rc::<RefCell<Vec<Gossip>>>::default();
+        let port = settings().internal_port(Process::Registry);
+        let listener = listen((FakePeer::ADDRESS, port).into()).expect("a listener");
+        let received = reports.clone();
+        spawn_local(accept_all(listener, move |_| {
+            // A connection lasts for as long as its sender.
+            let (received, sender) = (received.clone(), RefCell::new(None));
+            move |event| match event {
+                Event::Connected(connected) => *sender.borrow_mut() = Some(connected),
+                Event::Disconnected => *sender.borrow_mut() = None,
+                Event::Message(message) => match decode(&message).expect("a request") {
+                    RegistryRequest::Registry(gossip) => received.borrow_mut().push(gossip),
+                    RegistryRequest::Proxy(request) => panic!("no proxy is connected: {request:?}"),
+                },
+            }
+        }));
+        let connection = Rc::<RefCell<Option<Sender>>>::default();
+        let opened = connection.clone();
+        spawn_local(maintain(internal_address(Process::Registry), move |event| {
+            if let Event::Connected(sender) = event {
+                *opened.borrow_mut() = Some(sender);
+            }
+        }));
+        store.announce_machine(FakePeer::ADDRESS);
+        sleep(2 * SETTLING).await;
+        FakePeer { reports, connection }
+    }
+
+    /// Reports a list of backends, as one that was just received from the platform.
+    pub(crate) fn report_list(&self, backends: Vec<Backend>) {
+        let list = BackendList { digest: ListDigest(backends.len() as u64 + 1), age_ms: 0, backends };
+        let gossip = Gossip {
+            from: FakePeer::ADDRESS,
+            sessions: Vec::new(),
+            partitioned: Vec::new(),
+            backends: Some(list),
+        };
+        let connection = self.connection.borrow();
+        connection.as_ref().expect("a connection").send(encode(&RegistryRequest::Registry(gossip)));
+    }
+
+    /// The reports that have come since this was last asked.
+    pub(crate) fn take_reports(&self) -> Vec<Gossip> {
+        self.reports.take()
+    }
+}
+
 /// A proxy with a session, which reports only what a test lets it report.
 pub(crate) struct FakeProxy {
+    /// Maintains the connection.
+    task: AbortHandle,
     connection: Rc<RefCell<Option<Sender>>>,
     received: Rc<RefCell<Vec<(Instant, ProxyReply)>>>,
 }
 
 impl FakeProxy {
     pub(crate) async fn start(front_address: SocketAddrV4, is_ready: bool) -> FakeProxy {
+        let proxy = FakeProxy::connect();
+        sleep(SETTLING).await;
+        proxy.begin_session(front_address, is_ready);
+        sleep(SETTLING).await;
+        proxy
+    }
+
+    /// Begins its session, or reports what is new about it.
+    pub(crate) fn begin_session(&self, front_address: SocketAddrV4, is_ready: bool) {
         let session = Session {
             node: front_address.to_string(),
             front_address,
@@ -157,21 +236,30 @@
             region: "a".into(),
             is_ready,
         };
-        let (connection, received) = (Rc::<RefCell<Option<Sender>>>::default(), Rc::default());
-        let proxy = FakeProxy { connection: connection.clone(), received };
-        let received = proxy.received.clone();
-        spawn_local(maintain(internal_address(Process::Registry), move |event| match event {
-            Event::Connected(sender) => *connection.borrow_mut() = Some(sender),
+        self.send(ProxyRequest::Hello(session));
+    }
+
+    /// A proxy that opens its connection.
+    pub(crate) fn connect() -> FakeProxy {
+        let connection = Rc::<RefCell<Option<Sender>>>::default();
+        let received = Rc::<RefCell<Vec<(Instant, ProxyReply)>>>::default();
+        let (kept, noted) = (connection.clone(), received.clone());
+        let task = spawn_local(maintain(internal_address(Process::Registry), move |event| match event {
+            Event::Connected(sender) => *kept.borrow_mut() = Some(sender),
             Event::Message(message) => {
                 let reply = decode::<ProxyReply>(&message).expect("a reply");
-                received.borrow_mut().push((Instant::now(), reply));
+                noted.borrow_mut().push((Instant::now(), reply));
             }
-            Event::Disconnected => *connection.borrow_mut() = None,
+            Event::Disconnected => *kept.borrow_mut() = None,
         }));
-        sleep(SETTLING).await;
-        proxy.send(ProxyRequest::Hello(session));
-        sleep(SETTLING).await;
-        proxy
+        FakeProxy { task: task.abort_handle(), connection, received }
+    }
+
+    /// Ends the connections of all these proxies in one moment.
+    pub(crate) fn disconnect_all(proxies: &[FakeProxy]) {
+        for proxy in proxies {
+            proxy.task.abort();
+        }
     }
 
     pub(crate) fn send(&self, request: ProxyRequest) {
