Replace memberships of many proxies more rarely, and test splits, lost disks and evacuations

Change: the interval is 4 ms for each proxy, 250 ms at least. Tests: shares of a split, also right after a change; a version that the history has forgotten; lost disks beside a loss of all power, a core cut in halves, all core machines without power, evacuations in calm times.

--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -7,6 +7,7 @@
 use violetyoke_emulator::day::Day;
 use violetyoke_emulator::day_file;
 use violetyoke_emulator::event::{Event, EventKind};
+use violetyoke_emulator::figures::calm_evacuations;
 use violetyoke_emulator::records::Records;
 use violetyoke_emulator::simulation::simulate;
 use violetyoke_emulator::site::Site;
@@ -82,6 +83,88 @@
     assert_eq!(played(&site(), day).violations, []);
 }
 
+/// A day with little traffic on which one thing happens.
+fn day_with(site: &Site, kinds: Vec<(u64, EventKind)>) -> PlayedDay {
+    let mut day = Day::quiet(11);
+    day.events.extend(kinds.into_iter().map(|(at, kind)| Event { at, kind }));
+    played(site, day)
+}
+
+#[test]
+fn disks_lost_while_all_other_machines_lose_power_take_nothing_acknowledged_along() {
+    for site in [site(), site().with_five_cores()] {
+        let tolerated = site.tolerance as usize;
+        for first in 0..tolerated + 1 {
+            let wiped = (first..first + tolerated).collect();
+            let played = day_with(
+                &site,
+                vec![
+                    (5_000, EventKind::Change { moves_searches: true }),
+                    (9_000, EventKind::RevokeKey { tenant: 1 }),
+                    (20_000, EventKind::LoseDisksAndPower { wiped, down: 1_200 }),
+                ],
+            );
+            assert_eq!(played.violations, [], "from machine {first}");
+        }
+    }
+}
+
+#[test]
+fn core_cut_in_halves_loses_nothing_and_shows_nothing_older() {
+    for site in [site(), site().with_five_cores()] {
+        for half in [vec![0], vec![1, 2]] {
+            let played = day_with(
+                &site,
+                vec![
+                    (4_000, EventKind::Change { moves_searches: true }),
+                    (6_000, EventKind::SplitCore { half, span: 6_000 }),
+                    (7_000, EventKind::ConcurrentChanges),
+                    (9_000, EventKind::Change { moves_searches: false }),
+                ],
+            );
+            assert_eq!(played.violations, []);
+        }
+    }
+}
+
+#[test]
+fn all_core_machines_without_power_serve_again() {
+    for site in [site(), site().with_five_cores()] {
+        let cores = if site.tolerance > 1 { 5 } else { 3 };
+        let machines = (0..cores).collect();
+        let played = day_with(
+            &site,
+            vec![
+                (5_000, EventKind::Change { moves_searches: true }),
+                (8_000, EventKind::Kill { machines, is_power_lost: true, down: 900 }),
+                (15_000, EventKind::Change { moves_searches: false }),
+            ],
+        );
+        assert_eq!(played.violations, []);
+        assert!(played.figures.served > 0.9, "{}", played.figures);
+    }
+}
+
+#[test]
+fn evacuations_are_acknowledged_within_a_second_in_calm_times() {
+    let mut waits = Vec::new();
+    for seed in 1..=4 {
+        let evacuate = |n: u64| Event {
+            at: 3_000 + n * 700,
+            kind: EventKind::Evacuate { zone: n as usize % 3, span: 400 },
+        };
+        let mut day = Day::quiet(seed);
+        day.events.extend((0..24).map(evacuate));
+        day.events.push(Event { at: 8_000, kind: EventKind::AddRoutes { count: 200 } });
+        let site = site();
+        let records = simulate(&site, &day, &silent()).expect("a runtime").records;
+        waits.extend(calm_evacuations(&site, &records));
+    }
+    waits.sort_unstable();
+    assert!(waits.len() >= 180, "{} evacuations", waits.len());
+    assert!(waits.last().is_some_and(|longest| *longest < 1_000), "{waits:?}");
+}
+
 #[test]
 fn the_checker_finds_repeated_and_changed_executions() {
     let site = site();
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -92,6 +92,7 @@
     let mut connected = pin!(preconnect(proxy, request));
     let mut admitted = pin!(check_quota(proxy, tenant));
     tokio::select! {
+        biased;
         result = admitted.as_mut() => {
             result?;
             connected.await;
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -11,4 +11,5 @@
 mod quota;
 mod response_matching;
 mod retry_safety;
+mod splits;
 mod support;
--- a/crates/registry/src/updates/membership.rs
+++ b/crates/registry/src/updates/membership.rs
@@ -10,6 +10,15 @@
 /// A membership is replaced no more often than this (ms), because many proxies join and leave at once. Changes of who owns
 /// the quota shards, or of contact with the core, are not delayed.
 pub const MEMBERSHIP_INTERVAL: Millis = 250;
+/// So much longer for each proxy (ms): a membership names all proxies and goes to all of them, so that what a wave costs
+/// at a fixed interval grows with their square. Until then shares are cut for the proxies of before, which differ from
+/// those of now by the few that came or went meanwhile.
+const INTERVAL_PER_PROXY: Millis = 4;
+
+/// How long a membership of so many proxies is kept at least (ms).
+pub fn membership_interval(proxies: usize) -> Millis {
+    MEMBERSHIP_INTERVAL.max(INTERVAL_PER_PROXY * proxies as Millis)
+}
 
 /// The membership that proxies are sent.
 #[derive(Default)]
@@ -36,7 +45,8 @@
         next.digest = digest_of(&next);
         let has_new_owners = next.shard_owners != self.current.shard_owners;
         let is_urgent = has_new_owners || next.in_contact != self.current.in_contact;
-        let is_due = is_urgent || now >= self.installed_at + MEMBERSHIP_INTERVAL;
+        let interval = membership_interval(self.current.proxies.len());
+        let is_due = is_urgent || now >= self.installed_at + interval;
         if next.digest == self.current.digest || !is_due {
             return Installation::Skipped;
         }
--- a/crates/registry/src/updates/mod.rs
+++ b/crates/registry/src/updates/mod.rs
@@ -11,7 +11,7 @@
 mod state;
 
 pub use backend_list::BackendListUpdates;
-pub use membership::{Installation, MembershipUpdates, MEMBERSHIP_INTERVAL};
+pub use membership::{membership_interval, Installation, MembershipUpdates, MEMBERSHIP_INTERVAL};
 pub use progress::{is_installed_by_all, LatestVersions, ProxyProgress, ProxyVersions, RESEND_AFTER};
 pub use staleness::{StalenessTimers, UpdateKinds, FALLBACK_DELAY};
 pub use state::StateUpdates;
--- a/crates/registry/tests/updates.rs
+++ b/crates/registry/tests/updates.rs
@@ -8,7 +8,8 @@
 use support::backend;
 use violetyoke_api::Configuration;
 use violetyoke_registry::updates::{
-    BackendListUpdates, Installation, MembershipUpdates, StateUpdates, MEMBERSHIP_INTERVAL,
+    membership_interval, BackendListUpdates, Installation, MembershipUpdates, StateUpdates,
+    MEMBERSHIP_INTERVAL,
 };
 use violetyoke_transport::codec::decode;
 use violetyoke_transport::messages::{
@@ -142,3 +143,18 @@
     assert_eq!(sent, ProxyReply::Membership(expected));
     assert_eq!(updates.current().newest, Revision::default());
 }
+
+#[test]
+fn membership_of_many_proxies_is_replaced_more_rarely() {
+    assert_eq!([1, 9, 62].map(membership_interval), [MEMBERSHIP_INTERVAL; 3]);
+    assert_eq!(membership_interval(300), 1_200);
+    let mut updates = MembershipUpdates::default();
+    let all: Vec<u32> = (0..300).collect();
+    updates.install(1_000, membership(&all, 1));
+    // A proxy leaves or joins every 10 ms.
+    let replaced = (1_010..13_010u64).step_by(10).filter(|now| {
+        let members = &all[..200 + (*now / 10 % 100) as usize];
+        matches!(updates.install(*now, membership(members, 1)), Installation::Installed { .. })
+    });
+    assert!((10..=15).contains(&replaced.count()), "about one a second");
+}
--- a/crates/store/tests/commands.rs
+++ b/crates/store/tests/commands.rs
@@ -219,3 +219,29 @@
     assert_eq!(state.acceptance(6, "other"), Acceptance::OtherText);
     assert_eq!(state.acceptance(5, "five"), Acceptance::Unknown);
 }
+
+#[test]
+fn text_under_a_version_that_the_history_has_forgotten_never_takes_effect() {
+    /// Digests of accepted texts that the state keeps.
+    const REMEMBERED: u64 = 256;
+    let mut cluster = Cluster::without_delays();
+    for version in 1..=REMEMBERED + 40 {
+        let client = cluster.submit(leader(&cluster), text_of(version));
+        cluster.run_for(60);
+        assert_eq!(outcome(&cluster, client), Some(Outcome::Acknowledged), "version {version}");
+    }
+    let newest = format!("text {}", REMEMBERED + 40);
+    // Further back than is remembered: acknowledged as any older version is, and without effect.
+    assert_eq!(execute(&mut cluster, replace(1, "another")), Some(Outcome::Acknowledged));
+    assert_eq!(read(&mut cluster).text, newest);
+    // Within the history the number is taken.
+    assert_eq!(execute(&mut cluster, replace(REMEMBERED, "another")), Some(Outcome::VersionTaken));
+    assert_eq!(execute(&mut cluster, text_of(REMEMBERED)), Some(Outcome::Acknowledged));
+    // The same by the next leader.
+    let first = leader(&cluster);
+    cluster.isolate(first);
+    cluster.run_for(3_000);
+    assert_eq!(execute(&mut cluster, replace(REMEMBERED, "another")), Some(Outcome::VersionTaken));
+    assert_eq!(execute(&mut cluster, replace(2, "another")), Some(Outcome::Acknowledged));
+    assert_eq!(read(&mut cluster).text, newest);
+}
