--- a/xtask/src/draw_days/kinds.rs
+++ b/xtask/src/draw_days/kinds.rs
@@ -58,6 +58,7 @@
         for_s: range(2.0, 6.0),
         ..FAULT
     },
+    Kind { name: "give_up", share: range(0.1, 0.5), for_s: range(3.0, 8.0), ..FAULT },
     Kind { name: "srv_slow", share: range(0.1, 0.3), x: range(2.0, 5.0), for_s: range(3.0, 6.0), ..FAULT },
     Kind { name: "replace_with_reuse", how: &["", "drain", "dark"], share: range(0.05, 0.2), ..FAULT },
     Kind { name: "cold_return", planned: false, how: &["", "dark"], for_s: range(2.0, 5.0), ..FAULT },
@@ -111,7 +112,7 @@
     Kind {
         name: "herd_kill",
         on: &["core"],
-        how: &["", "power", "taken"],
+        how: &["", "power", "off", "taken", "taken all"],
         for_s: range(0.5, 2.0),
         ..CONTROL
     },
@@ -124,7 +125,7 @@
     },
     Kind {
         name: "after_ack_wipe",
-        how: &["", "timed"],
+        how: &["", "timed", "oldest"],
         for_s: range(1.0, 6.0),
         count: range(1.0, 2.0),
         ..CONTROL
@@ -155,6 +156,14 @@
             "leader one_way",
             "reset",
             "refuse leader",
+            "split",
+            "split meet race",
+            "behind",
+            "relieve",
+            "oldest",
+            "near",
+            "all",
+            "lure",
         ],
         for_s: range(3.0, 20.0),
         ..CONTROL
@@ -186,7 +195,7 @@
     },
     Kind {
         name: "replace_core",
-        how: &["", "", "planned", "leader", "planned leader"],
+        how: &["", "", "planned", "leader", "planned leader", "oldest"],
         x: range(0.5, 2.5),
         ..CONTROL
     },
--- a/xtask/src/draw_days/more.rs
+++ b/xtask/src/draw_days/more.rs
@@ -38,6 +38,6 @@
 /// Kinds of closing faults, and their variants.
 pub const CLOSINGS: &[(&str, &[&str])] = &[
     ("power_off_all", &["", "timed", "taken"]),
-    ("wipe_after_ack", &["", "timed", "aimed"]),
+    ("wipe_after_ack", &["", "timed", "aimed", "oldest"]),
     ("kill_all", &["", "timed", "taken"]),
 ];
