Give the test of refused disk writes settings that are complete

Ruled out: the program: the test failed before it started a store. Change: the missing tables. Measured: the test passes.

--- a/crates/store/tests/disk_failures.rs
+++ b/crates/store/tests/disk_failures.rs
@@ -93,8 +93,8 @@
 fn settings() -> Settings {
     let text = r#"{
         "self": {"node": "core-1", "ip": "10.1.0.1", "zone": "a", "region": "west", "data-dir": "/data", "bootstrap": true},
-        "network": {"internal-ports": [7460, 7475], "seeds": ["10.1.0.1:8083"], "zones": {"a": "west"}},
-        "platform": {}, "terms": {"fault-tolerance": {"machines": 0}}
+        "network": {"listen": {}, "internal-ports": [7460, 7475], "seeds": ["10.1.0.1:8083"], "zones": {"a": "west"}},
+        "platform": {}, "terms": {"fault-tolerance": {"machines": 0, "zones": 0, "regions": 0}, "bounds": {}}
     }"#;
     Settings::parse(text).expect("settings")
 }
