Untie two circles of files, and take the list's interval out of the settings file

Ruled out: a change of what the programs do: moves alone. Change: Selection stands beside the candidates, the end of a batch beside publishing, the interval of lists in a file of its own.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod digest;
 mod error;
 pub mod execution;
+mod list_interval;
 mod parse;
 pub mod routing;
 pub mod schema;
--- a/crates/balancing/src/candidates.rs
+++ b/crates/balancing/src/candidates.rs
@@ -7,11 +7,21 @@
 
 use crate::backend::{Backend, LoadKnowledge};
 use crate::rng::SplitMix64;
-use crate::selection::Selection;
 
 /// The least number of backends of a locality that are compared.
 const MIN_SAMPLE: usize = 2;
 
+/// The result of a selection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Selection {
+    /// The id of the backend that gets the attempt.
+    Backend(String),
+    /// There are backends that may get it, and none has capacity now.
+    AtCapacity,
+    /// No known backend may get it.
+    NoBackend,
+}
+
 /// How far a backend is from this proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Distance {
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -29,12 +29,13 @@
 pub mod slow_start;
 
 pub use backend::{Backend, ListedBackend};
+pub use candidates::Selection;
 pub use concurrency::ServiceLimits;
 pub use directory::BackendDirectory;
 pub use membership::Locality;
 pub use observation::{AttemptCounts, Observation, ReportedLoad};
 pub use report::{BackendReport, BackendState};
-pub use selection::{Selection, SelectionCriteria};
+pub use selection::SelectionCriteria;
 
 /// Milliseconds of a monotonic clock of this process; its zero is arbitrary.
 pub type Millis = u64;
--- a/crates/balancing/src/selection.rs
+++ b/crates/balancing/src/selection.rs
@@ -1,7 +1,7 @@
 //! The choice of a backend for one attempt: by estimated response time and network distance.
 
 use crate::backend::Backend;
-use crate::candidates::{Candidates, Distance};
+use crate::candidates::{Candidates, Distance, Selection};
 use crate::concurrency::{has_capacity, load_factor};
 use crate::directory::BackendDirectory;
 use crate::load::{ServiceEstimate, DEFAULT_LATENCY_MS};
@@ -27,17 +27,6 @@
     pub home_regions: [&'a [String]; 2],
 }
 
-/// The result of a selection.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Selection {
-    /// The id of the backend that gets the attempt.
-    Backend(String),
-    /// There are backends that may get it, and none has capacity now.
-    AtCapacity,
-    /// No known backend may get it.
-    NoBackend,
-}
-
 impl BackendDirectory {
     /// Selects a backend for one attempt. Nothing is recorded: the caller sends the attempt and calls
     /// [`BackendDirectory::record_attempt_started`].
--- a/crates/registry/src/daemon/batch.rs
+++ b/crates/registry/src/daemon/batch.rs
@@ -3,7 +3,6 @@
 //! Sending it at each input would make the cost of a wave of sessions grow with its square: each session that begins would be
 //! followed by a pass over all proxies, and by a report of all sessions to all registries.
 
-use super::registry::Registry;
 use crate::Millis;
 
 /// Changed sessions are reported to the other registries no more often than this (ms). A change that follows no other is
@@ -32,8 +31,13 @@
         self.have_sessions_changed = true;
     }
 
+    /// Whether proxies may lack something. They count as sent it then.
+    pub(super) fn take_publication(&mut self) -> bool {
+        std::mem::take(&mut self.is_publication_due)
+    }
+
     /// Whether the sessions are to be reported now. They count as reported then.
-    fn take_due_report(&mut self, now: Millis) -> bool {
+    pub(super) fn take_due_report(&mut self, now: Millis) -> bool {
         let is_due = self.have_sessions_changed && now >= self.sessions_reported_at + REPORT_INTERVAL;
         if is_due {
             self.have_sessions_changed = false;
@@ -42,15 +46,3 @@
         is_due
     }
 }
-
-impl Registry {
-    /// All inputs that were there have been taken in: sends what they have made due.
-    pub(super) fn finish_batch(&mut self) {
-        if self.batch.take_due_report(self.now()) {
-            self.report_to_peers(None);
-        }
-        if std::mem::take(&mut self.batch.is_publication_due) {
-            self.publish();
-        }
-    }
-}
--- a/crates/registry/src/daemon/publishing.rs
+++ b/crates/registry/src/daemon/publishing.rs
@@ -10,6 +10,16 @@
 use violetyoke_transport::messages::{Membership, MembershipDigest, Revision};
 
 impl Registry {
+    /// All inputs that were there have been taken in: sends what they have made due.
+    pub(super) fn finish_batch(&mut self) {
+        if self.batch.take_due_report(self.now()) {
+            self.report_to_peers(None);
+        }
+        if self.batch.take_publication() {
+            self.publish();
+        }
+    }
+
     /// Sends each proxy what it lacks: at once where this is its primary registry, and a little later otherwise.
     pub(super) fn publish(&mut self) {
         let now = self.now();
