--- /dev/null
+++ b/review/stand/backend.rs
@@ -0,0 +1,198 @@
+//! Backends: each works on `slots` requests at once, queues a few further ones, and notes when each request arrived.
+
+use crate::http::{read, Message};
+use crate::record::Record;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+const QUEUE: usize = 24;
+
+/// When a backend is cold, and when it falls over.
+#[derive(Clone, Copy, Default)]
+pub struct Cold {
+    /// The backend is cold until this moment.
+    pub until: Option<Instant>,
+    /// While cold it falls over when more than this many requests arrive in one second.
+    pub bears: usize,
+}
+
+#[derive(Default)]
+struct State {
+    running: usize,
+    waiting: usize,
+    /// The arrivals: the moment, the tenant, and whether the backend was cold.
+    arrivals: Vec<(Instant, String, bool)>,
+    cold: Cold,
+    fallen_at: Option<Instant>,
+    answered: usize,
+    /// Requests that were running or waiting when the backend fell over.
+    lost: Vec<String>,
+    connections: Vec<TcpStream>,
+}
+
+#[derive(Clone)]
+pub struct Backend {
+    pub id: String,
+    pub service: &'static str,
+    pub zone: &'static str,
+    pub address: SocketAddr,
+    slots: usize,
+    work: Duration,
+    record: Record,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Backend {
+    pub fn start(
+        record: &Record,
+        id: &str,
+        service: &'static str,
+        zone: &'static str,
+        slots: usize,
+        work: Duration,
+    ) -> Result<Backend, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+        let backend = Backend {
+            id: id.into(),
+            service,
+            zone,
+            address: listener.local_addr().map_err(|error| error.to_string())?,
+            slots,
+            work,
+            record: record.clone(),
+            state: Arc::default(),
+        };
+        let server = backend.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let backend = server.clone();
+                std::thread::spawn(move || backend.serve(stream));
+            }
+        });
+        Ok(backend)
+    }
+
+    pub fn set_cold(&self, until: Instant, bears: usize) {
+        self.state.0.lock().unwrap().cold = Cold { until: Some(until), bears };
+    }
+
+    pub fn fallen_at(&self) -> Option<Instant> {
+        self.state.0.lock().unwrap().fallen_at
+    }
+
+    pub fn lost(&self) -> Vec<String> {
+        self.state.0.lock().unwrap().lost.clone()
+    }
+
+    pub fn arrivals(&self) -> Vec<(Instant, String, bool)> {
+        self.state.0.lock().unwrap().arrivals.clone()
+    }
+
+    /// The entry of the platform's list.
+    pub fn entry(&self, cold_left: Duration) -> String {
+        format!(
+            r#""{}":{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","cold-left-ms":{}}}"#,
+            self.id,
+            self.service,
+            self.address,
+            self.zone,
+            self.slots,
+            cold_left.as_millis()
+        )
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        drop(stream.set_nodelay(true));
+        let Ok(mut writer) = stream.try_clone() else { return };
+        {
+            let mut state = self.state.0.lock().unwrap();
+            if state.fallen_at.is_some() {
+                return;
+            }
+            state.connections.extend(stream.try_clone().ok());
+        }
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = read(&mut reader) {
+            let Some(answer) = self.answer(&request) else { return };
+            if writer.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The response to a request; `None` if the backend has fallen over.
+    fn answer(&self, request: &Message) -> Option<String> {
+        let attempt = request.field("x-attempt-id").unwrap_or_default().to_owned();
+        if request.field("x-target-instance").is_some_and(|id| id != self.id) {
+            return Some(self.response("421 Misdirected Request", &attempt, "x-not-executed: 1\r\n"));
+        }
+        let tenant = request.field("x-tenant").unwrap_or_default().to_owned();
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        if state.fallen_at.is_some() {
+            return None;
+        }
+        let now = Instant::now();
+        let is_cold = state.cold.until.is_some_and(|until| now < until);
+        state.arrivals.push((now, tenant, is_cold));
+        self.record.note(&format!("{} gets {attempt}{}", self.id, if is_cold { ", while cold" } else { "" }));
+        if is_cold && self.last_second(&state, now) > state.cold.bears {
+            state.fallen_at = Some(now);
+            for connection in state.connections.drain(..) {
+                drop(connection.shutdown(Shutdown::Both));
+            }
+            self.record.say(&format!(
+                "{} falls over: {} requests in a second while cold; {} were running, {} waiting",
+                self.id,
+                self.last_second(&state, now),
+                state.running,
+                state.waiting
+            ));
+            state.lost.push(attempt);
+            changed.notify_all();
+            return None;
+        }
+        if state.running >= self.slots && state.waiting >= QUEUE {
+            drop(state);
+            return Some(self.response("503 Service Unavailable", &attempt, "x-not-executed: 1\r\n"));
+        }
+        state.waiting += 1;
+        while state.running >= self.slots && state.fallen_at.is_none() {
+            state = changed.wait(state).unwrap();
+        }
+        state.waiting -= 1;
+        state.running += 1;
+        drop(state);
+        std::thread::sleep(self.work);
+        let mut state = lock.lock().unwrap();
+        state.running -= 1;
+        changed.notify_one();
+        if state.fallen_at.is_some() {
+            state.lost.push(attempt);
+            return None;
+        }
+        state.answered += 1;
+        drop(state);
+        Some(self.response("200 OK", &attempt, "x-server-seal: seal\r\n"))
+    }
+
+    fn last_second(&self, state: &State, now: Instant) -> usize {
+        state.arrivals.iter().rev().take_while(|(at, _, _)| now - *at < Duration::from_secs(1)).count()
+    }
+
+    fn response(&self, status: &str, attempt: &str, fields: &str) -> String {
+        let (running, waiting) = {
+            let state = self.state.0.lock().unwrap();
+            (state.running, state.waiting)
+        };
+        let body = format!("{} ran {attempt}", self.id);
+        format!(
+            "HTTP/1.1 {status}\r\nx-attempt-id: {attempt}\r\nx-instance-id: {}\r\n{fields}x-server-load: {running},{waiting},{}\r\ncontent-length: {}\r\n\r\n{body}",
+            self.id,
+            self.slots,
+            body.len()
+        )
+    }
+}
