--- a/review/stand/backend.rs
+++ b/review/stand/backend.rs
@@ -8,6 +8,10 @@
 use std::time::{Duration, Instant};
 
 const QUEUE: usize = 24;
+/// How long a backend keeps an idle connection, as it says in its answers.
+const KEEP_ALIVE_S: u64 = 10;
+/// The same in a spoiled answer: the largest signed number of 64 bits.
+const SPOILED_KEEP_ALIVE_S: u64 = i64::MAX as u64;
 
 /// When a backend is cold, and when it falls over.
 #[derive(Clone, Copy, Default)]
@@ -24,9 +28,14 @@
     waiting: usize,
     /// The arrivals: the moment, the tenant, and whether the backend was cold.
     arrivals: Vec<(Instant, String, bool)>,
+    /// The ids of the tries that arrived.
+    attempts: Vec<String>,
     cold: Cold,
     fallen_at: Option<Instant>,
     answered: usize,
+    /// Of how many answers one is spoiled; 0: none.
+    spoils_one_in: usize,
+    spoiled: usize,
     /// Requests that were running or waiting when the backend fell over.
     lost: Vec<String>,
     connections: Vec<TcpStream>,
@@ -78,6 +87,16 @@
         self.state.0.lock().unwrap().cold = Cold { until: Some(until), bears };
     }
 
+    /// From now on, one of so many answers has a number in `Keep-Alive` that no connection lasts for.
+    pub fn spoil_one_in(&self, answers: usize) {
+        self.state.0.lock().unwrap().spoils_one_in = answers;
+    }
+
+    /// The number of answers that were spoiled.
+    pub fn spoiled(&self) -> usize {
+        self.state.0.lock().unwrap().spoiled
+    }
+
     pub fn fallen_at(&self) -> Option<Instant> {
         self.state.0.lock().unwrap().fallen_at
     }
@@ -86,6 +105,11 @@
         self.state.0.lock().unwrap().lost.clone()
     }
 
+    /// The ids of all tries that arrived.
+    pub fn attempts(&self) -> Vec<String> {
+        self.state.0.lock().unwrap().attempts.clone()
+    }
+
     pub fn arrivals(&self) -> Vec<(Instant, String, bool)> {
         self.state.0.lock().unwrap().arrivals.clone()
     }
@@ -137,6 +161,7 @@
         let now = Instant::now();
         let is_cold = state.cold.until.is_some_and(|until| now < until);
         state.arrivals.push((now, tenant, is_cold));
+        state.attempts.push(attempt.clone());
         self.record.note(&format!("{} gets {attempt}{}", self.id, if is_cold { ", while cold" } else { "" }));
         if is_cold && self.last_second(&state, now) > state.cold.bears {
             state.fallen_at = Some(now);
@@ -174,8 +199,15 @@
             return None;
         }
         state.answered += 1;
+        let is_spoiled = state.spoils_one_in > 0 && state.answered % state.spoils_one_in == 0;
+        state.spoiled += usize::from(is_spoiled);
         drop(state);
-        Some(self.response("200 OK", &attempt, "x-server-seal: seal\r\n"))
+        let seconds = if is_spoiled { SPOILED_KEEP_ALIVE_S } else { KEEP_ALIVE_S };
+        if is_spoiled {
+            self.record.say(&format!("{} answers {attempt} with keep-alive: timeout={seconds}", self.id));
+        }
+        let fields = format!("x-server-seal: seal\r\nkeep-alive: timeout={seconds}\r\n");
+        Some(self.response("200 OK", &attempt, &fields))
     }
 
     fn last_second(&self, state: &State, now: Instant) -> usize {
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -7,12 +7,13 @@
 
 mod backend;
 mod cold;
+mod half;
 mod http;
 mod platform;
-mod quota;
 mod record;
 mod system;
 mod traffic;
+mod wrong;
 
 use record::Record;
 use std::process::exit;
@@ -50,7 +51,8 @@
     record.say(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let result = match case.as_str() {
         "cold" => cold::run(&record, has_trouble),
-        "quota" => quota::run(&record, has_trouble),
+        "half" => half::run(&record, has_trouble),
+        "wrong" => wrong::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     system::kill_all();
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -2,6 +2,7 @@
 
 use crate::http::call;
 use crate::record::Record;
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::path::PathBuf;
@@ -11,16 +12,16 @@
 use std::time::{Duration, Instant};
 
 /// All processes that were started and not ended yet.
-static RUNNING: Mutex<Vec<(u32, Child)>> = Mutex::new(Vec::new());
+static RUNNING: Mutex<Vec<Running>> = Mutex::new(Vec::new());
 
 const FIRST_PORTS: u16 = 20;
 
 /// Ends all processes that this program has started.
 pub fn kill_all() {
     let mut running = RUNNING.lock().unwrap();
-    for (_, child) in running.iter_mut() {
-        drop(child.kill());
-        drop(child.wait());
+    for process in running.iter_mut() {
+        drop(process.child.kill());
+        drop(process.child.wait());
     }
     running.clear();
     if let Some(folder) = FOLDER.lock().unwrap().take() {
@@ -30,6 +31,13 @@
 
 static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 
+/// A process and its machine.
+struct Running {
+    child: Child,
+    kind: Kind,
+    machine: usize,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
     Core,
@@ -46,7 +54,6 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
-    pids: Vec<u32>,
 }
 
 pub struct System {
@@ -56,6 +63,8 @@
     first_port: u16,
     platform: SocketAddr,
     record: Record,
+    /// The number of proxies that ended by themselves, by machine.
+    pub own_ends: BTreeMap<String, usize>,
 }
 
 pub const ZONES: [(&str, &str); 4] =
@@ -91,6 +100,7 @@
             first_port,
             platform,
             record: record.clone(),
+            own_ends: BTreeMap::new(),
         };
         for (n, ip) in ips.iter().enumerate() {
             let is_core = n < cores.len();
@@ -99,17 +109,8 @@
             let name = format!("{}-{zone}-{number}", if is_core { "core" } else { "edge" });
             let at = |port: u16| SocketAddr::V4(SocketAddrV4::new(*ip, first_port + port));
             let settings = system.folder.join(format!("{name}.json"));
-            let machine = Machine {
-                name,
-
-                zone,
-                ip: *ip,
-                control: at(0),
-                front: at(2),
-                ready: at(3),
-                settings,
-                pids: Vec::new(),
-            };
+            let machine =
+                Machine { name, zone, ip: *ip, control: at(0), front: at(2), ready: at(3), settings };
             if is_core { &mut system.cores } else { &mut system.edges }.push(machine);
         }
         for kind in [Kind::Core, Kind::Edge] {
@@ -189,33 +190,31 @@
                 .spawn()
                 .map_err(|error| format!("violetyoke-{program}: {error}"))?;
             record.note(&format!("{} starts {program}, process {}", machine.name, child.id()));
-            machine.pids.push(child.id());
-            RUNNING.lock().unwrap().push((child.id(), child));
+            RUNNING.lock().unwrap().push(Running { child, kind, machine: n });
         }
         Ok(())
     }
 
-    /// Starts the processes of a machine again, after its first start.
-    pub fn restart_machine(&mut self, kind: Kind, n: usize) -> Result<(), String> {
-        self.write_settings(kind, n, false)?;
-        self.start_machine(kind, n)
-    }
-
-    /// Kills the processes of a machine by their ids.
-    pub fn kill_machine(&mut self, kind: Kind, n: usize) {
-        let record = self.record.clone();
-        let machine = &mut self.machines(kind)[n];
-        let pids = std::mem::take(&mut machine.pids);
-        record.say(&format!("{}: SIGKILL to {pids:?}", machine.name));
-        let mut running = RUNNING.lock().unwrap();
-        running.retain_mut(|(pid, child)| {
-            if !pids.contains(pid) {
-                return true;
+    /// Starts the processes again that have ended by themselves.
+    pub fn restart_ended(&mut self) -> Result<(), String> {
+        let mut ended = Vec::new();
+        RUNNING.lock().unwrap().retain_mut(|process| match process.child.try_wait() {
+            Ok(Some(status)) => {
+                ended.push((process.kind, process.machine, process.child.id(), status));
+                false
             }
-            drop(child.kill());
-            drop(child.wait());
-            false
+            _ => true,
         });
+        for (kind, n, pid, status) in ended {
+            let name = self.machines(kind)[n].name.clone();
+            self.record.say(&format!("{name}: process {pid} has ended by itself, {status}"));
+            *self.own_ends.entry(name).or_default() += 1;
+            if kind == Kind::Edge {
+                self.write_settings(kind, n, false)?;
+                self.start_machine(kind, n)?;
+            }
+        }
+        Ok(())
     }
 
     /// Sends an operator's call, like the page says: to one registry after another until one answers.
