Log the reason and the callers of a panic in the process's own log

Cause: a process that ended by a panic left only the standard library's text, without node and program, and for time arithmetic with a location in the standard library. Two causes could not be told apart in the log. Change: a hook writes two lines before the process aborts: `panic` with reason and location, then `panic called from` with the functions of this workspace.

--- a/crates/transport/src/daemon/mod.rs
+++ b/crates/transport/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::log::logger;
 use crate::net::{listen, Listener};
+use crate::panic_log;
 use command_line::{CommandLine, OPTIONS};
 use error_stack::{Report, ResultExt};
 use slog::Logger;
@@ -97,6 +98,7 @@
 {
     let failed = StartError(program);
     let log = logger(program, &settings.local.node);
+    panic_log::install(log.clone());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     LocalSet::new().block_on(&runtime.change_context(failed)?, async {
         let lifecycle = Lifecycle::of_process(file, settings.clone(), log.clone());
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,7 +4,8 @@
 //!   [`error`] has the errors of all three.
 //! - [`connection`]: connections that reconnect, and detect dead peers by a time-out, over the streams of [`net`].
 //!   [`peers`]: such connections to a growing set of peers.
-//! - [`daemon`] and [`lifecycle`]: the start of each process, changes of its settings, and its shutdown. [`log`]: its log.
+//! - [`daemon`] and [`lifecycle`]: the start of each process, changes of its settings, and its shutdown. [`log`]: its log;
+//!   [`panic_log`]: the lines of a panic in it.
 //! - [`environment`]: replaces the operating system's network and disks in an emulation.
 //!
 //! The crates of the daemons decide when to send which message.
@@ -20,5 +21,6 @@
 pub mod log;
 pub mod messages;
 pub mod net;
+pub mod panic_log;
 pub mod peers;
 mod settings_watcher;
