Bound a backend's keep-alive time-out before it reaches the clock

What callers saw: connections closed without an answer while their bookings ran at sound backends. Cause: Keep-Alive: timeout= was taken as any number of 64 bits and added to the present time in ConnectionPool::release; past the range of the clock the addition panics, and the proxy aborts with all requests in hand. Change: KeepAliveTimeout parses the field and holds an hour at most; the pool takes no other type. No idle connection was reused after an hour before. Test: keep_alive_timeout_of_any_size_ends_no_proxy, which failed before with that reason.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: sends a request to one backend, on an idle or a new connection, and validates the response.
 
 use super::exchange::{exchange, ExchangeError};
+use super::keep_alive::KeepAliveTimeout;
 use super::pool::Connection;
 use super::{AttemptError, AttemptRequest, ResponseStream, UpstreamResponse};
 use crate::state::Proxy;
@@ -133,7 +134,7 @@
     proxy: &Proxy,
     request: &AttemptRequest<'_>,
     connection: Connection,
-    keep_alive: Option<Duration>,
+    keep_alive: Option<KeepAliveTimeout>,
 ) {
     let max_connections = proxy.backends.max_connections(request.service);
     proxy.connection_pool.release(request.backend_id, connection, keep_alive, max_connections);
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod exchange;
 mod framing;
+mod keep_alive;
 mod pool;
 mod preconnect;
 mod request;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of idle connections to backends.
 
+use super::keep_alive::KeepAliveTimeout;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -11,9 +12,6 @@
 const MAX_IDLE_PER_BACKEND: usize = 8;
 /// How long an idle connection is kept if the backend announces no keep-alive time-out.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(5);
-/// Connections are closed this long before the backend's keep-alive time-out. If the backend closes a
-/// connection while a request is on the way, it is unknown whether the request was executed.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Maximum idle time of a connection that an idempotent request reuses. Effectively unlimited, as such a
 /// request is replayed on a new connection if the idle one fails.
@@ -95,12 +93,11 @@
         &self,
         backend_id: &str,
         connection: Connection,
-        keep_alive: Option<Duration>,
+        keep_alive: Option<KeepAliveTimeout>,
         max_connections: u32,
     ) {
         let now = Instant::now();
-        let keep_for =
-            keep_alive.map_or(DEFAULT_KEEP_ALIVE, |announced| announced.saturating_sub(KEEP_ALIVE_MARGIN));
+        let keep_for = keep_alive.map_or(DEFAULT_KEEP_ALIVE, KeepAliveTimeout::max_idle);
         if keep_for.is_zero() {
             return;
         }
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -1,10 +1,10 @@
 //! Reads a backend's response: its head, and the buffered part of its body.
 
 use super::framing::{invalid, read_more, BodyReader, MAX_HEAD_BYTES};
+use super::keep_alive::KeepAliveTimeout;
 use crate::request_body::MAX_BUFFERED_BYTES;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io;
-use std::time::Duration;
 use tokio::io::AsyncRead;
 use violetyoke_api::calls::header;
 use violetyoke_balancing::ReportedLoad;
@@ -34,7 +34,7 @@
     /// Whether the backend keeps the connection open for another request.
     pub(super) is_keep_alive: bool,
     /// The keep-alive time-out that the backend announced.
-    pub(super) keep_alive_timeout: Option<Duration>,
+    pub(super) keep_alive_timeout: Option<KeepAliveTimeout>,
 }
 
 impl UpstreamResponse {
@@ -162,9 +162,7 @@
             return Ok(false);
         }
         "keep-alive" => {
-            let seconds = value.split(',').find_map(|option| option.trim().strip_prefix("timeout="));
-            response.keep_alive_timeout =
-                seconds.and_then(|seconds| seconds.parse().ok()).map(Duration::from_secs);
+            response.keep_alive_timeout = KeepAliveTimeout::parse(value);
             return Ok(false);
         }
         "proxy-connection" | "te" | "trailer" | "upgrade" => return Ok(false),
--- a/crates/proxy/src/upstream/streaming.rs
+++ b/crates/proxy/src/upstream/streaming.rs
@@ -4,12 +4,12 @@
 //! until the client has received it.
 
 use super::framing::BodyReader;
+use super::keep_alive::KeepAliveTimeout;
 use super::pool::Connection;
 use crate::state::Proxy;
 use bytes::Bytes;
 use http_body_util::channel::Sender;
 use std::io;
-use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
 /// A connection from which the rest of a response is read.
@@ -17,7 +17,7 @@
     pub(super) reader: BodyReader,
     pub(super) connection: Connection,
     pub(super) is_reusable: bool,
-    pub(super) keep_alive: Option<Duration>,
+    pub(super) keep_alive: Option<KeepAliveTimeout>,
     /// When the time-out of the client or of the route expires.
     pub(super) deadline: Instant,
     pub(super) backend_id: String,
