Refuse limits below zero, and bound those in force where they are read

What callers saw: after a configuration with header-timeout-ms -1, acknowledged with 200, each proxy ended at each new connection, and again after each start. Cause: no check that limits are 0 or more, and Duration::from_secs_f64 on the configured number. Change: a limit below zero is answered 400 with its name. Limits are Milliseconds and ByteCount, which give computations a bounded value only; one in force that is below zero counts as its default. Registries decode what is in force without validating it again, so that a newer rule drops no acknowledged state.

--- a/crates/api/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -18,12 +18,15 @@
 //! assert_eq!(error.to_string(), "routes.rows[0].path-prefix: begins with no slash");
 //! ```
 
+use crate::quantity::{ByteCount, Milliseconds};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// The largest [`Route::timeout_ms`]: ten minutes.
 pub const MAX_TIMEOUT_MS: f64 = 600_000.0;
 
-/// A configuration. [`Configuration::parse`] parses and validates one.
+/// A configuration. [`Configuration::parse`] parses and validates one that an operator sends; [`Configuration::decode`] reads
+/// one that has been accepted.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct Configuration {
     /// The version, which operators assign.
@@ -149,24 +152,65 @@
 #[serde(rename_all = "kebab-case", default)]
 pub struct Limits {
     /// The maximum size of a request's head (bytes).
-    pub max_header_bytes: f64,
+    pub max_header_bytes: ByteCount,
     /// The maximum size of a request's body (bytes).
-    pub max_body_bytes: f64,
+    pub max_body_bytes: ByteCount,
     /// The maximum time from the first byte of a request's head to its end (ms).
-    pub header_timeout_ms: f64,
+    pub header_timeout_ms: Milliseconds,
     /// The maximum idle time of a connection between requests (ms).
-    pub idle_timeout_ms: f64,
+    pub idle_timeout_ms: Milliseconds,
 }
 
-impl Default for Limits {
-    fn default() -> Limits {
+impl Limits {
+    const DEFAULT: Limits = Limits {
+        max_header_bytes: ByteCount::new(16_384.0),
+        max_body_bytes: ByteCount::new(67_108_864.0),
+        header_timeout_ms: Milliseconds::new(3_000.0),
+        idle_timeout_ms: Milliseconds::new(15_000.0),
+    };
+
+    /// The limits with the default in place of each that is invalid. [`Configuration::parse`] rejects invalid limits, but
+    /// one may be in force that an earlier build accepted.
+    fn valid(self) -> Limits {
+        let size = |limit: ByteCount, default| if limit.is_valid() { limit } else { default };
+        let time = |limit: Milliseconds, default| if limit.is_valid() { limit } else { default };
         Limits {
-            max_header_bytes: 16384.0,
-            max_body_bytes: 67_108_864.0,
-            header_timeout_ms: 3000.0,
-            idle_timeout_ms: 15000.0,
+            max_header_bytes: size(self.max_header_bytes, Limits::DEFAULT.max_header_bytes),
+            max_body_bytes: size(self.max_body_bytes, Limits::DEFAULT.max_body_bytes),
+            header_timeout_ms: time(self.header_timeout_ms, Limits::DEFAULT.header_timeout_ms),
+            idle_timeout_ms: time(self.idle_timeout_ms, Limits::DEFAULT.idle_timeout_ms),
         }
     }
+
+    /// The maximum size of a request's head (bytes).
+    #[must_use]
+    pub fn max_head_bytes(self) -> u64 {
+        self.valid().max_header_bytes.to_bytes()
+    }
+
+    /// The maximum size of a request's body (bytes).
+    #[must_use]
+    pub fn max_body_bytes(self) -> u64 {
+        self.valid().max_body_bytes.to_bytes()
+    }
+
+    /// The maximum time from the first byte of a request's head to its end.
+    #[must_use]
+    pub fn head_timeout(self) -> Duration {
+        self.valid().header_timeout_ms.to_duration()
+    }
+
+    /// The maximum idle time of a connection between requests.
+    #[must_use]
+    pub fn idle_timeout(self) -> Duration {
+        self.valid().idle_timeout_ms.to_duration()
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits::DEFAULT
+    }
 }
 
 /// The version of a document, even if the rest of the document is invalid.
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Settings`]: the file that the platform provides to a process.
 //! - [`Configuration`]: routes, services and tenants, as operators send them. [`ValidationError`] names an invalid field.
 //! - [`change::ConfigurationChange`]: the difference between two configurations, verified with [`digest::digest`].
+//! - [`quantity`]: times and sizes that are stated as numbers, bounded where they are used.
 //! - [`routing::RoutingTable`]: a configuration, indexed for the lookup of requests.
 //! - [`Execution`]: whether a request may have been executed, and the resulting status.
 //! - [`calls::Call`]: the HTTP calls, and the headers of requests.
@@ -19,6 +20,7 @@
 pub mod execution;
 mod list_interval;
 mod parse;
+pub mod quantity;
 pub mod routing;
 pub mod schema;
 pub mod settings;
--- a/crates/api/src/validation.rs
+++ b/crates/api/src/validation.rs
@@ -1,11 +1,12 @@
 //! Validates what a schema can't check in a configuration: references between tables, unique keys, and ranges.
 
-use crate::configuration::{Configuration, Route, Tenant, WeightedService, MAX_TIMEOUT_MS};
+use crate::configuration::{Configuration, Limits, Route, Tenant, WeightedService, MAX_TIMEOUT_MS};
 use crate::error::ValidationError;
 use std::collections::{HashMap, HashSet};
 
 /// Validates a configuration. The error names the first invalid field.
 pub(crate) fn validate(configuration: &Configuration) -> Result<(), ValidationError> {
+    validate_limits(&configuration.limits).map_err(|error| error.within("limits"))?;
     let services: HashSet<&str> =
         configuration.services.iter().map(|service| service.name.as_str()).collect();
     for (index, route) in configuration.routes.iter().enumerate() {
@@ -20,6 +21,19 @@
     Ok(())
 }
 
+fn validate_limits(limits: &Limits) -> Result<(), ValidationError> {
+    let checks = [
+        ("max-header-bytes", limits.max_header_bytes.is_valid()),
+        ("max-body-bytes", limits.max_body_bytes.is_valid()),
+        ("header-timeout-ms", limits.header_timeout_ms.is_valid()),
+        ("idle-timeout-ms", limits.idle_timeout_ms.is_valid()),
+    ];
+    match checks.into_iter().find(|(_, is_valid)| !is_valid) {
+        Some((field, _)) => Err(ValidationError::new(field, "is below 0")),
+        None => Ok(()),
+    }
+}
+
 /// Validates a tenant. `key_owners` contains the API keys of the tenants before it, with their tenants.
 fn validate_tenant<'a>(
     tenant: &'a Tenant,
--- a/crates/api/tests/configuration.rs
+++ b/crates/api/tests/configuration.rs
@@ -3,6 +3,7 @@
 #![cfg(test)]
 
 use serde_json::{json, Value};
+use std::time::Duration;
 use violetyoke_api::configuration::RouteKind;
 use violetyoke_api::routing::{Caller, RoutingTable};
 use violetyoke_api::Configuration;
@@ -167,3 +168,24 @@
     let to_next = (0..1000).filter(|n| search.service(f64::from(*n) / 1000.0) == Some(1)).count();
     assert_eq!(to_next, 100);
 }
+
+// Guards against limits that are acknowledged although no proxy can apply them (docs/incidents/limit-below-zero.md).
+#[test]
+fn limit_below_zero_is_rejected_and_still_decodable_once_it_is_in_force() {
+    insta::assert_snapshot!(rejection(|document| document["limits"]["header-timeout-ms"] = json!(-1)),
+        @"limits.header-timeout-ms: is below 0");
+    for field in ["max-header-bytes", "max-body-bytes", "header-timeout-ms", "idle-timeout-ms"] {
+        assert_eq!(
+            rejection(|document| document["limits"][field] = json!(-0.5)),
+            format!("limits.{field}: is below 0")
+        );
+        let mut in_force = document();
+        in_force["limits"][field] = json!(-0.5);
+        let decoded = Configuration::decode(in_force.to_string().as_bytes()).expect("decodable");
+        let limits = decoded.limits;
+        let applied =
+            (limits.max_head_bytes(), limits.max_body_bytes(), limits.head_timeout(), limits.idle_timeout());
+        let defaults = (16_384, 67_108_864, Duration::from_secs(3), Duration::from_secs(15));
+        assert_eq!(applied, defaults, "{field}");
+    }
+}
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -75,7 +75,7 @@
             let response = send(line, &CallRequest::new(Call::ConfigurationRead)).await?;
             match response.status {
                 404 => Configuration::default(),
-                200 => Configuration::parse(&response.body)?,
+                200 => Configuration::decode(&response.body)?,
                 _ => return Err(rejected(&response)),
             }
         }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -17,11 +17,12 @@
 use violetyoke_api::configuration::Limits;
 use violetyoke_transport::net::{Listener, Stream};
 
-/// Minimum size of hyper's read buffer (bytes).
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Bounds of the size of hyper's read buffer (bytes). A client fills it before its request is refused.
+const MIN_BUFFER_BYTES: u64 = 8 << 10;
+const MAX_BUFFER_BYTES: u64 = 1 << 20;
 /// Time-outs while the proxy has no configuration and responds to all requests with 503.
-const DEFAULT_IDLE_TIMEOUT_MS: f64 = 15_000.0;
-const DEFAULT_HEAD_TIMEOUT_MS: f64 = 5_000.0;
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, for example when the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -39,23 +40,19 @@
     fn new(limits: Option<Limits>) -> ConnectionLimits {
         let Some(limits) = limits else {
             return ConnectionLimits {
-                idle_timeout: duration_from_ms(DEFAULT_IDLE_TIMEOUT_MS),
-                head_timeout: duration_from_ms(DEFAULT_HEAD_TIMEOUT_MS),
-                max_head_bytes: MIN_BUFFER_BYTES,
+                idle_timeout: DEFAULT_IDLE_TIMEOUT,
+                head_timeout: DEFAULT_HEAD_TIMEOUT,
+                max_head_bytes: MIN_BUFFER_BYTES as usize,
             };
         };
         ConnectionLimits {
-            idle_timeout: duration_from_ms(limits.idle_timeout_ms.max(limits.header_timeout_ms)),
-            head_timeout: duration_from_ms(limits.header_timeout_ms),
-            max_head_bytes: (limits.max_header_bytes as usize).max(MIN_BUFFER_BYTES),
+            idle_timeout: limits.idle_timeout().max(limits.head_timeout()),
+            head_timeout: limits.head_timeout(),
+            max_head_bytes: limits.max_head_bytes().clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES) as usize,
         }
     }
 }
 
-fn duration_from_ms(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms / 1000.0)
-}
-
 /// Accepts connections until the future is dropped. Each connection is served in a separate task, which ends
 /// with the connection.
 pub(crate) async fn serve(listener: Listener, proxy: Rc<Proxy>) {
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -52,7 +52,7 @@
     let table = configuration.routing();
     let Match { route, tenant } = lookup(table, &parts)?;
     let operation_key = operation_key(route, tenant, &parts.headers)?;
-    let body = RequestBody::read(body, table.limits.max_body_bytes as u64).await?;
+    let body = RequestBody::read(body, table.limits.max_body_bytes()).await?;
     let service = select_service(proxy, table, route)?;
     let request = forward_request(&parts, body, route, tenant, service, arrived_at);
     let response = match operation_key {
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod control_updates;
 mod metrics;
+mod numbers_in_configurations;
 mod numbers_in_responses;
 mod operation_ends;
 mod operation_registries;
--- a/crates/registry/src/daemon/store_replies.rs
+++ b/crates/registry/src/daemon/store_replies.rs
@@ -73,7 +73,7 @@
     /// Applies a newer control state.
     fn apply_state(&mut self, state: ControlState) {
         let has_other_text = state.text != self.state.text;
-        match Configuration::parse(state.text.as_bytes()) {
+        match Configuration::decode(state.text.as_bytes()) {
             Ok(configuration) => {
                 self.quota.set_limits(&configuration);
                 self.publisher.install_state(&state, configuration, has_other_text);
--- a/crates/transport/tests/golden/payloads.rs
+++ b/crates/transport/tests/golden/payloads.rs
@@ -3,6 +3,7 @@
 use crate::variants;
 use violetyoke_api::change::{ConfigurationChange, TableChange};
 use violetyoke_api::configuration::{Limits, Route, RouteKind, Service, Tenant, WeightedService};
+use violetyoke_api::quantity::{ByteCount, Milliseconds};
 use violetyoke_api::Configuration;
 
 variants!(RouteKind {
@@ -93,7 +94,12 @@
 }
 
 fn limits() -> Limits {
-    Limits { max_header_bytes: 1.0, max_body_bytes: 2.0, header_timeout_ms: 3.0, idle_timeout_ms: 4.0 }
+    Limits {
+        max_header_bytes: ByteCount::new(1.0),
+        max_body_bytes: ByteCount::new(2.0),
+        header_timeout_ms: Milliseconds::new(3.0),
+        idle_timeout_ms: Milliseconds::new(4.0),
+    }
 }
 
 /// A configuration in which each optional field is once present and once absent.
