Divide a limit of connections without overflow

Cause: connections_per_proxy multiplied the configured max-conns by nine in 32 bits. Above 477,218,588 the product overflows: a checked build ends, others get a share of a few connections. Change: the share is computed in 64 bits.

--- a/crates/balancing/src/concurrency.rs
+++ b/crates/balancing/src/concurrency.rs
@@ -23,7 +23,10 @@
     pub(crate) fn connections_per_proxy(&self, proxy_count: usize) -> u32 {
         match self.max_connections {
             0 => u32::MAX,
-            limit => (limit * 9 / 10 / proxy_count as u32).max(1),
+            limit => {
+                let share = u64::from(limit) * 9 / 10 / proxy_count as u64;
+                u32::try_from(share).unwrap_or(u32::MAX).max(1)
+            }
         }
     }
 }
--- a/crates/balancing/tests/selection.rs
+++ b/crates/balancing/tests/selection.rs
@@ -6,7 +6,9 @@
 
 use common::{directory, empty_directory, fill, listed, members, selected, ANY};
 use std::collections::{BTreeSet, HashMap};
-use violetyoke_balancing::{ListedBackend, Observation, ReportedLoad, Selection, SelectionCriteria};
+use violetyoke_balancing::{
+    ListedBackend, Observation, ReportedLoad, Selection, SelectionCriteria, ServiceLimits,
+};
 
 #[test]
 fn nearer_backends_are_preferred_and_no_backend_exceeds_its_capacity() {
@@ -193,3 +195,15 @@
     directory.record_attempt_finished(110, "one", Observation::WrongInstance);
     assert!(!directory.is_selectable(120, "one", ANY), "another instance has replaced the backend");
 }
+
+// Guards against a limit whose share overflows: it ended checked builds, and gave others a share of a few connections.
+#[test]
+fn share_of_a_limit_of_any_size_is_nine_tenths_of_it_divided_by_the_proxies() {
+    let mut directory = empty_directory(0);
+    directory.update_members(members(9));
+    for (limit, share) in [(1, 1), (100, 10), (477_218_589, 47_721_858), (u32::MAX, 429_496_729)] {
+        let limits = ServiceLimits { max_connections: limit, ..ServiceLimits::default() };
+        directory.configure(0, HashMap::from([("finder".into(), limits)]), BTreeSet::new(), 0);
+        assert_eq!(directory.max_connections("finder"), share, "{limit}");
+    }
+}
