Bound times of settings and configurations in the types that hold them

Cause: times were plain floats, converted in five places; lag-ms and dedup-window-s of 1e300 became the largest number of 64 bits, and sums with the present time overflowed. A checked build ends; the programs in service wrapped, and a store forgot operations about ten seconds after their claim, whatever the window said. Change: Milliseconds and Seconds hold what was stated, and give a year at most. Routes carry durations. The deadline of a client is parsed by the same type. Tests of the proxy fail if any task panics, which the runtime would hide.

--- a/crates/api/src/configuration.rs
+++ b/crates/api/src/configuration.rs
@@ -18,12 +18,12 @@
 //! assert_eq!(error.to_string(), "routes.rows[0].path-prefix: begins with no slash");
 //! ```
 
-use crate::quantity::{ByteCount, Milliseconds};
+use crate::quantity::{ByteCount, Milliseconds, Seconds};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// The largest [`Route::timeout_ms`]: ten minutes.
-pub const MAX_TIMEOUT_MS: f64 = 600_000.0;
+pub const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
 /// A configuration. [`Configuration::parse`] parses and validates one that an operator sends; [`Configuration::decode`] reads
 /// one that has been accepted.
@@ -66,11 +66,11 @@
     pub path_prefix: String,
     /// How often its requests may be executed.
     pub route_kind: RouteKind,
-    /// The time-out of requests (ms): above 0, and at most [`MAX_TIMEOUT_MS`].
-    pub timeout_ms: f64,
+    /// The time-out of requests (ms): above 0, and at most [`MAX_TIMEOUT`].
+    pub timeout_ms: Milliseconds,
     /// The latency target (ms): a response within this time has its full value. The default is `timeout_ms`.
     #[serde(default)]
-    pub target_ms: Option<f64>,
+    pub target_ms: Option<Milliseconds>,
     /// The priority of requests whose tenant has none; 0 is the highest.
     #[serde(default)]
     pub priority: i64,
@@ -114,7 +114,7 @@
     pub max_conns: Option<f64>,
     /// The duration of a backend's slow start (s).
     #[serde(default)]
-    pub cold_s: f64,
+    pub cold_s: Seconds,
     /// The maximum rate of requests from all proxies to a backend during its slow start (requests per second).
     #[serde(default)]
     pub cold_rate_s: f64,
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -12,13 +12,13 @@
 //! - [`Execution`]: whether a request may have been executed, and the resulting status.
 //! - [`calls::Call`]: the HTTP calls, and the headers of requests.
 
+mod bounded_settings;
 pub mod calls;
 pub mod change;
 pub mod configuration;
 pub mod digest;
 mod error;
 pub mod execution;
-mod list_interval;
 mod parse;
 pub mod quantity;
 pub mod routing;
--- a/crates/api/src/quantity.rs
+++ b/crates/api/src/quantity.rs
@@ -14,6 +14,8 @@
 /// The largest size that a stated number stands for (bytes): 1 TiB.
 pub const MAX_BYTES: u64 = 1 << 40;
 
+/// [`MAX_DURATION`] in milliseconds.
+const MAX_MILLIS: u64 = 365 * 24 * 3600 * 1_000;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// A number of milliseconds.
@@ -21,6 +23,11 @@
 #[serde(transparent)]
 pub struct Milliseconds(f64);
 
+/// A number of seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Seconds(f64);
+
 /// A number of bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
@@ -33,6 +40,12 @@
         Milliseconds(stated)
     }
 
+    /// Parses the text of a header field; `None` if it is not a number.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Milliseconds> {
+        text.trim().parse().ok().filter(|number: &f64| !number.is_nan()).map(Milliseconds)
+    }
+
     /// The number as it was stated, for messages and validation.
     #[must_use]
     pub fn stated(self) -> f64 {
@@ -50,6 +63,38 @@
     pub fn to_duration(self) -> Duration {
         bounded_duration(self.0 / MILLIS_PER_SECOND)
     }
+
+    /// The same in whole milliseconds, rounded down.
+    #[must_use]
+    pub fn to_millis(self) -> u64 {
+        whole_millis(self.0)
+    }
+}
+
+impl Seconds {
+    /// The quantity with a stated number.
+    #[must_use]
+    pub const fn new(stated: f64) -> Seconds {
+        Seconds(stated)
+    }
+
+    /// The number as it was stated, for messages and validation.
+    #[must_use]
+    pub fn stated(self) -> f64 {
+        self.0
+    }
+
+    /// The time, from 0 to [`MAX_DURATION`]. A number below 0 and one that is not a number stand for 0.
+    #[must_use]
+    pub fn to_duration(self) -> Duration {
+        bounded_duration(self.0)
+    }
+
+    /// The same in whole milliseconds, rounded down.
+    #[must_use]
+    pub fn to_millis(self) -> u64 {
+        whole_millis(self.0 * MILLIS_PER_SECOND)
+    }
 }
 
 impl ByteCount {
@@ -82,6 +127,18 @@
     Duration::try_from_secs_f64(seconds.clamp(0.0, MAX_DURATION.as_secs_f64())).unwrap_or(MAX_DURATION)
 }
 
+/// Whole milliseconds, from 0 to those of [`MAX_DURATION`].
+fn whole_millis(millis: f64) -> u64 {
+    // A conversion from a float saturates.
+    (millis as u64).min(MAX_MILLIS)
+}
+
+impl fmt::Display for Seconds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 impl fmt::Display for Milliseconds {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/api/src/routing.rs
+++ b/crates/api/src/routing.rs
@@ -1,7 +1,8 @@
 //! The routing table: an immutable index of one configuration, which is replaced as a unit.
 
-use crate::configuration::{Configuration, Limits, Route, RouteKind, Service, Tenant};
+use crate::configuration::{Configuration, Limits, Route, RouteKind, Service, Tenant, MAX_TIMEOUT};
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// A route, prepared for lookups.
 #[derive(Debug)]
@@ -10,10 +11,10 @@
     pub name: String,
     /// How often its requests may be executed.
     pub kind: RouteKind,
-    /// The time-out of requests (ms).
-    pub timeout_ms: f64,
-    /// The latency target (ms): a response within this time has its full value.
-    pub target_ms: f64,
+    /// The time-out of requests; at most [`MAX_TIMEOUT`].
+    pub timeout: Duration,
+    /// The latency target: a response within this time has its full value; at most [`MAX_TIMEOUT`].
+    pub target: Duration,
     /// The priority of requests whose tenant has none; 0 is the highest.
     pub priority: i64,
     /// The maximum number of backends that one request is sent to; at least 1.
@@ -144,8 +145,8 @@
         RouteEntry {
             name: route.name.clone(),
             kind: route.route_kind,
-            timeout_ms: route.timeout_ms,
-            target_ms: route.target_ms.unwrap_or(route.timeout_ms),
+            timeout: route.timeout_ms.to_duration().min(MAX_TIMEOUT),
+            target: route.target_ms.unwrap_or(route.timeout_ms).to_duration().min(MAX_TIMEOUT),
             priority: route.priority,
             max_attempts: route.attempts.max(1),
             is_public: route.public,
--- a/crates/api/src/settings.rs
+++ b/crates/api/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file that the platform provides to each process (`$VIOLETYOKE_CONFIG`). Unknown fields are ignored.
 
+use crate::quantity::{Milliseconds, Seconds};
 use crate::schema::{Schema, SchemaValidator};
 use error_stack::{Report, ResultExt};
 use serde::Deserialize;
@@ -95,7 +96,7 @@
     pub rate_per_s: f64,
     /// How far the list lags behind the real state (ms).
     #[serde(default)]
-    pub lag_ms: f64,
+    pub lag_ms: Milliseconds,
 }
 
 fn ten() -> f64 {
@@ -130,25 +131,25 @@
 #[serde(rename_all = "kebab-case", default)]
 pub struct Bounds {
     /// The time after a fault from which reconnected machines count as in contact with the others.
-    pub contact_ms: f64,
+    pub contact_ms: Milliseconds,
     /// The maximum time until a command is acknowledged.
-    pub ack_ms: f64,
+    pub ack_ms: Milliseconds,
     /// The time for which a draining backend still serves requests after the list marks it as draining.
-    pub drain_ms: f64,
+    pub drain_ms: Milliseconds,
     /// The time from SIGTERM to SIGKILL of a process.
-    pub grace_s: f64,
+    pub grace_s: Seconds,
     /// The maximum time from the acknowledgement of a configuration until it is in force everywhere.
-    pub config_apply_ms: f64,
+    pub config_apply_ms: Milliseconds,
     /// The maximum ratio of retries to requests of a service within [`Self::retry_window_s`].
     pub retry_ratio: f64,
     /// The window of the retry budget.
-    pub retry_window_s: f64,
+    pub retry_window_s: Seconds,
     /// The number of retries in a window that are allowed in addition to the ratio.
     pub retry_slack: f64,
     /// The time after an operation is first sent in which no other request with its key may be executed.
-    pub dedup_window_s: f64,
+    pub dedup_window_s: Seconds,
     /// The window in which a tenant's executed requests are counted.
-    pub quota_window_s: f64,
+    pub quota_window_s: Seconds,
     /// The fraction by which they may exceed the tenant's limit.
     pub quota_overshoot: f64,
     /// The number of requests by which they may exceed the limit in addition.
@@ -158,31 +159,31 @@
     /// The number of requests that it may get in addition.
     pub cold_slack: f64,
     /// The time after the acknowledgement from which an evacuated zone gets no requests.
-    pub evacuate_ms: f64,
+    pub evacuate_ms: Milliseconds,
     /// The maximum time for which clients cache the addresses of proxies.
     #[serde(rename = "ttl_max_s")]
-    pub ttl_max_s: f64,
+    pub ttl_max_s: Seconds,
 }
 
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            contact_ms: 5000.0,
-            ack_ms: 6000.0,
-            drain_ms: 2500.0,
-            grace_s: 6.0,
-            config_apply_ms: 2500.0,
+            contact_ms: Milliseconds::new(5000.0),
+            ack_ms: Milliseconds::new(6000.0),
+            drain_ms: Milliseconds::new(2500.0),
+            grace_s: Seconds::new(6.0),
+            config_apply_ms: Milliseconds::new(2500.0),
             retry_ratio: 0.1,
-            retry_window_s: 10.0,
+            retry_window_s: Seconds::new(10.0),
             retry_slack: 10.0,
-            dedup_window_s: 60.0,
-            quota_window_s: 5.0,
+            dedup_window_s: Seconds::new(60.0),
+            quota_window_s: Seconds::new(5.0),
             quota_overshoot: 0.1,
             quota_slack: 10.0,
             cold_overshoot: 1.0,
             cold_slack: 0.0,
-            evacuate_ms: 5000.0,
-            ttl_max_s: 5.0,
+            evacuate_ms: Milliseconds::new(5000.0),
+            ttl_max_s: Seconds::new(5.0),
         }
     }
 }
@@ -217,7 +218,7 @@
     #[must_use]
     pub fn internal_port(&self, process: Process) -> u16 {
         let (first, last) = self.network.internal_ports;
-        (first + process as u16).min(last)
+        first.saturating_add(process as u16).min(last)
     }
 
     /// The addresses of the machines in `network.seeds`.
--- a/crates/api/src/validation.rs
+++ b/crates/api/src/validation.rs
@@ -1,7 +1,8 @@
 //! Validates what a schema can't check in a configuration: references between tables, unique keys, and ranges.
 
-use crate::configuration::{Configuration, Limits, Route, Tenant, WeightedService, MAX_TIMEOUT_MS};
+use crate::configuration::{Configuration, Limits, Route, Tenant, WeightedService, MAX_TIMEOUT};
 use crate::error::ValidationError;
+use crate::quantity::Milliseconds;
 use std::collections::{HashMap, HashSet};
 
 /// Validates a configuration. The error names the first invalid field.
@@ -59,11 +60,11 @@
     validate_targets(route, services)
 }
 
-fn validate_timeout(timeout_ms: f64) -> Result<(), ValidationError> {
-    if timeout_ms.is_nan() || timeout_ms <= 0.0 {
+fn validate_timeout(timeout: Milliseconds) -> Result<(), ValidationError> {
+    if timeout.stated().is_nan() || timeout.stated() <= 0.0 {
         return Err(ValidationError::new("timeout-ms", "is not above 0"));
     }
-    if timeout_ms > MAX_TIMEOUT_MS {
+    if timeout.stated() > MAX_TIMEOUT.as_millis() as f64 {
         return Err(ValidationError::new("timeout-ms", "is over ten minutes"));
     }
     Ok(())
--- a/crates/api/tests/settings.rs
+++ b/crates/api/tests/settings.rs
@@ -3,6 +3,7 @@
 #![cfg(test)]
 
 use serde_json::{json, Value};
+use violetyoke_api::quantity::Seconds;
 use violetyoke_api::schema::{Schema, SchemaError, SchemaValidator};
 use violetyoke_api::settings::Process;
 use violetyoke_api::Settings;
@@ -34,8 +35,8 @@
     assert_eq!(settings.region_of("b"), "east");
     assert_eq!(settings.region_of("nowhere"), "");
     assert_eq!(settings.seeds().len(), 2);
-    assert_eq!(settings.terms.bounds.ttl_max_s, 4.0);
-    assert_eq!(settings.terms.bounds.dedup_window_s, 90.0);
+    assert_eq!(settings.terms.bounds.ttl_max_s, Seconds::new(4.0));
+    assert_eq!(settings.terms.bounds.dedup_window_s, Seconds::new(90.0));
     assert_eq!(settings.terms.fault_tolerance.machines, 1);
 }
 
--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -72,7 +72,7 @@
 
     /// Whether there is no fault at a time, nor in the time before that machines need to regain contact.
     fn is_fault_free(&self, at: Millis) -> bool {
-        let contact = self.site.bounds.contact_ms as Millis;
+        let contact = self.site.bounds.contact_ms.to_millis();
         !self.records.fault_spans.iter().any(|(from, to)| at >= *from && at <= to + contact)
     }
 
@@ -83,7 +83,7 @@
             Command::Configuration { version, is_valid: true, .. } => Some((*version, record)),
             _ => None,
         });
-        let is_applied = |at: Millis| at + self.site.bounds.config_apply_ms as Millis <= sent;
+        let is_applied = |at: Millis| at + self.site.bounds.config_apply_ms.to_millis() <= sent;
         let applied = versions.clone().filter(|(_, record)| record.acknowledged_at.is_some_and(is_applied));
         let newest = applied.map(|(version, _)| version).max().unwrap_or(0);
         let may_be_in_force = versions.filter(|(version, record)| *version >= newest && record.sent <= until);
--- a/crates/emulator/src/checker/executions.rs
+++ b/crates/emulator/src/checker/executions.rs
@@ -1,7 +1,7 @@
 //! Which requests may be executed where: the rules UNASKED, HOME, ROUTE, CONFIG, DRAIN and EVAC.
 
 use super::Checker;
-use crate::records::{Arrival, Attempt, Command, Incarnation, Millis};
+use crate::records::{Arrival, Attempt, Command, Incarnation};
 use crate::site::owner;
 
 /// Whether a command permits an execution.
@@ -80,7 +80,7 @@
         if !self.is_fault_free(arrival.at) {
             return;
         }
-        let drain_ms = self.site.bounds.drain_ms as Millis;
+        let drain_ms = self.site.bounds.drain_ms.to_millis();
         let detail = || format!("{} reached {} at {}", attempt.id, incarnation.id, arrival.at);
         if incarnation.draining_since.is_some_and(|since| arrival.at > since + drain_ms) {
             self.report("DRAIN", detail());
@@ -101,6 +101,6 @@
                 _ => {}
             }
         }
-        acknowledged.is_some_and(|at| arrival.at > at + self.site.bounds.evacuate_ms as Millis)
+        acknowledged.is_some_and(|at| arrival.at > at + self.site.bounds.evacuate_ms.to_millis())
     }
 }
--- a/crates/emulator/src/checker/operations.rs
+++ b/crates/emulator/src/checker/operations.rs
@@ -74,7 +74,7 @@
 
     /// The permitted executions: the first one, and each one after the end of the window of the previous permitted one.
     fn permitted_executions<'a>(&self, executions: &[Execution<'a>]) -> Vec<Execution<'a>> {
-        let window = (self.site.bounds.dedup_window_s * 1000.0) as Millis;
+        let window = self.site.bounds.dedup_window_s.to_millis();
         let mut permitted_executions: Vec<Execution<'a>> = Vec::new();
         for execution in executions {
             if permitted_executions.last().is_none_or(|last| execution.arrival.at >= last.sent + window) {
--- a/crates/emulator/src/checker/rates.rs
+++ b/crates/emulator/src/checker/rates.rs
@@ -17,9 +17,9 @@
         for (name, at) in &executions {
             let number = name.strip_prefix("tenant-").and_then(|number| number.parse::<usize>().ok());
             let limit = number.map_or(NEWCOMER_LIMIT, |number| self.site.rate_limit(number));
-            let peak = max_in_window(at, (bounds.quota_window_s * 1000.0) as Millis);
-            let allowed =
-                (limit * bounds.quota_window_s + limit) * (1.0 + bounds.quota_overshoot) + bounds.quota_slack;
+            let peak = max_in_window(at, bounds.quota_window_s.to_millis());
+            let allowed = (limit * bounds.quota_window_s.stated() + limit) * (1.0 + bounds.quota_overshoot)
+                + bounds.quota_slack;
             if peak.count as f64 > allowed {
                 let detail = format!("{name}: {} from {} on, {allowed:.0} may", peak.count, peak.from);
                 self.report("QUOTA", detail);
@@ -29,7 +29,7 @@
 
     pub(super) fn check_retry_budgets(&mut self) {
         let bounds = self.site.bounds;
-        let window = (bounds.retry_window_s * 1000.0) as Millis;
+        let window = bounds.retry_window_s.to_millis();
         for (number, service) in self.site.services.iter().enumerate() {
             let records = self.records;
             let is_of_service = |incarnation: usize| records.incarnations[incarnation].service == number;
--- a/crates/emulator/src/fault_injection.rs
+++ b/crates/emulator/src/fault_injection.rs
@@ -223,7 +223,7 @@
         for id in self.backends.ids_of_service(service).into_iter().take(count) {
             self.backends.start(service, self.zone_of_backend(&id), true);
             self.backends.drain(&id);
-            pause(self.site.bounds.drain_ms as Millis + 1_000).await;
+            pause(self.site.bounds.drain_ms.to_millis() + 1_000).await;
             self.backends.kill(&id);
             self.backends.remove_from_list(&id);
         }
--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -73,7 +73,7 @@
 /// that machines need to regain contact.
 #[must_use]
 pub fn fault_free_evacuations(site: &Site, records: &Records) -> Vec<Millis> {
-    let contact = site.bounds.contact_ms as Millis;
+    let contact = site.bounds.contact_ms.to_millis();
     let is_fault_free = |from: Millis, until: Millis| {
         !records.fault_spans.iter().any(|(start, end)| from <= end + contact && until >= *start)
     };
--- a/crates/emulator/src/site/rooms.rs
+++ b/crates/emulator/src/site/rooms.rs
@@ -3,6 +3,7 @@
 use super::{RequestKind, Service, Site, Zone};
 use crate::net::Delays;
 use violetyoke_api::configuration::RouteKind;
+use violetyoke_api::quantity::Milliseconds;
 use violetyoke_api::settings::Bounds;
 
 /// Allows for repeats, so that they reach the core machines instead of being rejected by rate limits.
@@ -87,8 +88,8 @@
             limit_factor: 1.6,
             lag_ms: 800,
             bounds: Bounds {
-                config_apply_ms: 3_000.0,
-                drain_ms: 3_000.0,
+                config_apply_ms: Milliseconds::new(3_000.0),
+                drain_ms: Milliseconds::new(3_000.0),
                 retry_ratio: 0.2,
                 retry_slack: 58.0,
                 quota_slack: 20.0,
--- a/crates/emulator/tests/operations.rs
+++ b/crates/emulator/tests/operations.rs
@@ -4,9 +4,11 @@
 
 use slog::{o, Discard, Logger};
 use std::collections::BTreeSet;
+use violetyoke_api::quantity::Seconds;
 use violetyoke_emulator::checker::check;
 use violetyoke_emulator::day::Day;
 use violetyoke_emulator::event::{Event, EventKind};
+use violetyoke_emulator::figures::Figures;
 use violetyoke_emulator::records::{
     Answer, Arrival, Attempt, Command, CommandRecord, Incarnation, Millis, Records,
 };
@@ -103,7 +105,7 @@
 #[test]
 fn second_execution_within_the_window_is_detected() {
     let site = site();
-    let window = (site.bounds.dedup_window_s * 1000.0) as Millis;
+    let window = site.bounds.dedup_window_s.to_millis();
     assert_eq!(broken_rules(&site, |_| {}), [""; 0]);
     assert_eq!(
         broken_rules(&site, |records| execute_again(records, 10_000 + window - 1)),
@@ -220,3 +222,19 @@
 fn silent() -> Logger {
     Logger::root(Discard, o!())
 }
+
+// Guards against stores that end, or forget operations at once, because the window in which they run once is beyond the range
+// of their clocks.
+#[test]
+fn operations_run_once_in_a_window_of_any_length() {
+    for window_s in [1e16, 1e300, f64::MAX] {
+        let mut site = site();
+        site.bounds.dedup_window_s = Seconds::new(window_s);
+        let mut day = Day::quiet(3);
+        day.events.push(Event { at: 4_000, kind: EventKind::LoseResponses { part: 0.2, span: 8_000 } });
+        let records = simulate(&site, &day, &silent()).expect("a runtime").records;
+        assert_eq!(check(&site, &records), [], "{window_s}");
+        let figures = Figures::of(&site, &records);
+        assert!(figures.served > 0.9, "{window_s}: {figures}");
+    }
+}
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -13,7 +13,7 @@
 use violetyoke_transport::messages::{proxy_id, Backend, BackendList, BackendListChange, ListDigest};
 
 /// How far the platform's list lags behind the real state, if the settings do not give it (ms).
-const DEFAULT_PLATFORM_LAG_MS: f64 = 1_000.0;
+const DEFAULT_PLATFORM_LAG_MS: Millis = 1_000;
 /// The maximum time from the platform's reply to a registry until this proxy has the list (ms). It does not include the
 /// interval at which registries query the platform.
 const LIST_DELIVERY_MS: Millis = 200;
@@ -46,7 +46,7 @@
         let locality = Locality { zone: local.zone.clone(), region: local.region.clone() };
         let directory = BackendDirectory::new(proxy_id(&local.node), locality);
         let platform = settings.platform.cloud_api.as_ref();
-        let platform_lag_ms = platform.map_or(DEFAULT_PLATFORM_LAG_MS, |api| api.lag_ms) as Millis;
+        let platform_lag_ms = platform.map_or(DEFAULT_PLATFORM_LAG_MS, |api| api.lag_ms.to_millis());
         Backends {
             clock,
             directory: RefCell::new(directory),
@@ -149,7 +149,7 @@
     pub(crate) fn configure(&self, services: &[Service], evacuated: BTreeSet<String>) {
         let limits = services.iter().map(|service| {
             let limits = ServiceLimits {
-                slow_start_ms: (service.cold_s * 1000.0) as Millis,
+                slow_start_ms: service.cold_s.to_millis(),
                 slow_start_rate_per_s: service.cold_rate_s,
                 max_connections: service.max_conns.unwrap_or(0.0) as u32,
             };
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -29,9 +29,6 @@
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_200);
 /// The process ends this long before the end of the grace period, when the platform would kill it.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Bounds of the grace period from the settings (s).
-const MIN_GRACE_S: f64 = 0.5;
-const MAX_GRACE_S: f64 = 60.0;
 
 /// The name of the program in its log and in its errors.
 const PROGRAM: &str = "proxy";
@@ -52,7 +49,7 @@
     mut lifecycle: Lifecycle,
     log: Logger,
 ) -> Result<(), Report<StartError>> {
-    let grace_s = settings.terms.bounds.grace_s.clamp(MIN_GRACE_S, MAX_GRACE_S);
+    let grace = settings.terms.bounds.grace_period();
     let listeners = Listeners::open(&settings)?;
     // Unbounded: the transport limits the number of messages, and events are handled without waiting.
     let (sender, mut events) = unbounded_channel();
@@ -66,7 +63,6 @@
     let mut control = ControlClient::new(proxy.clone(), settings, lifecycle.incarnation);
     info!(proxy.log, "started");
     serve_until_shutdown(&proxy, &mut control, &mut events, &mut lifecycle).await;
-    let grace = Duration::from_secs_f64(grace_s);
     drain(&proxy, &mut control, &mut events, &servers, grace).await;
     info!(proxy.log, "stopped"; "connections" => proxy.serving.open_connections(), "metrics" => %proxy.metrics);
     Ok(())
--- a/crates/proxy/src/request/mod.rs
+++ b/crates/proxy/src/request/mod.rs
@@ -23,11 +23,11 @@
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 use upstream_head::upstream_head;
 use violetyoke_api::calls::header;
-use violetyoke_api::configuration::{Service, Tenant, MAX_TIMEOUT_MS};
+use violetyoke_api::configuration::{Service, Tenant};
+use violetyoke_api::quantity::Milliseconds;
 use violetyoke_api::routing::{RouteEntry, RoutingTable};
 use violetyoke_balancing::retry_policy::RetryPolicy;
 use violetyoke_balancing::Millis;
@@ -143,10 +143,8 @@
     service: &Service,
     arrived_at: Instant,
 ) -> ForwardRequest {
-    let client_deadline_ms =
-        header_text(&parts.headers, header::DEADLINE).and_then(|ms| ms.trim().parse::<f64>().ok());
-    let timeout_ms =
-        client_deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms).clamp(0.0, MAX_TIMEOUT_MS);
+    let client_deadline = header_text(&parts.headers, header::DEADLINE).and_then(Milliseconds::parse);
+    let timeout = client_deadline.map_or(route.timeout, |deadline| deadline.to_duration().min(route.timeout));
     ForwardRequest {
         service: service.name.clone(),
         home_regions: [
@@ -156,8 +154,8 @@
         policy: RetryPolicy {
             is_idempotent: route.is_idempotent(),
             max_attempts: route.max_attempts,
-            latency_target_ms: route.target_ms.clamp(0.0, MAX_TIMEOUT_MS) as Millis,
-            deadline_ms: timeout_ms as Millis,
+            latency_target_ms: route.target.as_millis() as Millis,
+            deadline_ms: timeout.as_millis() as Millis,
         },
         // The tenant's priority overrides the route's.
         priority: tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority),
@@ -166,7 +164,7 @@
         head: upstream_head(parts, tenant.map(|tenant| tenant.name.as_str()), &body),
         body,
         arrived_at,
-        deadline: arrived_at + Duration::from_secs_f64(timeout_ms / 1000.0),
+        deadline: arrived_at + timeout,
         preconnected: Cell::new(None),
         claim: None,
     }
--- a/crates/proxy/src/retry_budgets.rs
+++ b/crates/proxy/src/retry_budgets.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use violetyoke_api::settings::Bounds;
 use violetyoke_balancing::retry_budget::{RetryBudget, RetryBudgetLimits};
-use violetyoke_balancing::Millis;
 
 /// This proxy's share of each service's retry budget.
 #[derive(Debug)]
@@ -22,7 +21,7 @@
     pub(crate) fn new(bounds: &Bounds, clock: Clock, registries: Rc<RegistryConnections>) -> RetryBudgets {
         let limits = RetryBudgetLimits {
             ratio: bounds.retry_ratio,
-            window_ms: (bounds.retry_window_s * 1000.0) as Millis,
+            window_ms: bounds.retry_window_s.to_millis(),
             allowance: bounds.retry_slack,
         };
         RetryBudgets { limits, clock, registries, by_service: RefCell::default() }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -19,8 +19,8 @@
 use violetyoke_api::Settings;
 use violetyoke_balancing::Millis;
 
-/// The maximum time for which responses are kept for repeats of their requests (s).
-const MAX_RESPONSE_WINDOW_S: f64 = 3_600.0;
+/// The maximum time for which responses are kept for repeats of their requests.
+const MAX_RESPONSE_WINDOW: Duration = Duration::from_secs(3_600);
 
 /// One proxy. Each part owns its state, which only the part's own methods change.
 pub(crate) struct Proxy {
@@ -53,7 +53,7 @@
         log: Logger,
     ) -> Proxy {
         let clock = Clock::start();
-        let window_s = settings.terms.bounds.dedup_window_s.clamp(0.0, MAX_RESPONSE_WINDOW_S);
+        let response_window = settings.terms.bounds.dedup_window_s.to_duration().min(MAX_RESPONSE_WINDOW);
         let metrics = Rc::new(Metrics::default());
         let registries = Rc::new(registries);
         let configuration = Rc::new(ConfigurationStore::default());
@@ -67,7 +67,7 @@
                 registries.clone(),
                 metrics.clone(),
                 incarnation,
-                Duration::from_secs_f64(window_s),
+                response_window,
             ),
             freshness: FreshnessCheck::new(registries.clone(), configuration.clone()),
             splits: SplitSequences::default(),
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -5,6 +5,7 @@
 mod http;
 pub(crate) mod network;
 pub(crate) mod operations;
+mod panics;
 pub(crate) mod registries;
 mod registry_script;
 
@@ -23,14 +24,16 @@
 pub(crate) const FRONT_ADDRESS: &str = "10.1.0.9:8089";
 pub(crate) const READINESS_ADDRESS: &str = "10.1.0.9:8085";
 
-/// Runs a test in virtual time and with an in-memory network.
+/// Runs a test in virtual time and with an in-memory network. Fails if any task panics: the process would have ended.
 pub(crate) fn run_in_virtual_time<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     let runtime = runtime.expect("a runtime");
     install(Some(Rc::new(InMemoryNetwork::default())));
+    panics::start_counting();
     delay_connections(Duration::ZERO);
     tokio::task::LocalSet::new().block_on(&runtime, test());
     install(None);
+    assert_eq!(panics::count(), 0, "tasks that panicked");
 }
 
 /// Two routes (`/search/` to the service `finder`, `/book/` to `ledger`) and two tenants: `key-1` without a limit,
@@ -101,15 +104,25 @@
     }
 }
 
+/// The numbers in the operators' requirements, as the settings of [`start_proxy`] have them.
+pub(crate) fn usual_bounds() -> Value {
+    json!({"retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 58, "quota-overshoot": 0.1})
+}
+
 /// Starts a proxy with these registries as its seeds.
 pub(crate) fn start_proxy(seeds: &[&Registry]) -> RunningProxy {
+    start_proxy_with(seeds, &json!({}), &usual_bounds())
+}
+
+/// [`start_proxy`] with other settings in `platform` and `terms.bounds`.
+pub(crate) fn start_proxy_with(seeds: &[&Registry], platform: &Value, bounds: &Value) -> RunningProxy {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("{}:8083", seed.ip)).collect();
     let text = json!({
         "self": {"node": "edge-1", "ip": "10.1.0.9", "zone": "a", "region": "west", "data-dir": null},
         "network": {"listen": {"front": FRONT_ADDRESS, "ready": READINESS_ADDRESS}, "internal-ports": [7460, 7475],
                     "seeds": seeds, "zones": {"a": "west", "b": "east"}},
-        "platform": {},
-        "terms": {"bounds": {"retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 58, "quota-overshoot": 0.1}}
+        "platform": platform,
+        "terms": {"bounds": bounds}
     });
     let settings = Settings::parse(&text.to_string()).expect("settings");
     let (lifecycle, sender) = Lifecycle::new(7);
--- a/crates/store/src/daemon/event_loop.rs
+++ b/crates/store/src/daemon/event_loop.rs
@@ -56,7 +56,7 @@
         inputs: InputSender,
         log: Logger,
     ) -> EventLoop {
-        let grace = Duration::from_secs_f64(settings.terms.bounds.grace_s.clamp(0.5, 60.0));
+        let grace = settings.terms.bounds.grace_period();
         let port = settings.internal_port(Process::Store);
         EventLoop {
             started_at: Instant::now(),
--- a/crates/store/src/daemon/operations.rs
+++ b/crates/store/src/daemon/operations.rs
@@ -40,7 +40,7 @@
         records: Vec<OperationRecord>,
         log: Logger,
     ) -> Operations {
-        let window_ms = (settings.terms.bounds.dedup_window_s * 1000.0) as u64;
+        let window_ms = settings.terms.bounds.dedup_window_s.to_millis();
         let options = TableOptions { window_ms, max_bytes: MAX_RECORD_BYTES };
         let replica = OperationReplica::new(core.node().clone(), options, records, STARTED_AT);
         Operations { replica, records: writer, regions: settings.network.zones.clone(), log }
--- a/crates/transport/tests/golden/payloads.rs
+++ b/crates/transport/tests/golden/payloads.rs
@@ -3,7 +3,7 @@
 use crate::variants;
 use violetyoke_api::change::{ConfigurationChange, TableChange};
 use violetyoke_api::configuration::{Limits, Route, RouteKind, Service, Tenant, WeightedService};
-use violetyoke_api::quantity::{ByteCount, Milliseconds};
+use violetyoke_api::quantity::{ByteCount, Milliseconds, Seconds};
 use violetyoke_api::Configuration;
 
 variants!(RouteKind {
@@ -18,8 +18,8 @@
         host: "rooms.example".to_owned(),
         path_prefix: "/search/".to_owned(),
         route_kind: RouteKind::Idempotent,
-        timeout_ms: 1000.5,
-        target_ms: Some(200.0),
+        timeout_ms: Milliseconds::new(1000.5),
+        target_ms: Some(Milliseconds::new(200.0)),
         priority: -3,
         split: Some(vec![
             WeightedService { service: "search".to_owned(), weight: 0.9 },
@@ -38,7 +38,7 @@
         host: String::new(),
         path_prefix: "/".to_owned(),
         route_kind: RouteKind::Nonidempotent,
-        timeout_ms: 0.0,
+        timeout_ms: Milliseconds::new(0.0),
         target_ms: None,
         priority: 0,
         split: None,
@@ -54,7 +54,7 @@
         name: "search".to_owned(),
         health_path: Some("/health".to_owned()),
         max_conns: Some(64.0),
-        cold_s: 12.5,
+        cold_s: Seconds::new(12.5),
         cold_rate_s: 2.0,
         self_dedup: false,
     }
@@ -65,7 +65,7 @@
         name: "search-next".to_owned(),
         health_path: None,
         max_conns: None,
-        cold_s: 0.0,
+        cold_s: Seconds::new(0.0),
         cold_rate_s: 0.0,
         self_dedup: false,
     }
