Ignore files whose numbers leave none for the next write

Cause: the number of the next segment and of the next write is one more than the largest that is found on the disk, in the name of any file operations-N and in a slot's header. After the largest number of 64 bits a checked build ends, others begin again at 0. Change: numbers above 2^48 are no segment and no state that a store has written. The lag of a learner is compared without overflow. Tests: file_with_a_number_that_no_segment_has_is_ignored (failed before, segments.rs:45) and state_with_a_write_number_that_no_store_has_written_is_not_recovered (failed before).

--- a/crates/store/src/consensus/replica/learner.rs
+++ b/crates/store/src/consensus/replica/learner.rs
@@ -22,7 +22,7 @@
         let persisted = learner.heartbeat.persisted;
         learner.heartbeat.config.epoch == self.durable.config.epoch
             && persisted.epoch == self.committed.epoch
-            && persisted.sequence + MAX_LEARNER_LAG >= self.committed.sequence
+            && persisted.sequence.saturating_add(MAX_LEARNER_LAG) >= self.committed.sequence
     }
 
     /// Sends the committed state to learners that have an older one, unless a newer state is on its way to them.
--- a/crates/store/src/disk/operation_log/folder.rs
+++ b/crates/store/src/disk/operation_log/folder.rs
@@ -28,9 +28,13 @@
     }
 }
 
+/// The largest number of a segment. A file with a larger one in its name is none that a store has created.
+const MAX_NUMBER: u64 = 1 << 48;
+
 /// Parses the number in the name of a segment's file; `None` for other files.
 fn parse_name(name: &str) -> Option<SegmentNumber> {
-    name.strip_prefix(NAME_PREFIX)?.parse().ok().map(SegmentNumber)
+    let number = name.strip_prefix(NAME_PREFIX)?.parse().ok()?;
+    (number <= MAX_NUMBER).then_some(SegmentNumber(number))
 }
 
 impl LogFiles for LogFolder {
--- a/crates/store/src/disk/slot.rs
+++ b/crates/store/src/disk/slot.rs
@@ -15,6 +15,8 @@
 const WRITE_NUMBER_OFFSET: usize = 8;
 const LENGTH_OFFSET: usize = 16;
 const CHECKSUM_OFFSET: usize = 24;
+/// The largest number of a write. A slot with a larger one is none that a store has written.
+const MAX_WRITE_NUMBER: u64 = 1 << 48;
 
 /// The contents of a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,7 +66,7 @@
     let length = usize::try_from(header_field(bytes, LENGTH_OFFSET)?).ok()?;
     let stored_checksum = header_field(bytes, CHECKSUM_OFFSET)?;
     let payload = bytes.get(HEADER_LENGTH..HEADER_LENGTH.checked_add(length)?)?;
-    if checksum(write_number, payload) != stored_checksum {
+    if checksum(write_number, payload) != stored_checksum || write_number > MAX_WRITE_NUMBER {
         return None;
     }
     // A state that another build wrote may be valid but not decodable by this build: it counts as corrupt too.
--- a/crates/store/tests/operation_log.rs
+++ b/crates/store/tests/operation_log.rs
@@ -65,3 +65,18 @@
     assert_eq!(&entry[24..], b"\x91\x96\x92\xa1t\xa15\x92\x01\x05\x92\x02\x05\x03\xcd\xea\x60\xa7Claimed");
     assert_eq!(decode_entries(&entry), [record(5)]);
 }
+
+/// Guards against a file of the folder whose name leaves no number for the next segment.
+#[test]
+fn file_with_a_number_that_no_segment_has_is_ignored() {
+    let folder = Folder::new("numbers");
+    drop(open(&folder.0));
+    for number in [u64::MAX, u64::MAX - 1, (1 << 48) + 1] {
+        std::fs::write(folder.0.join(format!("operations-{number}")), "no segment").expect("written");
+    }
+    let (mut log, found) = open(&folder.0);
+    assert_eq!(found, []);
+    log.append(&[record(1)]).expect("appended");
+    drop(log);
+    assert_eq!(open(&folder.0).1, [record(1)]);
+}
--- a/crates/store/tests/slots.rs
+++ b/crates/store/tests/slots.rs
@@ -99,3 +99,16 @@
     let source = std::error::Error::source(&error).expect("a source").to_string();
     assert!(source.contains("by design"), "{source}");
 }
+
+// Guards against a store that can't write any more, because the number of the next write would be beyond 64 bits.
+#[test]
+fn state_with_a_write_number_that_no_store_has_written_is_not_recovered() {
+    for write_number in [u64::MAX, u64::MAX - 1, (1 << 48) + 1] {
+        assert_eq!(decode_slot(&slot(write_number, &state(3))), SlotContents::Corrupt, "{write_number}");
+    }
+    let newest = decode_slot(&slot(1 << 48, &state(3)));
+    assert!(
+        matches!(newest, SlotContents::State { write_number, .. } if write_number == 1 << 48),
+        "{newest:?}"
+    );
+}
