Bound the numbers of the platform's list where they are read

Cause: one backend with slots -1, or a number beyond a float, made the platform's whole page unreadable; cold-left-ms of 1e300 became the largest number of 64 bits, and sums with the time of the poll wrapped, so that a cold backend counted as warm; checked builds end.

--- a/crates/api/src/quantity.rs
+++ b/crates/api/src/quantity.rs
@@ -4,7 +4,7 @@
 //! it as it was stated, so that a document is shown and compared as its sender wrote it, and give it to computations only
 //! within a range in which sums with times and sizes can't overflow.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::fmt;
 use std::time::Duration;
 
@@ -118,6 +118,15 @@
     }
 }
 
+/// Deserializes a whole number of milliseconds, which becomes at most [`MAX_DURATION`]: for fields of messages, which another
+/// build may have sent.
+///
+/// # Errors
+/// If the value is no whole number of 64 bits.
+pub fn deserialize_millis<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    u64::deserialize(deserializer).map(|millis| millis.min(MAX_MILLIS))
+}
+
 /// The time of a number of seconds, from 0 to [`MAX_DURATION`].
 fn bounded_duration(seconds: f64) -> Duration {
     if seconds.is_nan() {
--- a/crates/registry/tests/backend_list.rs
+++ b/crates/registry/tests/backend_list.rs
@@ -4,9 +4,12 @@
 
 mod support;
 
+use proptest::prelude::*;
 use std::net::Ipv4Addr;
 use support::backend;
 use violetyoke_registry::backend_list::{change_between, BackendListCache};
+use violetyoke_registry::platform::Page;
+use violetyoke_transport::codec::{decode, try_encode};
 use violetyoke_transport::messages::{BackendList, ListDigest};
 
 const FIRST: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -129,3 +132,54 @@
     assert_eq!(change.upserted, [backend("i-1", true, 0), backend("i-4", false, 0)]);
     assert_eq!(change.removed, ["i-3"]);
 }
+
+/// The text of any number that a platform may write, also beyond the range of a float.
+fn any_number_text() -> impl Strategy<Value = String> {
+    prop_oneof![
+        proptest::sample::select(vec!["-1", "0", "-0.0", "1e300", "1e999", "-1e999", "18446744073709551615"])
+            .prop_map(str::to_owned),
+        any::<f64>()
+            .prop_filter("not in JSON", |number| number.is_finite())
+            .prop_map(|number| format!("{number:e}")),
+        any::<i64>().prop_map(|number| number.to_string()),
+    ]
+}
+
+/// A list with one backend that states these numbers, and one that is ready and warm.
+fn page_with(slots: &str, cold_left_ms: &str) -> Page {
+    let text = format!(
+        r#"{{"instances":{{
+            "i-1":{{"service":"finder","address":"10.0.0.9:80","zone":"a","state":"ready","slots":{slots},
+                    "cold-left-ms":{cold_left_ms}}},
+            "i-2":{{"service":"finder","address":"10.0.0.8:80","zone":"a","state":"ready","slots":6}}}}}}"#
+    );
+    Page::parse(text.as_bytes()).expect("a page")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Guards against a number of the platform's list that ends a registry on its way to peers and proxies.
+    #[test]
+    fn list_with_any_numbers_is_published_with_all_its_backends(
+        slots in any_number_text(),
+        cold_left_ms in any_number_text(),
+        polled_at in 1..10_000_000u64,
+        peer_age_ms in any::<u64>(),
+    ) {
+        let (mut lists, mut peer) = (BackendListCache::new(500), BackendListCache::new(500));
+        lists.poll_started();
+        lists.poll_succeeded(polled_at + 900, polled_at, page_with("6", "0").backends);
+        let before = lists.newest(polled_at + 900).expect("a list");
+        lists.poll_started();
+        lists.poll_succeeded(polled_at + 1_900, polled_at + 1_000, page_with(&slots, &cold_left_ms).backends);
+        let list = lists.newest(polled_at + 2_000).expect("a list");
+        prop_assert_eq!(list.backends.len(), 2);
+        prop_assert_eq!(list.backends[1].slots, 6);
+        prop_assert!(change_between(&before, &list).upserted.iter().all(|changed| changed.id == "i-1"));
+
+        let sent = try_encode(&BackendList { age_ms: peer_age_ms, ..list }).expect("an encoding");
+        peer.merge_peer_list(polled_at, decode(&sent).expect("decodable"));
+        prop_assert_eq!(peer.newest(polled_at).map(|list| list.backends.len()), Some(2));
+    }
+}
--- a/crates/registry/tests/platform.rs
+++ b/crates/registry/tests/platform.rs
@@ -115,3 +115,38 @@
         page.backends.iter().map(|backend| (backend.id.as_str(), backend.draining)).collect();
     assert_eq!(states, [("i-2", true)]);
 }
+
+/// A page with a backend that states these numbers, and one that states usual ones.
+fn page_with(slots: &str, cold_left_ms: &str) -> String {
+    format!(
+        r#"{{"instances":{{
+            "i-1":{{"service":"finder","address":"10.0.0.9:80","zone":"a","state":"ready","slots":{slots},
+                    "cold-left-ms":{cold_left_ms}}},
+            "i-2":{{"service":"finder","address":"10.0.0.8:80","zone":"a","state":"ready","slots":6,"cold-left-ms":40}}
+        }}}}"#
+    )
+}
+
+/// The slots and the rest of the slow start of each backend on a page.
+fn numbers_on(page: &str) -> Vec<(u32, u64)> {
+    let page = Page::parse(page.as_bytes()).expect("a page");
+    page.backends.iter().map(|backend| (backend.slots, backend.slow_start_left_ms)).collect()
+}
+
+// Guards against a list that is refused as a whole because one of its backends states a number out of range.
+#[test]
+fn number_out_of_range_costs_its_backend_alone() {
+    const YEAR_MS: u64 = 365 * 24 * 3_600_000;
+    let usual = (6, 40);
+    for (slots, bounded) in
+        [("-1", 1), ("0", 1), ("2.9", 2), ("1e300", 10_000), ("1e999", 10_000), ("null", 1), ("\"six\"", 1)]
+    {
+        assert_eq!(numbers_on(&page_with(slots, "0")), [(bounded, 0), usual], "{slots} slots");
+    }
+    let longest = "340282366920938463463374607431768211456";
+    for (cold_left_ms, bounded) in
+        [("-1", 0), ("0.1", 1), ("1e300", YEAR_MS), ("1e999", YEAR_MS), (longest, YEAR_MS), ("[]", 0)]
+    {
+        assert_eq!(numbers_on(&page_with("6", cold_left_ms)), [(6, bounded), usual], "{cold_left_ms} ms");
+    }
+}
--- a/crates/transport/src/messages/backends.rs
+++ b/crates/transport/src/messages/backends.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
+use violetyoke_api::quantity::deserialize_millis;
 
 /// Identifies the content of a backend list. Encoded as a plain number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -19,6 +20,7 @@
     /// Identifies the content.
     pub digest: ListDigest,
     /// The time since the list was requested from the platform (ms).
+    #[serde(deserialize_with = "deserialize_millis")]
     pub age_ms: u64,
     /// All backends, ordered by id.
     pub backends: Vec<Backend>,
@@ -40,6 +42,7 @@
     /// Whether it is about to shut down and accepts no further requests.
     pub draining: bool,
     /// The remaining time of its slow start when the list was requested (ms).
+    #[serde(deserialize_with = "deserialize_millis")]
     pub slow_start_left_ms: u64,
 }
 
@@ -51,6 +54,7 @@
     /// The digest of the resulting list.
     pub digest: ListDigest,
     /// The time since the resulting list was requested from the platform (ms).
+    #[serde(deserialize_with = "deserialize_millis")]
     pub age_ms: u64,
     /// New and changed backends.
     pub upserted: Vec<Backend>,
--- a/crates/transport/src/messages/state.rs
+++ b/crates/transport/src/messages/state.rs
@@ -13,10 +13,10 @@
 pub struct Epoch(pub u64);
 
 impl Epoch {
-    /// The epoch after this one.
+    /// The epoch after this one. There is none after the largest, which no store reaches by counting.
     #[must_use]
     pub fn next(self) -> Epoch {
-        Epoch(self.0 + 1)
+        Epoch(self.0.saturating_add(1))
     }
 }
 
