Believe no load report that is larger than any backend's load

What callers saw: after one spoiled answer of one backend, most requests of its service were answered 503. Cause: the estimates of load and queue are averages over a service's backends, and a report of queued requests outweighed all others; the sum of both numbers also overflowed. Change: ReportedLoad::new refuses more than 10,000 requests, and is the only way to make one.

--- a/crates/balancing/src/load.rs
+++ b/crates/balancing/src/load.rs
@@ -127,7 +127,7 @@
 impl PeerLoad {
     /// Sets the load from a report, which includes this proxy's `in_flight` requests.
     pub(crate) fn report(&mut self, now: Millis, load: ReportedLoad, in_flight: u32) {
-        self.requests = (f64::from(load.running + load.waiting) - f64::from(in_flight)).max(0.0);
+        self.requests = (load.requests() - f64::from(in_flight)).max(0.0);
         self.reported_at = now;
     }
 
--- a/crates/balancing/src/observation.rs
+++ b/crates/balancing/src/observation.rs
@@ -2,16 +2,31 @@
 
 use crate::Millis;
 
+/// The largest number of requests that a report is believed to mean. Estimates of a service are averages over its backends,
+/// so one report of billions would make the service look overloaded for a minute.
+const MAX_REPORTED_REQUESTS: u32 = 10_000;
+
 /// The load that a backend reported with a response. It covers the requests of all proxies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
-    /// Requests being executed.
-    pub running: u32,
-    /// Requests in the backend's own queue.
-    pub waiting: u32,
+    running: u32,
+    waiting: u32,
 }
 
 impl ReportedLoad {
+    /// A report of `running` requests that are being executed, and `waiting` requests in the backend's own queue. `None` if
+    /// either number is larger than any backend has.
+    #[must_use]
+    pub fn new(running: u32, waiting: u32) -> Option<ReportedLoad> {
+        let is_believed = running.max(waiting) <= MAX_REPORTED_REQUESTS;
+        is_believed.then_some(ReportedLoad { running, waiting })
+    }
+
+    /// Requests at the backend, executed or queued.
+    pub(crate) fn requests(self) -> f64 {
+        f64::from(self.running + self.waiting)
+    }
+
     /// Queued requests per slot.
     pub(crate) fn waiting_per_slot(self, slots: u32) -> f64 {
         f64::from(self.waiting) / f64::from(slots)
@@ -19,7 +34,7 @@
 
     /// Requests per slot, without the one that the response finished.
     pub(crate) fn per_slot(self, slots: u32) -> f64 {
-        f64::from((self.running + self.waiting).saturating_sub(1)) / f64::from(slots)
+        (self.requests() - 1.0).max(0.0) / f64::from(slots)
     }
 }
 
--- a/crates/balancing/tests/admission.rs
+++ b/crates/balancing/tests/admission.rs
@@ -15,7 +15,7 @@
 fn report(directory: &mut BackendDirectory, id: &str, latency_ms: u64, waiting: u32) -> u64 {
     for now in (1_000..3_000).step_by(100) {
         directory.record_attempt_started(now, id);
-        let load = Some(ReportedLoad { running: 6, waiting });
+        let load = ReportedLoad::new(6, waiting);
         directory.record_attempt_finished(now, id, Observation::Response { latency_ms, load });
     }
     2_900
--- a/crates/balancing/tests/selection.rs
+++ b/crates/balancing/tests/selection.rs
@@ -60,7 +60,7 @@
 fn reported_load_of_other_proxies_counts_and_decays() {
     let mut directory = directory(vec![listed("one", "a1", 2), listed("two", "a1", 2)]);
     directory.record_attempt_started(100, "one");
-    let load = Some(ReportedLoad { running: 2, waiting: 1 });
+    let load = ReportedLoad::new(2, 1);
     directory.record_attempt_finished(160, "one", Observation::Response { latency_ms: 60, load });
     assert_eq!(selected(&directory, 170, ANY).as_deref(), Some("two"));
     directory.record_attempt_started(170, "two");
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -181,8 +181,8 @@
     text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
-/// Parses a load report, `running, waiting, slots`.
+/// Parses a load report, `running, waiting, slots`. `None` if it is not one that a backend can mean.
 fn parse_load(text: &str) -> Option<ReportedLoad> {
     let mut fields = text.split(',').map(|field| field.trim().parse::<u32>().ok());
-    Some(ReportedLoad { running: fields.next()??, waiting: fields.next()?? })
+    ReportedLoad::new(fields.next()??, fields.next()??)
 }
