--- a/crates/emulator/src/backends/mod.rs
+++ b/crates/emulator/src/backends/mod.rs
@@ -7,7 +7,8 @@
 use crate::process::Process;
 use crate::records::{Incarnation, Millis, Recorder};
 use crate::site::Site;
-use rand::SeedableRng;
+use crate::spoiled_numbers::listed_number;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,8 @@
 use tokio::sync::Semaphore;
 
 const PORT: u16 = 8080;
+/// Distinguishes the seeds of spoiled numbers from those of execution times.
+const SPOILED_SEED: u64 = 0x7370_6f69_6c65_6400;
 
 /// One incarnation of a backend.
 struct Backend {
@@ -32,6 +35,10 @@
     rng: RefCell<Pcg64Mcg>,
     /// The fraction of responses that is lost, shared by all backends.
     response_loss: Rc<Cell<f64>>,
+    /// The fraction of responses with numbers that are out of range, shared by all backends.
+    spoiled_part: Rc<Cell<f64>>,
+    /// Draws these numbers. Separate, so that a day has the same execution times with and without them.
+    spoiled_rng: RefCell<Pcg64Mcg>,
     process: RefCell<Option<Process>>,
 }
 
@@ -46,6 +53,9 @@
     started: Cell<u32>,
     seed: u64,
     response_loss: Rc<Cell<f64>>,
+    spoiled_part: Rc<Cell<f64>>,
+    /// Draws the numbers in spoiled entries of the list.
+    spoiled_rng: RefCell<Pcg64Mcg>,
 }
 
 impl Backends {
@@ -60,6 +70,8 @@
             started: Cell::new(0),
             seed,
             response_loss: Rc::default(),
+            spoiled_part: Rc::default(),
+            spoiled_rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed ^ SPOILED_SEED)),
         });
         for (service, service_config) in site.services.iter().enumerate() {
             for (zone, count) in service_config.backends.iter().enumerate() {
@@ -74,12 +86,29 @@
         let (mut entries, now) = (self.entries.borrow().clone(), self.recorder.now());
         for (id, backend) in self.running.borrow().iter() {
             if let Some(entry) = entries.get_mut(id) {
-                entry["cold-left-ms"] = json!(backend.cold_until.get().saturating_sub(now));
+                let cold_left_ms = backend.cold_until.get().saturating_sub(now);
+                entry["cold-left-ms"] = json!(cold_left_ms);
+                self.spoil_entry(entry, cold_left_ms);
             }
         }
         entries
     }
 
+    /// Replaces the numbers of an entry, with the probability that is set. A slow start is not shortened: the platform's
+    /// list is right on that.
+    fn spoil_entry(&self, entry: &mut Value, cold_left_ms: Millis) {
+        let rng = &mut *self.spoiled_rng.borrow_mut();
+        if self.spoiled_part.get() > 0.0 && rng.random_bool(self.spoiled_part.get()) {
+            entry["slots"] = json!(listed_number(rng));
+            entry["cold-left-ms"] = json!(listed_number(rng).max(cold_left_ms as f64));
+        }
+    }
+
+    /// Sets the fraction of responses and of entries of the list that state numbers out of range.
+    pub(crate) fn set_spoiled_part(&self, part: f64) {
+        self.spoiled_part.set(part);
+    }
+
     /// Ids of a service's backends, sorted.
     pub(crate) fn ids_of_service(&self, service: usize) -> Vec<String> {
         let running = self.running.borrow();
@@ -118,6 +147,8 @@
             queue_length: Cell::new(0),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(self.seed ^ u64::from(number))),
             response_loss: self.response_loss.clone(),
+            spoiled_part: self.spoiled_part.clone(),
+            spoiled_rng: RefCell::new(Pcg64Mcg::seed_from_u64(self.seed ^ SPOILED_SEED ^ u64::from(number))),
             process: RefCell::default(),
         });
         let server = serving::serve(backend.clone(), self.site.clone(), self.recorder.clone());
--- a/crates/emulator/src/backends/serving.rs
+++ b/crates/emulator/src/backends/serving.rs
@@ -3,6 +3,7 @@
 use super::{Backend, PORT};
 use crate::records::{Answer, Arrival, Recorder};
 use crate::site::Site;
+use crate::spoiled_numbers::header_number;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -78,9 +79,29 @@
     let mut response = reply(backend, 200, &id, Bytes::from(answer.body))?;
     let seal = HeaderValue::from_str(&answer.seal).map_err(io::Error::other)?;
     response.headers_mut().insert("x-server-seal", seal);
+    spoil(backend, &mut response)?;
     Ok(response)
 }
 
+/// Replaces the numbers of a response, with the probability that is set.
+fn spoil(backend: &Backend, response: &mut Reply) -> Result<(), io::Error> {
+    let rng = &mut *backend.spoiled_rng.borrow_mut();
+    if backend.spoiled_part.get() <= 0.0 || !rng.random_bool(backend.spoiled_part.get()) {
+        return Ok(());
+    }
+    let mut number = || header_number(rng);
+    let fields = [
+        ("keep-alive", format!("timeout={}, max={}", number(), number())),
+        ("x-server-load", format!("{},{},{}", number(), number(), number())),
+        ("retry-after", number()),
+    ];
+    for (name, value) in fields {
+        let value = HeaderValue::from_str(&value).map_err(io::Error::other)?;
+        response.headers_mut().insert(name, value);
+    }
+    Ok(())
+}
+
 /// Reads the complete request.
 async fn read_request(
     backend: &Backend,
--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -38,6 +38,7 @@
     checker.check_retry_budgets();
     checker.check_slow_starts();
     checker.check_control();
+    checker.check_panics();
     checker.violations
 }
 
@@ -90,6 +91,13 @@
         may_be_in_force.map(|(_, record)| &record.command).collect()
     }
 
+    /// No fault and no input may end a process by a panic.
+    fn check_panics(&mut self) {
+        for machine in &self.records.panicked {
+            self.report("PANIC", format!("a process of {machine} has ended by itself"));
+        }
+    }
+
     fn check_responses(&mut self) {
         let mut denied = 0;
         let mut executions: HashMap<&str, usize> = HashMap::new();
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -12,6 +12,10 @@
 /// The span of the traffic in which faults and planned work happen. Afterwards there may be a closing fault.
 const FAULT_WINDOW: std::ops::Range<Millis> = 2_000..16_000;
 const CLOSING_FAULT_AT: Millis = 20_000;
+/// Distinguishes the seed of spoiled numbers from that of the other events.
+const SPOILED_SEED: u64 = 0x7370_6f69_6c65_6400;
+/// The fraction of responses and of entries of the list that are spoiled.
+const SPOILED_PART: f64 = 0.05;
 /// The duration of the traffic on a generated day.
 pub(crate) const DAY_LENGTH: Millis = 26_000;
 /// A machine still counts as lost for this time after its return.
@@ -56,9 +60,21 @@
         }
         let closing = sample_closing_fault(&mut rng, site, lost_until);
         day.events.extend(closing.map(|kind| Event { at: CLOSING_FAULT_AT, kind }));
+        day.add_spoiled_numbers();
         day
     }
 
+    /// Adds a span of spoiled numbers to every other day. It is drawn apart, so that a seed gives the same other events.
+    fn add_spoiled_numbers(&mut self) {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed ^ SPOILED_SEED);
+        if rng.random::<bool>() {
+            let at = rng.random_range(FAULT_WINDOW);
+            let kind = EventKind::SpoilNumbers { part: SPOILED_PART, span: rng.random_range(1_000..5_000) };
+            self.events.push(Event { at, kind });
+            self.events.sort_by_key(|event| event.at);
+        }
+    }
+
     /// Generates a day with one fault of core machines after another, with no more lost at the same time than
     /// tolerated.
     #[must_use]
--- a/crates/emulator/src/day_file.rs
+++ b/crates/emulator/src/day_file.rs
@@ -182,6 +182,7 @@
             (0..site.services.len()).map(crash).collect()
         }
         "release" => vec![EventKind::ReplaceBackends { service, count }],
+        "garble" => vec![EventKind::SpoilNumbers { part: event.share * event.x, span }],
         "answer_lost" => vec![EventKind::LoseResponses { part: event.share * event.x, span }],
         _ => Vec::new(),
     }
--- a/crates/emulator/src/event.rs
+++ b/crates/emulator/src/event.rs
@@ -134,6 +134,14 @@
         /// How many backends.
         count: usize,
     },
+    /// A fraction of all responses of backends, and of all entries of the platform's list, states numbers that are out of
+    /// range. Entries state at least the slow start that the backend has.
+    SpoilNumbers {
+        /// The fraction.
+        part: f64,
+        /// For how long.
+        span: Millis,
+    },
     /// A fraction of all responses of backends is lost.
     LoseResponses {
         /// The fraction.
--- a/crates/emulator/src/fault_injection.rs
+++ b/crates/emulator/src/fault_injection.rs
@@ -100,6 +100,11 @@
             }
             EventKind::CrashBackends { service, count } => self.crash_backends(service, count).await,
             EventKind::ReplaceBackends { service, count } => self.replace_backends(service, count).await,
+            EventKind::SpoilNumbers { part, span } => {
+                self.backends.set_spoiled_part(part);
+                pause(span).await;
+                self.backends.set_spoiled_part(0.0);
+            }
             EventKind::LoseResponses { part, span } => {
                 self.backends.set_response_loss(part);
                 pause(span).await;
@@ -182,33 +187,6 @@
         }
     }
 
-    /// Adds a tenant, which sends requests once its configuration is acknowledged.
-    async fn add_tenant(&self, name: String) {
-        let index = self.send_configuration(std::slice::from_ref(&name)).await;
-        if self.recorder.with(|records| records.commands[index].acknowledged_at.is_some()) {
-            self.workload.joined.borrow_mut().push(name);
-        }
-    }
-
-    /// Sends two versions by two operators at the same time. The higher version prevails, whichever arrives first.
-    async fn send_two_versions(&self) {
-        let (lower, higher) = (self.version.get() + 1, self.version.get() + 2);
-        self.version.set(higher);
-        let (low, high) = (self.configuration(lower, &[]), self.configuration(higher, &[]));
-        let (one, other) = (self.random(), self.random());
-        tokio::join!(self.operator.send_command(low, one), self.operator.send_command(high, other));
-    }
-
-    /// Sends a configuration with an unknown service, which every registry has to reject.
-    async fn send_invalid(&self) {
-        let version = self.version.get() + 50;
-        let Command::Configuration { text, keys, services, .. } = self.configuration(version, &[]) else {
-            return;
-        };
-        let text = text.replace("[\"ledger\",", "[\"nobody\",");
-        self.send_command(Command::Configuration { version, text, keys, services, is_valid: false }).await;
-    }
-
     async fn crash_backends(&self, service: usize, count: usize) {
         let ids: Vec<String> = self.backends.ids_of_service(service).into_iter().take(count).collect();
         ids.iter().for_each(|id| self.backends.kill(id));
--- a/crates/emulator/src/net/mod.rs
+++ b/crates/emulator/src/net/mod.rs
@@ -80,6 +80,8 @@
     connections: Cell<u64>,
     /// Futures that belong to no process.
     background_tasks: UnboundedSender<LocalBoxFuture<'static, ()>>,
+    /// The machines of processes that have ended by a panic, in that order.
+    panicked: Rc<RefCell<Vec<Ipv4Addr>>>,
 }
 
 impl Net {
@@ -99,10 +101,16 @@
             traffic: Cell::default(),
             connections: Cell::new(0),
             background_tasks,
+            panicked: Rc::default(),
         });
         (net, futures)
     }
 
+    /// The machines of processes that have ended by a panic.
+    pub(crate) fn panicked(&self) -> Rc<RefCell<Vec<Ipv4Addr>>> {
+        self.panicked.clone()
+    }
+
     /// Runs a future that belongs to no process.
     pub(crate) fn spawn(&self, future: LocalBoxFuture<'static, ()>) {
         #[expect(
--- a/crates/emulator/src/process.rs
+++ b/crates/emulator/src/process.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tokio::task::LocalSet;
+use violetyoke_transport::panic_count::observe;
 
 type Body = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -32,6 +33,8 @@
 pub(crate) struct Process {
     ip: Ipv4Addr,
     slot: Rc<Slot>,
+    /// The machines of processes in which a task has panicked, which ends the process.
+    panicked: Rc<RefCell<Vec<Ipv4Addr>>>,
 }
 
 struct Runner(Process);
@@ -47,13 +50,16 @@
         }
         // The body is taken out of its slot while it runs, so that it can query its own process.
         let Some(mut body) = process.slot.body.take() else { return Poll::Ready(()) };
-        let poll = as_machine(process.ip, || body.as_mut().poll(context));
-        if poll.is_pending() {
+        let poll = as_machine(process.ip, || observe(|| body.as_mut().poll(context)));
+        if let Ok(Poll::Pending) = poll {
             *process.slot.body.borrow_mut() = Some(body);
-        } else {
-            as_machine(process.ip, || drop(body));
+            return Poll::Pending;
+        }
+        if poll.is_err() {
+            process.panicked.borrow_mut().push(process.ip);
         }
-        poll
+        as_machine(process.ip, || drop(body));
+        Poll::Ready(())
     }
 }
 
@@ -63,7 +69,7 @@
     pub(crate) fn start(net: &Net, ip: Ipv4Addr, body: impl Future<Output = ()> + 'static) -> Process {
         let body = async move { LocalSet::new().run_until(body).await };
         let slot = Slot { body: RefCell::new(Some(Box::pin(body))), ..Slot::default() };
-        let process = Process { ip, slot: Rc::new(slot) };
+        let process = Process { ip, slot: Rc::new(slot), panicked: net.panicked() };
         net.spawn(Runner(process.clone()).boxed_local());
         process
     }
--- a/crates/emulator/src/records.rs
+++ b/crates/emulator/src/records.rs
@@ -1,7 +1,7 @@
 //! The observations of clients, backends, the platform and the operator. The rules are checked only against these.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -160,6 +160,8 @@
     /// Spans in which machines or links were faulty, as start and end times. Rules with a time bound are not checked in
     /// them.
     pub fault_spans: Vec<(Millis, Millis)>,
+    /// The machines of processes that have ended by a panic.
+    pub panicked: Vec<Ipv4Addr>,
 }
 
 /// A handle to the records, shared by all observers.
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -12,7 +12,7 @@
 use crate::platform;
 use crate::process::Process;
 use crate::records::{Command, Millis, Recorder, Records};
-use crate::site::{key, Site};
+use crate::site::Site;
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -31,8 +31,6 @@
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// How long the operator tries to read the configuration back.
 const READ_BACK_TIMEOUT: Duration = Duration::from_secs(10);
-/// The index of the service that searches go to after a change that moves them.
-const MOVED_SEARCH_SERVICE: usize = 2;
 
 /// The state of a simulation, on which events act.
 pub(crate) struct Simulation {
@@ -196,29 +194,6 @@
         self.operator.send_command(command, self.random()).await
     }
 
-    /// Sends the next version of the configuration, with all changes so far and `newcomers`; returns its index in the
-    /// records.
-    pub(crate) async fn send_configuration(&self, newcomers: &[String]) -> usize {
-        self.version.set(self.version.get() + 1 + self.random() % 4);
-        self.send_command(self.configuration(self.version.get(), newcomers)).await
-    }
-
-    /// The configuration of a version, with all changes so far and `newcomers`.
-    pub(crate) fn configuration(&self, version: u64, newcomers: &[String]) -> Command {
-        let (joined, revoked) =
-            (self.workload.joined.borrow().clone(), self.workload.revoked.borrow().clone());
-        let joined: Vec<String> = joined.into_iter().chain(newcomers.iter().cloned()).collect();
-        let mut site = self.site.clone();
-        if self.moves_searches.get() {
-            site.request_kinds[0].service = MOVED_SEARCH_SERVICE;
-        }
-        let text = site.configuration(version, &joined, &revoked, self.extra_routes.get()).to_string();
-        let initial = (0..site.tenants).filter(|number| !revoked.contains(number)).map(key);
-        let keys = initial.chain(joined.iter().map(|name| format!("key-{name}"))).collect();
-        let services = site.request_kinds.iter().map(|kind| kind.service).collect();
-        Command::Configuration { version, text, keys, services, is_valid: true }
-    }
-
     /// Records that machines or links are faulty for a span from now on.
     pub(crate) fn record_fault(&self, span: Millis) {
         let now = self.recorder.now();
@@ -234,7 +209,7 @@
         });
         SimulationOutcome {
             started_at: self.recorder.started_at(),
-            records: self.recorder.take(),
+            records: Records { panicked: self.net.panicked().take(), ..self.recorder.take() },
             traffic: self.net.traffic(),
             disk_writes,
         }
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -229,3 +229,20 @@
     let error = read("[[day]]\nfaults = [{ kind = \"srv_crash\" }]").expect_err("no time").to_string();
     assert!(error.contains("at"), "{error}");
 }
+
+// Guards against a generator of days on which no backend and no platform states a number out of range: the fault of
+// docs/incidents/keep-alive-beyond-the-clock.md was on none of them.
+#[test]
+fn numbers_out_of_range_end_no_process() {
+    let days = (1..=40).map(|seed| Day::from_seed(seed, &site()));
+    let is_spoiling = |event: &Event| matches!(event.kind, EventKind::SpoilNumbers { .. });
+    let spoiled = days.filter(|day| day.events.iter().any(is_spoiling)).count();
+    assert!((10..=30).contains(&spoiled), "{spoiled} of 40 days");
+
+    let site = Site::rooms(1, 12.0);
+    let mut day = Day::quiet(7);
+    day.events.push(Event { at: 3_000, kind: EventKind::SpoilNumbers { part: 0.2, span: 20_000 } });
+    let simulated = simulated(&site, day);
+    assert_eq!(simulated.violations, []);
+    assert!(simulated.figures.served > 0.9, "{}", simulated.figures);
+}
--- a/crates/proxy/tests/proxy/support/mod.rs
+++ b/crates/proxy/tests/proxy/support/mod.rs
@@ -5,7 +5,6 @@
 mod http;
 pub(crate) mod network;
 pub(crate) mod operations;
-mod panics;
 pub(crate) mod registries;
 mod registry_script;
 
@@ -20,6 +19,7 @@
 use violetyoke_api::Settings;
 use violetyoke_transport::environment::install;
 use violetyoke_transport::lifecycle::{Lifecycle, LifecycleSender};
+use violetyoke_transport::panic_count::observe;
 
 pub(crate) const FRONT_ADDRESS: &str = "10.1.0.9:8089";
 pub(crate) const READINESS_ADDRESS: &str = "10.1.0.9:8085";
@@ -29,11 +29,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     let runtime = runtime.expect("a runtime");
     install(Some(Rc::new(InMemoryNetwork::default())));
-    panics::start_counting();
     delay_connections(Duration::ZERO);
-    tokio::task::LocalSet::new().block_on(&runtime, test());
+    let ended = observe(|| tokio::task::LocalSet::new().block_on(&runtime, test()));
     install(None);
-    assert_eq!(panics::count(), 0, "tasks that panicked");
+    ended.expect("a test, and tasks, that don't panic");
 }
 
 /// Two routes (`/search/` to the service `finder`, `/book/` to `ledger`) and two tenants: `key-1` without a limit,
