Let backends of the soak state numbers out of range

Cause: the soak's backends and its list of backends never stated a number that was not in range. Change: in spans that are drawn apart, so that a seed gives the same other faults, a backend's answers state numbers at the edges of types in Keep-Alive, X-Server-Load and Retry-After, and so does its entry in the list. The types of faults have a file of their own.

--- a/crates/local/src/backend.rs
+++ b/crates/local/src/backend.rs
@@ -2,12 +2,13 @@
 //! fail.
 
 mod server;
+mod spoiled_numbers;
 
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -93,6 +94,10 @@
     executions: Mutex<Vec<Execution>>,
     fault: Mutex<Fault>,
     in_flight: AtomicU32,
+    /// Whether responses and the list entry state numbers that are out of range.
+    spoils_numbers: AtomicBool,
+    /// The number of numbers that were spoiled.
+    spoiled: AtomicUsize,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -138,12 +143,23 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Sets whether its responses and its list entry state numbers that are out of range. It serves requests nevertheless.
+    pub fn set_spoils_numbers(&self, spoils: bool) {
+        self.state.spoils_numbers.store(spoils, Ordering::Relaxed);
+    }
+
+    fn spoils_numbers(&self) -> bool {
+        self.state.spoils_numbers.load(Ordering::Relaxed)
+    }
+
     /// Its entry in the platform's list.
     #[must_use]
     pub fn list_entry(&self) -> serde_json::Value {
+        let (slots, cold_left_ms) =
+            if self.spoils_numbers() { self.spoiled_list_numbers() } else { (f64::from(SLOTS), 0.0) };
         serde_json::json!({
             "service": self.service, "address": self.address.to_string(), "zone": self.zone, "version": "v1",
-            "slots": SLOTS, "state": "ready", "cold-left-ms": 0,
+            "slots": slots, "state": "ready", "cold-left-ms": cold_left_ms,
         })
     }
 }
--- a/crates/local/src/backend/server.rs
+++ b/crates/local/src/backend/server.rs
@@ -59,6 +59,9 @@
         response = response.map(|_| Either::Right(truncated(body)));
     }
     response.headers_mut().insert("x-server-seal", HeaderValue::from_static("seal"));
+    if backend.spoils_numbers() {
+        backend.spoil(response.headers_mut());
+    }
     Ok(response)
 }
 
--- a/crates/local/src/soak/deployment.rs
+++ b/crates/local/src/soak/deployment.rs
@@ -28,6 +28,7 @@
 pub(super) struct Deployment {
     pub(super) system: System,
     pub(super) backends: Vec<Backend>,
+    platform: Platform,
     // Last, because the platform and the backends run on it.
     _runtime: RuntimeThread,
 }
@@ -51,7 +52,7 @@
             tolerated_machine_losses: 1,
         };
         let system = System::start_from(programs, &topology)?;
-        let deployment = Deployment { system, backends, _runtime: runtime };
+        let deployment = Deployment { system, backends, platform, _runtime: runtime };
         deployment.configure(route_kind)?;
         if !deployment.wait_until_ready() {
             return Err(io::Error::other("the proxies are not ready"));
@@ -69,6 +70,13 @@
         }
     }
 
+    /// Sets whether a backend's responses and its entry in the list state numbers that are out of range.
+    pub(super) fn set_spoils_numbers(&self, backend: usize, spoils: bool) {
+        let backend = &self.backends[backend];
+        backend.set_spoils_numbers(spoils);
+        self.platform.set(&backend.id, backend.list_entry());
+    }
+
     /// The addresses at which the proxies accept requests.
     pub(super) fn fronts(&self) -> Vec<SocketAddr> {
         self.system.edges.iter().map(|edge| edge.front).collect()
--- a/crates/local/src/soak/injector.rs
+++ b/crates/local/src/soak/injector.rs
@@ -1,7 +1,8 @@
 //! Injects the faults of a plan, and ends each after its duration.
 
 use super::deployment::Deployment;
-use super::plan::{Plan, PlannedFault, ProcessFault, Strike};
+use super::fault::{PlannedFault, ProcessFault, Strike};
+use super::plan::Plan;
 use crate::backend::Fault;
 use crate::ProcessRef;
 use std::io;
@@ -57,6 +58,10 @@
                 self.deployment.backends[backend].set_fault(fault);
                 Ok(())
             }
+            Strike::SpoiledNumbers(backend) => {
+                self.deployment.set_spoils_numbers(backend, true);
+                Ok(())
+            }
             Strike::Process(process_ref, fault) => {
                 let system = &mut self.deployment.system;
                 match (fault, process_ref) {
@@ -77,6 +82,10 @@
                 self.deployment.backends[backend].set_fault(Fault::None);
                 Ok(())
             }
+            Strike::SpoiledNumbers(backend) => {
+                self.deployment.set_spoils_numbers(backend, false);
+                Ok(())
+            }
             Strike::Process(process_ref, fault) => {
                 let process = self.deployment.system.process_mut(process_ref);
                 match fault {
--- a/crates/local/src/soak/mod.rs
+++ b/crates/local/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod clients;
 mod connection;
 mod deployment;
+mod fault;
 mod history;
 mod injector;
 mod plan;
--- a/crates/local/src/soak/plan.rs
+++ b/crates/local/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! Draws the faults of a run from a seed: overlapping series for proxies, registries, stores and backends.
 
+use super::fault::{PlannedFault, ProcessFault, Strike};
 use crate::backend::Fault;
 use crate::ProcessRef;
 use rand::{RngExt, SeedableRng};
@@ -16,34 +17,6 @@
     pub(super) backends: usize,
 }
 
-/// What happens to a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum ProcessFault {
-    /// SIGKILL; the process is started again at the end of the fault.
-    Killed,
-    /// SIGSTOP, and SIGCONT at the end of the fault.
-    Frozen,
-    /// SIGTERM; the process is started again at the end of the fault, and killed first if it has not ended by then.
-    Terminated,
-    /// SIGKILL, and the store's files are removed; the process is started again at the end of the fault.
-    DiskLost,
-}
-
-/// The target of a fault, and its kind.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Strike {
-    Process(ProcessRef, ProcessFault),
-    Backend(usize, Fault),
-}
-
-/// One fault: its target, its start in the run, and its duration.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PlannedFault {
-    pub(super) strike: Strike,
-    pub(super) at: Duration,
-    pub(super) lasts: Duration,
-}
-
 /// All faults of a run, ordered by their start.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
@@ -71,6 +44,11 @@
 const FROZEN: Range<f64> = 0.05..4.0;
 const TERMINATED: Range<f64> = 0.5..3.0;
 const BACKEND_FAULT: Range<f64> = 0.1..0.6;
+/// Pauses between two spans of spoiled numbers, and their duration (s).
+const SPOILED_PAUSES: Range<f64> = 1.0..3.0;
+const SPOILED: Range<f64> = 0.5..2.0;
+/// Distinguishes the seed of these spans from that of the other faults.
+const SPOILED_SEED: u64 = 0x7370_6f69_6c65_6400;
 /// For how long a store that is left behind misses claims (s), and how soon after its return the others are killed
 /// (s).
 const LEFT_BEHIND: Range<f64> = 0.8..2.0;
@@ -98,6 +76,9 @@
         draft.draw_series(&registries, REGISTRY_PAUSES);
         draft.draw_series(&proxies, PROXY_PAUSES);
         draft.draw_backend_faults(machines.backends);
+        // Drawn apart, so that a seed gives the same other faults.
+        draft.random = Pcg64Mcg::seed_from_u64(seed ^ SPOILED_SEED);
+        draft.draw_spoiled_numbers(machines.backends);
         draft.faults.sort_by_key(|fault| fault.at);
         Plan { faults: draft.faults }
     }
@@ -108,7 +89,7 @@
             Strike::Process(process_ref @ ProcessRef::Store(_), what) => {
                 Some(format!("{:?} {process_ref}: {what:?} for {:?}", fault.at, fault.lasts))
             }
-            Strike::Process(..) | Strike::Backend(..) => None,
+            Strike::Process(..) | Strike::Backend(..) | Strike::SpoiledNumbers(..) => None,
         };
         self.faults.iter().filter_map(line).collect()
     }
@@ -242,4 +223,12 @@
             self.faults.push(PlannedFault { strike: Strike::Backend(backend, fault), at, lasts });
         }
     }
+
+    fn draw_spoiled_numbers(&mut self, backends: usize) {
+        for at in self.beginnings(&SPOILED_PAUSES) {
+            let strike = Strike::SpoiledNumbers(self.random.random_range(0..backends));
+            let lasts = self.seconds(SPOILED);
+            self.faults.push(PlannedFault { strike, at, lasts });
+        }
+    }
 }
--- a/crates/local/src/soak/report.rs
+++ b/crates/local/src/soak/report.rs
@@ -1,9 +1,9 @@
 //! What a soak has shown.
 
 use super::checker::by_operation;
+use super::fault::{ProcessFault, Strike};
 use super::history::ClientRequest;
 use super::injector::InjectedFault;
-use super::plan::{ProcessFault, Strike};
 use crate::backend::Execution;
 use crate::ProcessRef;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -115,13 +115,14 @@
 fn concerns(strike: Strike, request: &ClientRequest) -> bool {
     match strike {
         Strike::Process(ProcessRef::Proxy(edge), _) => request.edge == edge,
-        Strike::Process(..) | Strike::Backend(..) => true,
+        Strike::Process(..) | Strike::Backend(..) | Strike::SpoiledNumbers(..) => true,
     }
 }
 
 fn kind(strike: Strike) -> String {
     let (process_ref, fault) = match strike {
         Strike::Backend(_, fault) => return format!("backend {fault:?}"),
+        Strike::SpoiledNumbers(_) => return "backend SpoilsNumbers".to_owned(),
         Strike::Process(process_ref, fault) => (process_ref, fault),
     };
     let daemon = match process_ref {
--- a/crates/local/tests/soak.rs
+++ b/crates/local/tests/soak.rs
@@ -25,6 +25,8 @@
     // A run that serves little, or strikes beside all claims, shows nothing.
     assert!(report.executions > 200 && report.replays > 50, "{report}");
     assert!(report.faults_within_claims() > 10, "{report}");
+    let spoiled = report.faults.get("backend SpoilsNumbers").map_or(0, |counts| counts.injected);
+    assert!(spoiled > 5, "{report}");
 }
 
 // Guards against a soak that finds nothing whatever happens.
