Let the proxy's tests insist on valid configurations again

Cause: the stand-in registry had come to decode configurations without validating them, for the tests of limits in force; an invalid configuration in any other test would have gone unseen.

--- a/crates/proxy/tests/proxy/numbers_in_configurations.rs
+++ b/crates/proxy/tests/proxy/numbers_in_configurations.rs
@@ -4,7 +4,7 @@
 use crate::support::backends::{Backend, Behavior};
 use crate::support::client::{is_ready_within, KeepAliveConnection};
 use crate::support::registries::Registry;
-use crate::support::{configuration, run_in_virtual_time, start_proxy_with, start_ready_proxy_with};
+use crate::support::{configuration, run_in_virtual_time, start_proxy, start_proxy_with, RunningProxy};
 use proptest::prelude::*;
 use serde_json::{json, Value};
 use std::time::Duration;
@@ -21,6 +21,16 @@
     ]
 }
 
+/// Starts a proxy under a configuration that need not be valid, and waits until the proxy is ready.
+async fn start_under(configuration: &Value, finder: &Backend) -> (RunningProxy, Registry) {
+    let registry = Registry::start(1);
+    registry.set_accepted_state(1, configuration, &[finder]);
+    registry.set_membership(1, &[&registry], true);
+    let proxy = start_proxy(&[&registry]);
+    assert!(is_ready_within(Duration::from_secs(5)).await, "{configuration}");
+    (proxy, registry)
+}
+
 /// Sends two requests on one connection and checks that the proxy accepts connections afterwards. Whether the requests are
 /// served depends on the numbers.
 async fn check_that_the_proxy_survives(described: &Value) {
@@ -40,7 +50,7 @@
     });
     configuration["limits"][field] = json!(number);
     let finder = Backend::finder(Behavior::respond_ok("found"));
-    let _proxy = start_ready_proxy_with(&configuration, &[&finder]).await;
+    let _proxy = start_under(&configuration, &finder).await;
     let mut connection = KeepAliveConnection::open().await;
     for n in 0..2 {
         connection.send("/search/1", &format!("try-{n}")).await;
@@ -103,7 +113,7 @@
         let configuration = configuration_with(&numbers);
         run_in_virtual_time(|| async {
             let finder = Backend::finder(Behavior::respond_ok("found"));
-            let _proxy = start_ready_proxy_with(&configuration, &[&finder]).await;
+            let _proxy = start_under(&configuration, &finder).await;
             check_that_the_proxy_survives(&configuration).await;
         });
     }
--- a/crates/proxy/tests/proxy/support/registries.rs
+++ b/crates/proxy/tests/proxy/support/registries.rs
@@ -47,8 +47,18 @@
 
     /// Sets the configuration, at revision 1.`sequence`, and the list of backends.
     pub(crate) fn set_state(&self, sequence: u64, configuration: &Value, backends: &[&Backend]) {
-        // As a registry does: the stores may have a configuration that an earlier build accepted.
+        let configuration = Configuration::parse(configuration.to_string().as_bytes()).expect("valid");
+        self.install(sequence, configuration, backends);
+    }
+
+    /// The same with a configuration that need not be valid: one that an earlier build accepted, and that the stores still
+    /// have.
+    pub(crate) fn set_accepted_state(&self, sequence: u64, configuration: &Value, backends: &[&Backend]) {
         let configuration = Configuration::decode(configuration.to_string().as_bytes()).expect("decodable");
+        self.install(sequence, configuration, backends);
+    }
+
+    fn install(&self, sequence: u64, configuration: Configuration, backends: &[&Backend]) {
         let script = &mut *self.script.borrow_mut();
         script.state = Some((Revision { epoch: Epoch(1), sequence }, configuration));
         let backends = backends.iter().map(|backend| backend.list_entry()).collect();
