--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -18,6 +18,7 @@
     match case {
         "quota-alone" => quota_alone(root, trouble),
         "quota-moved" => quota_moved(root, trouble),
+        "cold-again" => cold_again(root, trouble),
         "quota-raised" => quota_raised(root, trouble),
         _ => Err(io::Error::other("no such case")),
     }
@@ -48,6 +49,7 @@
 /// A running deployment with its backends.
 struct World {
     system: System,
+    platform: Platform,
     runs: Runs,
 }
 
@@ -73,7 +75,7 @@
         }
         system.end_bootstrap()?;
         say("all edges are ready");
-        Ok(World { system, runs })
+        Ok(World { system, platform, runs })
     }
 
     fn front(&self, edge: usize) -> SocketAddr {
@@ -91,13 +93,17 @@
 
 /// Sends one search of a tenant, and records when it was sent. Without a connection, it opens one.
 fn search(kept: &mut Option<Connection>, front: SocketAddr, tenant: &str, sent: &Sent) -> u16 {
+    send(kept, front, ("GET", "/search/1"), tenant, sent)
+}
+
+fn send(kept: &mut Option<Connection>, front: SocketAddr, (method, target): (&str, &str), tenant: &str, sent: &Sent) -> u16 {
     let attempt = format!("a-{}", LAST_ATTEMPT.fetch_add(1, Ordering::Relaxed));
     let key = format!("key-{tenant}");
     let fields = [("Host", "rooms.example"), ("X-Attempt-Id", attempt.as_str()), ("X-Deadline-Ms", "1000"), ("X-Credential", key.as_str())];
     let connection = kept.take().or_else(|| Connection::open(front, seconds(1.5)).ok());
     lock(sent).insert(attempt.clone(), now());
     let answer = connection.and_then(|mut connection| {
-        let answer = connection.call("GET", "/search/1", &fields, b"").ok()?;
+        let answer = connection.call(method, target, &fields, b"").ok()?;
         *kept = (answer.field("connection") != Some("close")).then_some(connection);
         Some(answer)
     });
@@ -277,3 +283,55 @@
     world.check()?;
     Ok(quota_breaks(&world.runs, &sent, &raised))
 }
+
+/// A backend that starts during traffic is cold, and becomes cold again shortly before it is warm. The platform's list says so all
+/// the while; the proxies are not told, and send it its full share.
+fn cold_again(root: &Path, trouble: bool) -> io::Result<Breaks> {
+    /// `cold-rate-s` x `cold-overshoot` + `cold-slack`, of the site.
+    const BEARS: f64 = 21.0 * 1.5 + 5.0;
+    let tenants: [Tenant<'_>; 1] = [("kolkheti", 0.0, 0.0)];
+    let cores = [at("west-a", "west"), at("west-a", "west"), at("west-b", "west")];
+    let edges = [at("west-a", "west"), at("west-a", "west"), at("west-b", "west"), at("west-b", "west")];
+    let first = configuration(1, "nonidempotent", &tenants);
+    let mut world = World::start(root, &cores, &edges, &["west-a", "west-b"], &first)?;
+    let sent = Sent::default();
+    let fronts: Vec<SocketAddr> = (0..edges.len()).map(|edge| world.front(edge)).collect();
+    // Two hundred bookings a second in all, paced on kept connections, for fifteen seconds.
+    let begun = now();
+    let clients: Vec<_> = (0..20)
+        .map(|client| {
+            let (sent, front) = (sent.clone(), fronts[client % fronts.len()]);
+            spawn(move || {
+                let mut kept = None;
+                for turn in 0..150 {
+                    sleep(seconds((begun + (turn as f64 + client as f64 / 20.0) / 10.0 - now()).max(0.0)));
+                    send(&mut kept, front, ("POST", "/book/1"), "kolkheti", &sent);
+                }
+            })
+        })
+        .collect();
+    sleep(seconds(5.0));
+    let newcomer = Backend::start("i-ledger-new", "ledger", "west-a", 24, 10, &world.runs)?;
+    newcomer.become_cold(3.0);
+    world.platform.set(&newcomer);
+    sleep(seconds(2.4));
+    if trouble {
+        newcomer.become_cold(3.0);
+    }
+    clients.into_iter().for_each(|client| drop(client.join()));
+    world.check()?;
+    let (runs, sent) = (lock(&world.runs), lock(&sent));
+    let spans: Vec<(f64, f64)> =
+        runs.iter().filter(|run| run.cold.is_some()).filter_map(|run| Some((*sent.get(&run.attempt)?, run.at))).collect();
+    let most = spans
+        .iter()
+        .map(|(from, _)| (spans.iter().filter(|(sent, ran)| sent >= from && *ran < from + 1.0).count(), *from))
+        .max_by_key(|(count, _)| *count)
+        .unwrap_or_default();
+    say(&format!("FAILBACK: the cold backend got {} requests in all, at most {} in one second (from {:.2} s), {BEARS} allowed", spans.len(), most.0, most.1));
+    Ok(if most.0 as f64 > BEARS {
+        vec![format!("FAILBACK: a cold backend got {} requests in one second from {:.2} s; {BEARS} are allowed", most.0, most.1)]
+    } else {
+        Vec::new()
+    })
+}
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -28,7 +28,7 @@
 #[derive(Clone)]
 pub struct Platform {
     pub address: SocketAddr,
-    entries: Arc<Mutex<BTreeMap<String, String>>>,
+    entries: Arc<Mutex<BTreeMap<String, Backend>>>,
 }
 
 impl Platform {
@@ -49,7 +49,7 @@
                 let entries = lock(&self.entries);
                 // The page that follows an id: entries that go or come meanwhile move no other entry.
                 let rest: Vec<_> = entries.iter().filter(|(id, _)| id.as_str() > token.as_str() || token.is_empty()).collect();
-                let on_page: Vec<String> = rest.iter().take(page).map(|(id, entry)| format!("\"{id}\": {entry}")).collect();
+                let on_page: Vec<String> = rest.iter().take(page).map(|(id, backend)| format!("\"{id}\": {}", backend.entry())).collect();
                 let next = if rest.len() > page { format!("\"{}\"", rest[page - 1].0) } else { "null".to_owned() };
                 format!("{{\"instances\": {{{}}}, \"next-token\": {next}}}", on_page.join(", "))
             };
@@ -60,11 +60,7 @@
 
     /// Adds a ready backend.
     pub fn set(&self, backend: &Backend) {
-        let entry = format!(
-            r#"{{"service": "{}", "address": "{}", "zone": "{}", "version": "v1", "slots": {}, "state": "ready", "cold-left-ms": 0}}"#,
-            backend.service, backend.address, backend.zone, backend.slots
-        );
-        lock(&self.entries).insert(backend.id.clone(), entry);
+        lock(&self.entries).insert(backend.id.clone(), backend.clone());
     }
 }
 
@@ -74,6 +70,8 @@
     pub at: f64,
     pub attempt: String,
     pub tenant: String,
+    /// The backend, if it was cold.
+    pub cold: Option<String>,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -89,14 +87,35 @@
     work: Duration,
     runs: Runs,
     busy: Arc<Mutex<usize>>,
+    /// Until when it is cold (seconds since the start of the record).
+    cold_until: Arc<Mutex<f64>>,
 }
 
 impl Backend {
+    /// Its row in the platform's list.
+    fn entry(&self) -> String {
+        format!(
+            r#"{{"service": "{}", "address": "{}", "zone": "{}", "version": "v1", "slots": {}, "state": "ready", "cold-left-ms": {}}}"#,
+            self.service, self.address, self.zone, self.slots, (self.cold_left() * 1000.0).ceil()
+        )
+    }
+
+    /// It is cold from now on, for that many seconds.
+    pub fn become_cold(&self, seconds: f64) {
+        say(&format!("{} is cold for {seconds} s", self.id));
+        *lock(&self.cold_until) = now() + seconds;
+    }
+
+    fn cold_left(&self) -> f64 {
+        (*lock(&self.cold_until) - now()).max(0.0)
+    }
+
     pub fn start(id: &str, service: &str, zone: &str, slots: usize, work_ms: u64, runs: &Runs) -> io::Result<Backend> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let backend = Backend {
             id: id.into(), service: service.into(), zone: zone.into(), address: listener.local_addr()?, slots,
             work: Duration::from_millis(work_ms), runs: runs.clone(), busy: Arc::default(),
+            cold_until: Arc::new(Mutex::new(0.0)),
         };
         let shared = backend.clone();
         serve(listener, move |stream| drop(shared.answer(stream)));
@@ -125,7 +144,8 @@
                 respond(&mut out, 503, &[id[0], id[1], ("X-Not-Executed", "1")], b"")?;
                 continue;
             };
-            let run = Run { at: now(), attempt: attempt.clone(), tenant: field("x-tenant") };
+            let cold = (self.cold_left() > 0.0).then(|| self.id.clone());
+            let run = Run { at: now(), attempt: attempt.clone(), tenant: field("x-tenant"), cold };
             say(&format!("{} runs {attempt} of {} on {}", self.id, run.tenant, request.target()));
             lock(&self.runs).push(run);
             sleep(self.work);
