--- a/review/stand-2/src/system.rs
+++ b/review/stand-2/src/system.rs
@@ -144,6 +144,8 @@
 }
 
 pub struct System {
+    /// Keeps the loopback network from another case that runs at the same time.
+    _reservation: TcpListener,
     pub folder: PathBuf,
     pub cores: Vec<Machine>,
     pub edges: Vec<Machine>,
@@ -161,10 +163,10 @@
 impl System {
     /// Writes the settings; starts nothing.
     pub fn new(plan: &Plan<'_>) -> io::Result<System> {
-        let (net, first_port) = free_net(plan.cores.len() + plan.edges.len())?;
-        let folder = std::env::temp_dir().join(format!("violetyoke-review-{}-{first_port}", std::process::id()));
+        let (net, first_port, reservation) = free_net(plan.cores.len() + plan.edges.len())?;
+        let folder = temporary().join(format!("violetyoke-review-{}-{first_port}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let mut system = System { folder, cores: Vec::new(), edges: Vec::new() };
+        let mut system = System { _reservation: reservation, folder, cores: Vec::new(), edges: Vec::new() };
         let places: Vec<(bool, &Place)> =
             plan.cores.iter().map(|place| (true, place)).chain(plan.edges.iter().map(|place| (false, place))).collect();
         let ip = |index: usize| Ipv4Addr::new(127, net.0, net.1, index as u8 + 1);
@@ -272,17 +274,25 @@
     }
 }
 
+/// Where temporary files go: in memory if that can be had, as the stores of all machines would share one disk otherwise, and no
+/// order is acknowledged while it stands still.
+fn temporary() -> PathBuf {
+    let in_memory = Path::new("/dev/shm");
+    if std::env::var_os("TMPDIR").is_none() && in_memory.is_dir() { in_memory.to_owned() } else { std::env::temp_dir() }
+}
+
 /// A loopback network and a first port that are free on all its hosts. The first choice is always the same, since the addresses
 /// decide which registry counts which tenant.
-fn free_net(hosts: usize) -> io::Result<((u8, u8), u16)> {
+fn free_net(hosts: usize) -> io::Result<((u8, u8), u16, TcpListener)> {
     for attempt in 0..200u8 {
         let (net, first) = ((77, 10 + attempt), 21_000 + u16::from(attempt) * 20);
+        let Ok(reservation) = TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, 254), first)) else { continue };
         let is_free = (0..hosts).all(|host| {
             let host = Ipv4Addr::new(127, net.0, net.1, host as u8 + 1);
             (0..=PORTS).all(|port| TcpListener::bind((host, first + port)).is_ok())
         });
         if is_free {
-            return Ok((net, first));
+            return Ok((net, first, reservation));
         }
     }
     Err(io::Error::other("no free ports"))
