--- a/review/stand-2/src/system.rs
+++ b/review/stand-2/src/system.rs
@@ -164,7 +164,7 @@
     /// Writes the settings; starts nothing.
     pub fn new(plan: &Plan<'_>) -> io::Result<System> {
         let (net, first_port, reservation) = free_net(plan.cores.len() + plan.edges.len())?;
-        let folder = temporary().join(format!("violetyoke-review-{}-{first_port}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("violetyoke-review-{}-{first_port}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let mut system = System { _reservation: reservation, folder, cores: Vec::new(), edges: Vec::new() };
         let places: Vec<(bool, &Place)> =
@@ -274,13 +274,6 @@
     }
 }
 
-/// Where temporary files go: in memory if that can be had, as the stores of all machines would share one disk otherwise, and no
-/// order is acknowledged while it stands still.
-fn temporary() -> PathBuf {
-    let in_memory = Path::new("/dev/shm");
-    if std::env::var_os("TMPDIR").is_none() && in_memory.is_dir() { in_memory.to_owned() } else { std::env::temp_dir() }
-}
-
 /// A loopback network and a first port that are free on all its hosts. The first choice is always the same, since the addresses
 /// decide which registry counts which tenant.
 fn free_net(hosts: usize) -> io::Result<((u8, u8), u16, TcpListener)> {
