--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -78,8 +78,11 @@
         Ok(World { system, platform, runs })
     }
 
-    fn front(&self, edge: usize) -> SocketAddr {
-        self.system.edges[edge].front()
+    /// The addresses that a client of this zone gets from the first of these core machines that answers.
+    fn directory(&self, cores: &[usize], zone: &str) -> io::Result<Vec<SocketAddr>> {
+        let directories: Vec<SocketAddr> = cores.iter().map(|core| self.system.cores[*core].directory()).collect();
+        let found = resolve(&directories, "west", zone);
+        if found.is_empty() { Err(io::Error::other("the directory names no ingress")) } else { Ok(found) }
     }
 
     /// What must not happen beside the rule: a process that ended by itself makes the case worthless.
@@ -96,19 +99,21 @@
     send(kept, front, ("GET", "/search/1"), tenant, sent)
 }
 
+/// Sends one request of a tenant.
 fn send(kept: &mut Option<Connection>, front: SocketAddr, (method, target): (&str, &str), tenant: &str, sent: &Sent) -> u16 {
     let attempt = format!("a-{}", LAST_ATTEMPT.fetch_add(1, Ordering::Relaxed));
     let key = format!("key-{tenant}");
     let fields = [("Host", "rooms.example"), ("X-Attempt-Id", attempt.as_str()), ("X-Deadline-Ms", "1000"), ("X-Credential", key.as_str())];
     let connection = kept.take().or_else(|| Connection::open(front, seconds(1.5)).ok());
-    lock(sent).insert(attempt.clone(), now());
+    let sent_at = now();
+    lock(sent).insert(attempt.clone(), sent_at);
     let answer = connection.and_then(|mut connection| {
         let answer = connection.call(method, target, &fields, b"").ok()?;
         *kept = (answer.field("connection") != Some("close")).then_some(connection);
         Some(answer)
     });
     let status = answer.as_ref().map_or(0, Message::status);
-    say(&format!("client of {tenant}: {attempt} to {front}: {status}"));
+    say(&format!("client of {tenant}: {method} {target} {attempt} sent at {sent_at:.3} s to {front}: {status}"));
     status
 }
 
@@ -192,10 +197,7 @@
     }
     say("the proxies of west-b are ready");
     // The tenant sends 7.5 times its usual (rate / 1.6) through whatever the directory names, for two seconds.
-    let fronts = resolve(&[world.system.cores[2].directory()], "west", "west-b");
-    if fronts.is_empty() {
-        return Err(io::Error::other("the directory names no ingress"));
-    }
+    let fronts = world.directory(&[2], "west-b")?;
     let per_s = 7.5 * 50.0 / 1.6;
     let started = now();
     let mut clients = Vec::new();
@@ -230,30 +232,35 @@
 fn quota_moved(root: &Path, trouble: bool) -> io::Result<Breaks> {
     let tenants: Vec<Tenant<'_>> = MANY.iter().map(|name| (*name, 20.0, 200.0)).collect();
     let cores = [at("west-a", "west"), at("west-a", "west"), at("west-b", "west")];
-    let edges = [at("west-a", "west"), at("west-b", "west"), at("west-b", "west")];
+    let edges = [at("west-b", "west"), at("west-b", "west"), at("west-b", "west")];
     let first = configuration(1, "nonidempotent", &tenants);
     let mut world = World::start(root, &cores, &edges, &["west-a", "west-a", "west-b", "west-b"], &first)?;
     let sent = Sent::default();
     sleep(seconds(5.0));
-    let all_send = |world: &World, edge: usize| {
-        let front = world.front(edge);
+    // The clients are of zone west-b, for which the directory names three ingresses; new connections go to another one of them.
+    let fronts = world.directory(&[2, 1], "west-b")?;
+    if fronts.len() != 3 {
+        return Err(io::Error::other("the directory does not name three ingresses"));
+    }
+    let all_send = |edge: usize| {
+        let front = fronts[edge];
         let tenants: Vec<_> = MANY.iter().map(|tenant| { let sent = sent.clone(); spawn(move || burst(front, tenant, 210, 4, &sent)) }).collect();
         let served: Vec<usize> = tenants.into_iter().filter_map(|tenant| tenant.join().ok()).collect();
         say(&format!("served of 210 each through edge {}: {served:?}", edge + 1));
     };
-    all_send(&world, 0);
+    all_send(0);
     if trouble {
         say("the machine core-1 is stopped in order, and starts again");
         world.system.cores[0].signal(SIGTERM);
         sleep(seconds(0.6));
     }
-    all_send(&world, 1);
+    all_send(1);
     if trouble {
         world.system.cores[0].wait_end(seconds(6.0))?;
         world.system.cores[0].start()?;
         sleep(seconds(0.6));
     }
-    all_send(&world, 2);
+    all_send(2);
     world.check()?;
     Ok(quota_breaks(&world.runs, &sent, &tenants))
 }
@@ -270,7 +277,7 @@
     // A window is named by the time since the start of its counter, divided by its length. With windows of 9 and of 10 s the
     // two names differ here, as they do at any time after the first 90 s.
     sleep(seconds((28.2 - now()).max(0.0)));
-    let front = world.front(0);
+    let front = world.directory(&[2, 1], "west-a")?[0];
     let served = burst(front, "kolkheti", 520, 24, &sent);
     say(&format!("served of 520: {served}"));
     let second = configuration(2, "nonidempotent", if trouble { &raised } else { &before });
@@ -295,7 +302,7 @@
     let first = configuration(1, "nonidempotent", &tenants);
     let mut world = World::start(root, &cores, &edges, &["west-a", "west-b"], &first)?;
     let sent = Sent::default();
-    let fronts: Vec<SocketAddr> = (0..edges.len()).map(|edge| world.front(edge)).collect();
+    let fronts = [world.directory(&[2, 1], "west-a")?, world.directory(&[2, 1], "west-b")?].concat();
     // Two hundred bookings a second in all, paced on kept connections, for fifteen seconds.
     let begun = now();
     let clients: Vec<_> = (0..20)
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the second review: `stand-2 CASE ROOT FOLDER`. Exit status: 1 the rule was broken, 0 it held, 2 the case
+//! Runs one case of the second review: `stand-2 CASE ROOT RECORD`. Exit status: 1 the rule was broken, 0 it held, 2 the case
 //! could not run. `TROUBLE=0` leaves the disruption out.
 
 mod cases;
@@ -12,9 +12,9 @@
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
-    let [case, root, folder] = words.as_slice() else { return ExitCode::from(2) };
+    let [case, root, file] = words.as_slice() else { return ExitCode::from(2) };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    if record::open(&Path::new(folder).join("record.txt")).is_err() {
+    if record::open(Path::new(file)).is_err() {
         return ExitCode::from(2);
     }
     // No case may last longer than 120 s; the processes that it started end with this one.
--- a/review/stand-2/src/system.rs
+++ b/review/stand-2/src/system.rs
@@ -40,6 +40,8 @@
 /// One process of a machine. It is started again by its settings, as the platform does.
 pub struct Process {
     name: String,
+    /// The repository: programs start at its root.
+    root: PathBuf,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -58,6 +60,7 @@
             })
         };
         let child = command
+            .current_dir(&self.root)
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
             .env("VIOLETYOKE_CONFIG", &self.settings)
@@ -114,9 +117,6 @@
     pub fn directory(&self) -> SocketAddr {
         self.address(DIRECTORY)
     }
-    pub fn front(&self) -> SocketAddr {
-        self.address(FRONT)
-    }
     pub fn ready(&self) -> SocketAddr {
         self.address(READY)
     }
@@ -204,6 +204,7 @@
                 .iter()
                 .map(|program| Process {
                     name: format!("{name}/{program}"),
+                    root: plan.root.to_owned(),
                     program: plan.root.join(format!("target/system/violetyoke-{program}")),
                     settings: settings.clone(),
                     log: system.folder.join(format!("{name}-{program}.log")),
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -129,6 +129,12 @@
             let field = |name: &str| request.field(name).unwrap_or("").to_owned();
             let attempt = field("x-attempt-id");
             let id = [("X-Attempt-Id", attempt.as_str()), ("X-Instance-Id", self.id.as_str())];
+            if request.target() == "/health" {
+                let cold = format!("{}", (self.cold_left() * 1000.0).ceil());
+                let load = format!("{},0,{}", *lock(&self.busy), self.slots);
+                respond(&mut out, 200, &[id[1], ("X-Server-Load", load.as_str()), ("X-Cold-Ms", cold.as_str())], b"")?;
+                continue;
+            }
             if request.field("x-target-instance").is_some_and(|target| target != self.id) {
                 respond(&mut out, 421, &id, b"")?;
                 continue;
